--- a/packages/wasabilb-agent/src/wasabilb_agent/_chunk_transfer.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_chunk_transfer.py
@@ -16,9 +16,11 @@
 from wasabilb_wire.messages import ChunkData, ChunkNone, ChunkWant, TransferState
 
 from wasabilb_agent._receipts import Receipts
-from wasabilb_agent._store_client import StoreClient
 from wasabilb_agent._uploads import Uploads
+from wasabilb_agent._weight_source import WeightSource
 
+# Names chunks that this host had before the transfer; no host has this name.
+LOCAL = "."
 # Several chunks that arrive within this time are announced with one message.
 ANNOUNCE_S = 0.05
 
@@ -38,7 +40,7 @@
     """
 
     assembly: ChunkAssembly
-    store: StoreClient
+    store: WeightSource
     links: LinkManager
     uploads: Uploads
     log: EventLog
@@ -92,6 +94,20 @@
                 self._known.discard(request.source)
                 self.assembly.planner.on_peer_lost(request.source)
 
+    def add_local(self, index: int, data: bytes) -> bool:
+        """Take a chunk that lies on this host already; return whether it was intact."""
+        if self._is_closed:
+            return False
+        added = self.assembly.add(
+            transfer=self.assembly.transfer, index=index, source=LOCAL, data=data, now=now()
+        )
+        if isinstance(added, Failure):
+            return False
+        self._announce()
+        if self.is_complete:
+            self.on_complete()
+        return True
+
     def greet(self, peer: Peer) -> None:
         """Tell a peer of this transfer."""
         peer.send(self._state())
@@ -163,7 +179,7 @@
     async def _fetch(self, request: ChunkRequest) -> None:
         size = self.manifest.chunk_length(request.index)
         await asyncio.sleep(self.uploads.download_delay_s(size))
-        data = await self.store.chunk(self.manifest.chunks[request.index])
+        data = await self.store.chunk(self.manifest, request.index)
         self._fetches.pop(request.index, None)
         if self._is_closed:
             return
--- a/packages/wasabilb-agent/src/wasabilb_agent/_manifests.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_manifests.py
@@ -15,7 +15,7 @@
 from wasabilb_node.links import LinkManager, Peer
 from wasabilb_wire.messages import ChunkData, TransferState
 
-from wasabilb_agent._store_client import StoreClient
+from wasabilb_agent._weight_source import WeightSource
 
 # Stands in a `ChunkData` for the manifest itself; a manifest has at most 4,096 chunks.
 MANIFEST_INDEX = (1 << 32) - 1
@@ -57,7 +57,7 @@
         host: str,
         region: str,
         links: LinkManager,
-        store: StoreClient,
+        store: WeightSource,
         rng: random.Random,
         held: Callable[[str], Manifest | None],
         pinned: Callable[[Variant], str],
--- a/packages/wasabilb-agent/src/wasabilb_agent/_participants.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_participants.py
@@ -1,6 +1,7 @@
 """The hosts that take part in the transfer of a variant, and the links between them."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from wasabilb_core.distribution import Overlay
 from wasabilb_core.fleet import FleetState
@@ -9,6 +10,80 @@
 from wasabilb_node.links import LinkManager
 
 
+class TransferHosts(Protocol):
+    """The hosts that share the transfer of a variant."""
+
+    def hosts(self, variant: Variant) -> list[HostSpec]:
+        """Return the hosts that receive a variant, this one included."""
+
+    def overlay(self, variant: Variant, key: str) -> Overlay:
+        """Return the links between the hosts, the same on all hosts for the same key."""
+
+    def pinned(self, variant: Variant) -> str:
+        """Return the manifest digest that is demanded, empty for none."""
+
+    def addresses(self, names: Iterable[str]) -> dict[str, str]:
+        """Return the addresses of hosts."""
+
+    def link_up(self, names: Iterable[str]) -> None:
+        """Keep links to hosts."""
+
+
+class ListedParticipants:
+    """The agents beside the runners that the platform lists.
+
+    Parameters
+    ----------
+    own : HostSpec
+        This host.
+    listed : callable
+        Returns the hosts beside the model's listed runners.
+    links : LinkManager
+        Links to peers.
+    """
+
+    def __init__(
+        self, *, own: HostSpec, listed: Callable[[], list[HostSpec]], links: LinkManager
+    ) -> None:
+        self._own = own
+        self._listed = listed
+        self._links = links
+
+    def hosts(self, variant: Variant) -> list[HostSpec]:
+        """Return the listed hosts and this one."""
+        found = {spec.name: spec for spec in self._listed()}
+        found[self._own.name] = self._own
+        return [found[name] for name in sorted(found)]
+
+    def overlay(self, variant: Variant, key: str) -> Overlay:
+        """Return the links between the hosts; each region reads the origin itself.
+
+        A copy over a region link costs as much as one from the origin, and the uplinks of one
+        region's hosts could not carry the copies of all others in the time of one download.
+        """
+        near = [spec for spec in self.hosts(variant) if spec.region == self._own.region]
+        return Overlay(key=key, hosts=near, store_region=self._own.region)
+
+    def pinned(self, variant: Variant) -> str:
+        """Return no digest: the platform names versions only."""
+        return ""
+
+    def addresses(self, names: Iterable[str]) -> dict[str, str]:
+        """Return the addresses of listed hosts."""
+        wanted = set(names)
+        return {spec.name: spec.address for spec in self._listed() if spec.name in wanted}
+
+    def link_up(self, names: Iterable[str]) -> None:
+        """Keep links to listed hosts."""
+        _link_up(self, self._links, names)
+
+
+def _link_up(hosts: TransferHosts, links: LinkManager, names: Iterable[str]) -> None:
+    """Dial the hosts to which no link is open."""
+    for name, address in hosts.addresses(set(names) - links.linked_hosts()).items():
+        links.add_target(name, address)
+
+
 class Participants:
     """What the tickets in force say about a transfer.
 
@@ -62,6 +137,4 @@
 
     def link_up(self, names: Iterable[str]) -> None:
         """Keep links to hosts."""
-        linked = self._links.linked_hosts()
-        for name, address in self.addresses(set(names) - linked).items():
-            self._links.add_target(name, address)
+        _link_up(self, self._links, names)
--- a/packages/wasabilb-agent/src/wasabilb_agent/_store_client.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_store_client.py
@@ -39,9 +39,9 @@
             return Failure(Error(kind=ErrorKind.BAD_MANIFEST, detail=detail))
         return found
 
-    async def chunk(self, digest: str) -> Result[bytes, Error]:
-        """Return the bytes under a digest, unverified; `NOT_FOUND` when the store has none."""
-        return await self._get(f"/v1/chunks/{digest}", CHUNK_TIMEOUT_S)
+    async def chunk(self, manifest: Manifest, index: int) -> Result[bytes, Error]:
+        """Return a chunk, unverified; `NOT_FOUND` when the store does not have it."""
+        return await self._get(f"/v1/chunks/{manifest.chunks[index]}", CHUNK_TIMEOUT_S)
 
     def close(self) -> None:
         """Release the client."""
--- a/packages/wasabilb-agent/src/wasabilb_agent/process.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/process.py
@@ -22,6 +22,9 @@
 from wasabilb_node.stamps import from_wire
 from wasabilb_wire.messages import Call, Cancel, Credit, Report
 
+from wasabilb_agent._hand_over import hand_over
+from wasabilb_agent._participants import Participants
+from wasabilb_agent._store_client import StoreClient
 from wasabilb_agent.engine import EngineClient, EngineStatus
 from wasabilb_agent.model_calls import ModelCalls
 from wasabilb_agent.once_owner import OnceOwner
@@ -123,9 +126,10 @@
         engine = EngineClient(url=url, orders_token=token)
         transfers = ChunkTransfers(
             cfg=self._cfg,
-            fleet=self.node.fleet,
+            participants=Participants(cfg=self._cfg, fleet=self.node.fleet, links=self.node.links),
             links=self.node.links,
-            engine=engine,
+            store=StoreClient(url=self._cfg.platform.store),
+            hand_over=partial(hand_over, engine=engine),
             log=self.log,
             metrics=self.node.metrics,
             rng=self._rng,
--- a/packages/wasabilb-agent/src/wasabilb_agent/transfer.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/transfer.py
@@ -3,14 +3,14 @@
 import asyncio
 import contextlib
 import random
-from typing import Any
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeAlias
 
 from attrs import define
 from returns.result import Failure, Result, Success
 from wasabilb_core.assembly import ChunkAssembly
 from wasabilb_core.distribution import CHUNK_POLICIES, ORIGIN, ChunkPlanner
 from wasabilb_core.errors import Error, ErrorKind
-from wasabilb_core.fleet import FleetState
 from wasabilb_core.manifest import Manifest
 from wasabilb_core.settings import AgentSettings
 from wasabilb_core.tickets import HostRole, Variant
@@ -21,12 +21,13 @@
 from wasabilb_wire.messages import ChunkData, ChunkNone, ChunkWant, TransferState
 
 from wasabilb_agent._chunk_transfer import ChunkTransfer
-from wasabilb_agent._hand_over import hand_over
 from wasabilb_agent._manifests import MANIFEST_INDEX, ManifestExchange
-from wasabilb_agent._participants import Participants
-from wasabilb_agent._store_client import StoreClient
+from wasabilb_agent._participants import TransferHosts
 from wasabilb_agent._uploads import Uploads
-from wasabilb_agent.engine import EngineClient
+from wasabilb_agent._weight_source import WeightSource
+
+HandOver: TypeAlias = Callable[[ChunkAssembly], Awaitable[Result[None, Error]]]
+Preload: TypeAlias = Callable[[ChunkTransfer], Awaitable[None]]
 
 # A peer that refused is asked again after a part of the time that one chunk takes.
 TICK_S = 0.05
@@ -58,10 +59,16 @@
     ----------
     cfg : AgentSettings
         Names the store, the chunk policy and the rates of the links.
-    fleet : FleetState
+    participants : TransferHosts
         Names the hosts that receive a model.
     links : LinkManager
         Links to peers; this object handles the messages of transfers.
+    store : WeightSource
+        Where weights come from that no peer has.
+    hand_over : callable
+        Gives a whole verified version to the engine.
+    preload : callable or None
+        Adds to a new transfer the chunks that lie on this host already.
     rng : random.Random
         Source of randomness.
     """
@@ -70,21 +77,24 @@
         self,
         *,
         cfg: AgentSettings,
-        fleet: FleetState,
+        participants: TransferHosts,
         links: LinkManager,
-        engine: EngineClient,
+        store: WeightSource,
+        hand_over: HandOver,
         log: EventLog,
         metrics: Metrics,
         rng: random.Random,
+        preload: Preload | None = None,
     ) -> None:
         self._cfg = cfg
-        self._participants = Participants(cfg=cfg, fleet=fleet, links=links)
+        self._participants = participants
         self._links = links
-        self._engine = engine
+        self._hand_over = hand_over
+        self._preload = preload
         self._log = log
         self._metrics = metrics
         self._rng = rng
-        self._store = StoreClient(url=cfg.platform.store)
+        self._store = store
         self._uploads = Uploads(cfg=cfg.weights, region=cfg.region)
         self._manifests = ManifestExchange(
             host=cfg.host,
@@ -134,6 +144,20 @@
             names |= set(transfer.assembly.planner.neighbours(now()))
         return self._participants.addresses(names)
 
+    def assembly(self, variant: Variant) -> ChunkAssembly | None:
+        """Return the chunks of a variant whose transfer has begun."""
+        job = self._jobs.get(variant)
+        return job.transfer.assembly if job is not None and job.transfer is not None else None
+
+    def repeat(self, variant: Variant) -> None:
+        """Hand a version over again, as the engine has lost it."""
+        job = self._jobs.get(variant)
+        if job is None or not job.is_handed:
+            return
+        job.is_handed = False
+        self.held.discard(variant)
+        job.task = asyncio.ensure_future(self._run(job))
+
     def on_tick(self) -> None:
         """Take note of live traffic; called once a heartbeat."""
         entries = [p for p in self._links.peers() if p.hello.role == HostRole.ENTRY.value]
@@ -195,7 +219,7 @@
         """Fetch the chunks of the store's present manifest and hand them to the engine."""
         if job.transfer is not None and job.transfer.is_complete:
             # Only the engine did not answer, so the verified chunks are handed over again.
-            return await hand_over(job.transfer.assembly, self._engine)
+            return await self._hand_over(job.transfer.assembly)
         was_stale, job.is_stale = job.is_stale, False
         # The names of hosts and not a manifest's digest stand for the transfer until it is known.
         self._manifests.want(job.variant, self._participants.overlay(job.variant, str(job.variant)))
@@ -211,6 +235,8 @@
         self._drop_transfer(job)
         job.transfer = self._start(job, manifest, done)
         self._manifests.drop(job.variant)
+        if self._preload is not None:
+            await self._preload(job.transfer)
         while not done.is_set():
             if job.is_stale:
                 detail = f"the store no longer has a chunk of {job.variant}"
@@ -219,7 +245,7 @@
             job.transfer.tick()
             self._participants.link_up(job.transfer.assembly.planner.neighbours(now()))
             await asyncio.sleep(TICK_S)
-        return await hand_over(job.transfer.assembly, self._engine)
+        return await self._hand_over(job.transfer.assembly)
 
     def _problem_of(self, job: _Job, manifest: Manifest) -> Error | None:
         pinned = self._participants.pinned(job.variant)
--- a/packages/wasabilb-core/src/wasabilb_core/_routing_base.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_routing_base.py
@@ -24,6 +24,12 @@
         Requests that the engine runs at the same time.
     report_age_s : float
         Age of the load report in seconds.
+    pace : float
+        How many times longer than usual the host takes for its work at this time.
+    distance_s : float
+        One-way delay to the host, and what its use costs otherwise, in seconds.
+    turn_s : float
+        Mean time in seconds after which a full engine ends one of its requests.
     """
 
     host: str
@@ -32,6 +38,9 @@
     reported_queued: int = 0
     slots: int = 1
     report_age_s: float = 0.0
+    pace: float = 1.0
+    distance_s: float = 0.0
+    turn_s: float = 0.0
 
 
 def _to_hosts(hosts: Iterable[str]) -> frozenset[str]:
--- /dev/null
+++ b/packages/wasabilb-core/src/wasabilb_core/attempts.py
@@ -0,0 +1,96 @@
+"""What follows when an attempt at a runner has ended without a whole answer."""
+
+from enum import Enum, unique
+
+from attrs import frozen
+
+from wasabilb_core.catalog import Route
+from wasabilb_core.errors import ErrorKind
+
+# An attempt that could only start with less than this left would be refused by the runner or end
+# at the deadline; the figure is one round trip between regions and the shortest work.
+MIN_ATTEMPT_S = 0.03
+
+
+@unique
+class AttemptEnd(Enum):
+    """How an attempt ended."""
+
+    ANSWERED = "answered"
+    NOT_SENT = "not-sent"
+    REFUSED = "refused"
+    FAILED = "failed"
+    BROKEN = "broken"
+    SILENT = "silent"
+    DEADLINE = "deadline"
+    CALLER_GONE = "caller-gone"
+
+    @property
+    def has_reached_runner(self) -> bool:
+        """Return whether bytes of the request may have reached the runner."""
+        return self is not AttemptEnd.NOT_SENT
+
+    @property
+    def is_not_run(self) -> bool:
+        """Return whether the runner certainly did not and will not run the request."""
+        return self in (AttemptEnd.NOT_SENT, AttemptEnd.REFUSED)
+
+
+@frozen(kw_only=True)
+class AttemptHistory:
+    """What is known of a request's earlier attempts.
+
+    Parameters
+    ----------
+    sent : int
+        Attempts of which bytes were written to a runner.
+    unsent : int
+        Attempts that failed before anything was written.
+    may_have_run : bool
+        Whether any of them may have run.
+    """
+
+    sent: int = 0
+    unsent: int = 0
+    may_have_run: bool = False
+
+    def after(self, end: AttemptEnd) -> "AttemptHistory":
+        """Return the history with one more attempt."""
+        sent = end.has_reached_runner
+        return AttemptHistory(
+            sent=self.sent + sent,
+            unsent=self.unsent + (not sent),
+            may_have_run=self.may_have_run or not end.is_not_run,
+        )
+
+
+# Connections that fail cost no work at a runner, so they are bounded only against a loop.
+MAX_UNSENT = 6
+
+
+def may_try_again(
+    route: Route, history: AttemptHistory, end: AttemptEnd, time_left_s: float
+) -> bool:
+    """Return whether another runner may be tried; the retry budget is asked separately.
+
+    A request that may have run is sent again only where its kind allows that.
+    """
+    if end in (AttemptEnd.ANSWERED, AttemptEnd.DEADLINE, AttemptEnd.CALLER_GONE):
+        return False
+    if time_left_s < MIN_ATTEMPT_S or history.sent >= route.max_attempts:
+        return False
+    if history.may_have_run and not route.is_repeatable:
+        return False
+    return history.unsent < MAX_UNSENT
+
+
+def final_error(history: AttemptHistory, end: AttemptEnd | None) -> ErrorKind:
+    """Return the error that the caller is told when no attempt was answered.
+
+    A status that promises "not run" is used only when no attempt may have run.
+    """
+    if not history.may_have_run:
+        return ErrorKind.NO_BACKEND if history.unsent else ErrorKind.OVERLOADED
+    if end in (AttemptEnd.DEADLINE, AttemptEnd.SILENT):
+        return ErrorKind.DEADLINE_PASSED
+    return ErrorKind.OUTCOME_UNKNOWN
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -77,7 +77,26 @@
     "platform_down": _spec("A service of the platform does not answer.", "service detail"),
     "reader_changed": _spec("The host starts or ends reading tickets.", "is_reader"),
     "host_changed": _spec("The state of a host changes in this process.", "host state reason"),
+    "settings_reloaded": _spec("Changed settings are in force.", "seeds"),
+    # Published state
+    "published_from_peer": _spec("A peer passed on published items.", "peer revision items"),
+    "published_unusable": _spec("A published item cannot be used.", "name revision"),
+    "catalog_accepted": _spec(
+        "A version of routes, services and accounts is in force here.",
+        "catalog revision routes accounts",
+    ),
+    "weights_named": _spec("A version of a model's weights is wanted.", "model version revision"),
+    "runner_listed": _spec(
+        "The platform lists a runner or a change of it.",
+        "runner service address is_leaving revision",
+    ),
+    "runner_gone": _spec("A runner is no longer used.", "runner reason"),
+    "runner_restarted": _spec("The runner beside this agent has started anew.", "born_ms"),
     # Weights and orders
+    "staged_chunk_spoilt": _spec(
+        "A chunk beside the runner is missing or changed and is written again.",
+        "model version chunk is_missing",
+    ),
     "transfer_started": _spec("The host starts to fetch a version.", "ticket model version"),
     "chunk_received": _spec(
         "Verified chunks arrived; one line may stand for several from one source.",
@@ -101,7 +120,15 @@
     "request_done": _spec(
         "The last byte of an answer was sent, or the answer ended early.",
         "request account kind model version service host status outcome error tokens "
-        "first_byte_ms duration_ms is_whole attempts",
+        "first_byte_ms duration_ms is_whole attempts route runner events unsent catalog revision",
+    ),
+    "attempt_ended": _spec(
+        "An attempt at a runner ended without the answer that the caller gets.",
+        "request runner end status duration_ms load load_age_ms events left_ms",
+    ),
+    "request_refused": _spec(
+        "A request was answered without being sent to a runner.",
+        "request status error detail catalog revision",
     ),
     "request_moved": _spec("A request goes on with another runner.", "request host reason tokens"),
     "hedge_sent": _spec("A second attempt was sent.", "request host"),
--- a/packages/wasabilb-core/src/wasabilb_core/manifest.py
+++ b/packages/wasabilb-core/src/wasabilb_core/manifest.py
@@ -41,7 +41,7 @@
     chunks : tuple of str
         SHA-256 of each chunk in hex.
     digest : str
-        SHA-256 of the whole content in hex.
+        SHA-256 of the whole content in hex; empty where the origin names those of chunks only.
     """
 
     model: str
@@ -131,7 +131,8 @@
         """Return whether the chunks are the whole content, or fail with `BAD_CHUNK`."""
         manifest = self._manifest
         is_whole = self._count == len(manifest.chunks) and self._size == manifest.size
-        if not is_whole or self._digest.hexdigest() != manifest.digest:
+        is_same = manifest.digest in ("", self._digest.hexdigest())
+        if not is_whole or not is_same:
             return _bad_chunk(f"the whole of {manifest.variant} does not match its digest")
         return Success(None)
 
@@ -151,7 +152,7 @@
         return f"chunks is not a list of at most {MAX_CHUNKS} digests"
     if len(chunks) != -(-raw["size"] // raw["chunk_size"]):
         return f"{len(chunks)} chunks do not make up {raw['size']} bytes"
-    for value in [raw["digest"], *chunks]:
+    for value in [*chunks, *([raw["digest"]] if raw["digest"] != "" else [])]:
         if not isinstance(value, str) or not _DIGEST.fullmatch(value):
             return "a digest is not a SHA-256 in hex"
     return None
--- /dev/null
+++ b/packages/wasabilb-core/src/wasabilb_core/runner_book.py
@@ -0,0 +1,173 @@
+"""What one entry process knows of the load and the health of each runner."""
+
+import math
+from collections import deque
+
+from attrs import define, field, frozen
+
+from wasabilb_core._routing_base import RunnerView
+from wasabilb_core.catalog import EngineSpec
+from wasabilb_core.directory import Runner
+
+# A report says nothing of requests that were sent after it was taken; with the time that the
+# report itself was under way, sends of this age are not yet in it, seconds.
+REPORT_DELAY_S = 0.05
+# Load that nobody has confirmed for this long is forgotten, seconds.
+REPORT_MAX_AGE_S = 2.0
+# A runner that refused or broke connections is left out for this time, twice as long with each
+# further failure in a row. The platform's list needs three heartbeats to drop a dead one.
+FIRST_AVOID_S = 0.4
+MAX_AVOID_S = 3.0
+# A runner that declared itself full is asked again after about one request of a batch has ended.
+FULL_AVOID_S = 0.1
+# Sends that no report has confirmed; without reports only the newest count.
+MAX_UNSEEN = 64
+# Mean time of one plain request; only the order of runners depends on it, seconds.
+PLAIN_TURN_S = 0.05
+# Part of the time of a batch that goes into reading the prompts of others that join it.
+PREFILL_OVERLAP = 1.0
+
+
+@frozen(kw_only=True)
+class LoadReport:
+    """Load of one runner at one moment.
+
+    Parameters
+    ----------
+    running, waiting : int
+        Requests of all callers.
+    at : float
+        When it was received, seconds.
+    slots : int or None
+        Places of the runner, when it tells them.
+    pace : float
+        How many times longer than usual its work takes.
+    is_busy : bool
+        Whether it carries out an order and accepts no new requests.
+    is_reachable : bool
+        Whether the process beside it can reach it.
+    """
+
+    running: int
+    waiting: int
+    at: float
+    slots: int | None = None
+    pace: float = 1.0
+    is_busy: bool = False
+    is_reachable: bool = True
+
+
+@define(kw_only=True)
+class _Known:
+    """What was observed of one incarnation of a runner."""
+
+    born_ms: int
+    in_flight: int = 0
+    sent: deque[float] = field(factory=lambda: deque(maxlen=MAX_UNSEEN))
+    report: LoadReport | None = None
+    avoid_until: float = -math.inf
+    failures: int = 0
+
+
+def turn_s(engine: EngineSpec | None) -> float:
+    """Return the mean time after which a full engine ends one of its requests, seconds.
+
+    A batch of `slots` requests makes a token for each in one step, and reads the prompts of the
+    requests that take the places of ended ones.
+    """
+    if engine is None:
+        return PLAIN_TURN_S
+    context = engine.slots * (engine.usual_prompt_tokens + engine.usual_answer_tokens / 2)
+    step = (
+        engine.step_s
+        + engine.slots * engine.step_per_sequence_s
+        + context * engine.step_per_token_s
+    )
+    prompt = engine.usual_prompt_tokens
+    prefill = prompt / engine.prefill_tokens_per_s + prompt**2 / 2 * engine.prefill_pair_s
+    return step * engine.usual_answer_tokens / engine.slots + PREFILL_OVERLAP * prefill
+
+
+class RunnerBook:
+    """Load and health of runners, from reports and from this process's own requests."""
+
+    def __init__(self) -> None:
+        self._known: dict[str, _Known] = {}
+
+    def on_sent(self, runner: Runner, now: float) -> None:
+        """Count a request that is being sent."""
+        known = self._of(runner)
+        known.in_flight += 1
+        known.sent.append(now)
+
+    def on_ended(self, runner: Runner) -> None:
+        """Count the end of a request."""
+        known = self._of(runner)
+        known.in_flight = max(0, known.in_flight - 1)
+
+    def on_report(self, runner: Runner, report: LoadReport) -> None:
+        """Take a load report."""
+        self._of(runner).report = report
+
+    def on_success(self, runner: Runner) -> None:
+        """Note an answer."""
+        self._of(runner).failures = 0
+
+    def on_failure(self, runner: Runner, now: float) -> None:
+        """Note a broken connection or silence; the runner is left out for a while."""
+        known = self._of(runner)
+        pause = min(MAX_AVOID_S, FIRST_AVOID_S * 2.0**known.failures)
+        known.failures = min(known.failures + 1, 8)
+        known.avoid_until = max(known.avoid_until, now + pause)
+
+    def on_full(self, runner: Runner, now: float) -> None:
+        """Note that the runner refused a request for want of room."""
+        known = self._of(runner)
+        known.avoid_until = max(known.avoid_until, now + FULL_AVOID_S)
+
+    def forget(self, runner_id: str) -> None:
+        """Drop a runner that is gone."""
+        self._known.pop(runner_id, None)
+
+    def is_usable(self, runner: Runner, now: float) -> bool:
+        """Return whether a request may be sent to the runner now."""
+        known = self._of(runner)
+        report = known.report
+        is_current = report is not None and now - report.at <= REPORT_MAX_AGE_S
+        if is_current and report is not None and (report.is_busy or not report.is_reachable):
+            return False
+        return now >= known.avoid_until
+
+    def view(
+        self, runner: Runner, *, now: float, engine: EngineSpec | None, distance_s: float
+    ) -> RunnerView:
+        """Return what routing is told of a runner."""
+        known = self._of(runner)
+        report = known.report
+        running = waiting = 0
+        age, pace, slots = math.inf, 1.0, runner.slots
+        if report is not None and now - report.at <= REPORT_MAX_AGE_S:
+            age, pace = now - report.at, max(1.0, report.pace)
+            seen_before = report.at - REPORT_DELAY_S
+            while known.sent and known.sent[0] <= seen_before:
+                known.sent.popleft()
+            unseen = len(known.sent)
+            running, waiting = report.running, report.waiting + unseen
+            slots = report.slots or slots
+        return RunnerView(
+            host=runner.id,
+            in_flight=known.in_flight,
+            reported_running=running,
+            reported_queued=waiting,
+            slots=slots,
+            report_age_s=age,
+            pace=pace,
+            distance_s=distance_s,
+            turn_s=turn_s(engine),
+        )
+
+    def _of(self, runner: Runner) -> _Known:
+        known = self._known.get(runner.id)
+        if known is None or known.born_ms != runner.born_ms:
+            known = self._known[runner.id] = _Known(born_ms=runner.born_ms)
+        return known
--- /dev/null
+++ b/packages/wasabilb-entry/src/wasabilb_entry/caller_connection.py
@@ -0,0 +1,204 @@
+"""Callers' connections: whole requests in, whole answers or streams out."""
+
+import asyncio
+from collections.abc import Callable
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+    responses,
+)
+from tornado.iostream import StreamClosedError
+from wasabilb_core.catalog import CallerLimits
+from wasabilb_node.clock import now
+
+LISTEN_BACKLOG = 1024
+
+
+class ReceivedRequest:
+    """One whole request of a caller and the way to answer it once.
+
+    Parameters
+    ----------
+    line : RequestStartLine
+        Method and target.
+    headers : HTTPHeaders
+        Headers as the caller sent them.
+    body : bytes
+        Whole body.
+    conn : HTTP1Connection
+        Where the answer goes.
+    """
+
+    def __init__(
+        self, *, line: RequestStartLine, headers: HTTPHeaders, body: bytes, conn: HTTP1Connection
+    ) -> None:
+        self.method = line.method
+        self.target = line.path
+        self.path = line.path.partition("?")[0]
+        self.host = headers.get("Host", "").rpartition(":")[0] or headers.get("Host", "")
+        self.headers = headers
+        self.body = body
+        self.arrived_at = now()
+        self.is_gone = False
+        self.status = 0
+        self.first_byte_at: float | None = None
+        self._conn = conn
+        self._on_gone: Callable[[], None] | None = None
+        conn.set_close_callback(self._set_gone)
+
+    @property
+    def has_started(self) -> bool:
+        """Return whether the head of the answer was sent."""
+        return self.status != 0
+
+    def watch_gone(self, callback: Callable[[], None] | None) -> None:
+        """Set what is called when the caller leaves."""
+        self._on_gone = callback
+
+    def answer(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
+        """Send a whole answer."""
+        headers["Content-Length"] = str(len(body))
+        self.start(status, headers, body)
+        self.finish()
+
+    def start(self, status: int, headers: HTTPHeaders, data: bytes) -> "asyncio.Future[None]":
+        """Send the head and the first part of an answer."""
+        self.status = status
+        self.first_byte_at = now()
+        line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
+        return self._seen(self._conn.write_headers(line, headers, data))
+
+    def write(self, data: bytes) -> "asyncio.Future[None]":
+        """Send a further part; the future ends when the caller's connection has taken it."""
+        return self._seen(self._conn.write(data))
+
+    def finish(self) -> None:
+        """End the answer as whole."""
+        try:
+            self._conn.finish()
+        except StreamClosedError:
+            self._set_gone()
+
+    def abort(self) -> None:
+        """Break the connection, so that an unfinished answer does not look whole."""
+        self._conn.close()
+
+    def _set_gone(self) -> None:
+        self.is_gone = True
+        callback, self._on_gone = self._on_gone, None
+        if callback is not None:
+            callback()
+
+    @staticmethod
+    def _seen(fut: "asyncio.Future[None]") -> "asyncio.Future[None]":
+        """Mark a failed write as seen; the close callback tells that the caller is gone."""
+        fut.add_done_callback(lambda done: done.cancelled() or done.exception())
+        return fut
+
+
+class _RequestDelegate(HTTPMessageDelegate):
+    """Collects one request."""
+
+    def __init__(
+        self, *, conn: HTTP1Connection, on_request: Callable[[ReceivedRequest], None]
+    ) -> None:
+        self._conn = conn
+        self._on_request = on_request
+        self._line: RequestStartLine | None = None
+        self._headers = HTTPHeaders()
+        self._parts: list[bytes] = []
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request was begun."""
+        return self._line is None
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._conn.close()
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        assert isinstance(start_line, RequestStartLine)
+        self._line, self._headers = start_line, headers
+
+    def data_received(self, chunk: bytes) -> None:
+        self._parts.append(chunk)
+
+    def finish(self) -> None:
+        assert self._line is not None
+        self._on_request(
+            ReceivedRequest(
+                line=self._line,
+                headers=self._headers,
+                body=b"".join(self._parts),
+                conn=self._conn,
+            )
+        )
+
+
+class CallerServer(HTTPServerConnectionDelegate):
+    """Accepts callers' connections.
+
+    Parameters
+    ----------
+    on_request : callable
+        Called with each whole request; it sees to the answer.
+    """
+
+    def __init__(self, *, on_request: Callable[[ReceivedRequest], None]) -> None:
+        self._on_request = on_request
+        self._open: dict[object, _RequestDelegate] = {}
+        self._server = HTTPServer(self)
+        self.on_limits(CallerLimits())
+
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._open)
+
+    def listen(self, address: str) -> None:
+        """Accept connections on `IP:PORT`."""
+        ip, _, port = address.rpartition(":")
+        self._server.listen(int(port), ip, backlog=LISTEN_BACKLOG)
+
+    def on_limits(self, limits: CallerLimits) -> None:
+        """Put limits into force for the next request of each connection."""
+        params = self._server.conn_params
+        params.max_header_size = limits.header_bytes
+        params.max_body_size = limits.body_bytes
+        # The library waits for a header from the end of the last answer on, idle time included.
+        params.header_timeout = limits.idle_timeout_s
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTP1Connection
+    ) -> HTTPMessageDelegate:
+        """Return the collector of a connection's next request."""
+        delegate = _RequestDelegate(conn=request_conn, on_request=self._on_request)
+        self._open[server_conn] = delegate
+        return delegate
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a closed connection."""
+        self._open.pop(server_conn, None)
+
+    def end_keep_alive(self) -> None:
+        """Let each further answer be the last one on its connection."""
+        self._server.conn_params.no_keep_alive = True
+
+    def stop_accepting(self) -> None:
+        """Accept no new connections."""
+        self._server.stop()
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request has begun."""
+        for delegate in list(self._open.values()):
+            if delegate.is_idle:
+                delegate.close()
--- /dev/null
+++ b/packages/wasabilb-entry/src/wasabilb_entry/caller_protocol.py
@@ -0,0 +1,50 @@
+"""How a deployment writes what requests and answers say in headers."""
+
+from typing import Protocol
+
+from tornado.httputil import HTTPHeaders
+from wasabilb_core.forwarding import AnswerFacts, RequestFacts, SendFacts
+from wasabilb_node.http_client import Head
+
+# Headers that concern one connection only (RFC 9110, 7.6.1) and framing, which each side sets.
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+
+
+class CallerProtocol(Protocol):
+    """Reads and writes the headers of one deployment."""
+
+    def read_request(self, headers: HTTPHeaders) -> RequestFacts:
+        """Return what a caller says."""
+
+    def write_request(self, headers: HTTPHeaders, facts: SendFacts) -> HTTPHeaders:
+        """Return the headers that a runner receives, from those of the caller."""
+
+    def read_answer(self, head: Head, now: float) -> AnswerFacts:
+        """Return what the head of a runner's answer says."""
+
+    def label_answer(self, headers: HTTPHeaders, request_id: str) -> None:
+        """Name the request in an answer of this process's own."""
+
+
+def end_to_end(headers: HTTPHeaders) -> HTTPHeaders:
+    """Return a copy without the headers that concern one connection only."""
+    named = {n.strip().lower() for n in headers.get("Connection", "").split(",")}
+    kept = HTTPHeaders()
+    for name, value in headers.get_all():
+        if name.lower() not in CONNECTION_HEADERS and name.lower() not in named:
+            kept.add(name, value)
+    return kept
--- /dev/null
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -0,0 +1,273 @@
+"""What an entry process knows of the fleet, and where it sends a request because of it."""
+
+import random
+from collections.abc import Callable
+
+from attrs import frozen
+from wasabilb_core.attempts import AttemptEnd
+from wasabilb_core.catalog import Catalog, EngineSpec, RequestKind, Route, WeightTarget
+from wasabilb_core.directory import Runner, RunnerDirectory
+from wasabilb_core.errors import Error, ErrorKind
+from wasabilb_core.forwarding import AnswerFacts
+from wasabilb_core.retry_window import RetryWindow
+from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView
+from wasabilb_core.runner_book import LoadReport, RunnerBook
+from wasabilb_node.clock import now
+from wasabilb_node.http_client import ConnectionPool
+from wasabilb_wire.messages import RunnerReport
+
+# Silence of a stream's runner after which another one takes over. Callers leave after 2 s; a step
+# of a full batch takes 0.1 s, and a prompt that joins it up to 0.25 s more.
+STREAM_GAP_S = 1.2
+STREAM_FIRST_BYTE_S = 2.0
+# Part of a plain request's timeout after which a repeatable one is tried elsewhere.
+PLAIN_SILENCE_SHARE = 0.4
+# When callers may come back while a service has no usable runner: about the time that a crashed
+# runner or a link takes to return, or a loaded version to serve.
+RETURN_S = 0.6
+# Routing weights of distance: a region costs traffic on a narrow link besides its delay, seconds.
+OTHER_DOMAIN_S = 0.004
+OTHER_REGION_S = 0.012
+# Before the bound on old versions no request is sent to a runner that may still hold the old one;
+# what waits in a runner's queue meanwhile must begin in time, too.
+VERSION_MARGIN_S = 1.5
+
+
+@frozen(kw_only=True)
+class FleetLimits:
+    """Bounds that the deployment sets.
+
+    Parameters
+    ----------
+    retry_ratio : float
+        Repeated sends for each request.
+    retry_slack : float
+        Repeated sends of the whole fleet besides, in a window.
+    retry_window_s : float
+        Length of the window.
+    version_s : float
+        Time after which requests begin on a named version only.
+    """
+
+    retry_ratio: float
+    retry_slack: float
+    retry_window_s: float
+    version_s: float
+
+
+@frozen(kw_only=True)
+class Placement:
+    """Where a request is sent, and the beliefs behind it.
+
+    Parameters
+    ----------
+    runner : Runner
+        The runner.
+    version : int or None
+        Version of the weights that is demanded.
+    load : str
+        Requests running and waiting, and places, as far as known.
+    load_age_ms : float or None
+        Age of the report.
+    """
+
+    runner: Runner
+    version: int | None
+    load: str
+    load_age_ms: float | None
+
+
+class FleetView:
+    """Catalog, runners, their load, and the budget for repeated sends.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Where this process runs.
+    regions : dict of str
+        Region of each failure domain.
+    pool : ConnectionPool
+        Connections to runners.
+    limits : FleetLimits
+        Bounds of the deployment.
+    rng : random.Random
+        Breaks ties.
+    processes : callable
+        Returns the number of entry processes that share the budget.
+    """
+
+    def __init__(
+        self,
+        *,
+        failure_domain: str,
+        regions: dict[str, str],
+        pool: ConnectionPool,
+        limits: FleetLimits,
+        rng: random.Random,
+        processes: Callable[[], int],
+    ) -> None:
+        self.catalog: Catalog | None = None
+        self.revision = 0
+        self.directory = RunnerDirectory()
+        self.book = RunnerBook()
+        self.pool = pool
+        self._failure_domain = failure_domain
+        self._regions = regions
+        self._limits = limits
+        self._rng = rng
+        self._processes = processes
+        self._routing = ROUTING.create("batch_backlog").unwrap()
+        self._windows: dict[str, RetryWindow] = {}
+        self._targets: dict[str, tuple[WeightTarget, float]] = {}
+
+    def on_limits(self, limits: FleetLimits) -> None:
+        """Put other bounds into force; budgets begin anew when theirs changed."""
+        if limits != self._limits:
+            self._limits = limits
+            self._windows.clear()
+
+    def on_target(self, target: WeightTarget) -> None:
+        """Take a newly named version of a model's weights."""
+        known = self._targets.get(target.model)
+        if known is None or target.version > known[0].version:
+            self._targets[target.model] = (target, now())
+
+    def on_report(self, report: RunnerReport) -> None:
+        """Take the report of the agent beside a model runner."""
+        runner = self.directory.get(report.runner)
+        if runner is None or runner.born_ms != report.born_ms:
+            return
+        if report.is_reachable:
+            self.directory.on_weights(
+                runner.id, runner.born_ms, report.version, report.layer_from, report.layer_to
+            )
+        self.book.on_report(
+            runner,
+            LoadReport(
+                running=report.running,
+                waiting=report.waiting,
+                at=now(),
+                pace=report.pace,
+                is_busy=report.is_busy,
+                is_reachable=report.is_reachable,
+            ),
+        )
+
+    def has_engine(self, service: str) -> bool:
+        """Return whether model engines answer for a service."""
+        return self._engine(service) is not None
+
+    def on_request(self, service: str) -> None:
+        """Count a request for the retry budget."""
+        self._window(service).on_request(now())
+
+    def spend_retry(self, service: str) -> bool:
+        """Take a repeated send from the budget."""
+        return self._window(service).spend(now(), self._processes())
+
+    def on_sent(self, runner: Runner) -> None:
+        """Count a send."""
+        self.book.on_sent(runner, now())
+
+    def on_ended(self, runner: Runner) -> None:
+        """Count its end."""
+        self.book.on_ended(runner)
+
+    def on_attempt(self, runner: Runner, end: AttemptEnd, facts: AnswerFacts) -> None:
+        """Learn from the end of an attempt."""
+        moment = now()
+        if facts.load is not None and self._engine(runner.service) is None:
+            self.book.on_report(runner, facts.load)
+        if end in (AttemptEnd.NOT_SENT, AttemptEnd.BROKEN, AttemptEnd.SILENT):
+            self.book.on_failure(runner, moment)
+            if end is not AttemptEnd.BROKEN:
+                self.pool.drop(runner.address)
+        elif end is AttemptEnd.REFUSED:
+            self.book.on_full(runner, moment)
+        elif end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED):
+            self.book.on_success(runner)
+
+    def silence(self, service: str, route: Route) -> tuple[float, float]:
+        """Return the longest silence before the first part of an answer and between parts."""
+        if route.kind is RequestKind.STREAM:
+            return STREAM_FIRST_BYTE_S, STREAM_GAP_S
+        if route.is_repeatable and route.max_attempts > 1:
+            return (PLAIN_SILENCE_SHARE * route.timeout_s,) * 2
+        return route.timeout_s, route.timeout_s
+
+    def return_after_s(self, service: str) -> float:
+        """Return when a caller of a service should come back."""
+        return RETURN_S
+
+    async def place(
+        self, service: str, request: RouteRequest, route: Route, deadline: float
+    ) -> Placement | Error:
+        """Return a runner for a request, or why there is none."""
+        moment = now()
+        engine = self._engine(service)
+        version = self._demanded_version(engine, moment)
+        runners = [
+            runner
+            for runner in self.directory.routable(service)
+            if self._can_serve(runner, engine, version)
+        ]
+        usable = [r for r in runners if self.book.is_usable(r, moment)] or [
+            r for r in runners if engine is None
+        ]
+        views = [self._view(runner, engine, moment) for runner in usable]
+        chosen = self._routing.choose(request, views, moment, self._rng)
+        if chosen is None:
+            return Error(
+                kind=ErrorKind.NO_BACKEND,
+                detail=f"{len(runners)} runners, {len(usable)} usable, "
+                f"{len(request.excluded)} tried",
+                retry_after_s=self.return_after_s(service),
+            )
+        runner = self.directory.get(chosen.host)
+        assert runner is not None
+        is_known = chosen.report_age_s < float("inf")
+        return Placement(
+            runner=runner,
+            version=version,
+            load=f"{chosen.reported_running}+{chosen.reported_queued}/{chosen.slots}",
+            load_age_ms=chosen.report_age_s * 1000 if is_known else None,
+        )
+
+    def _view(self, runner: Runner, engine: EngineSpec | None, moment: float) -> RunnerView:
+        return self.book.view(
+            runner, now=moment, engine=engine, distance_s=self._distance_s(runner.failure_domain)
+        )
+
+    def _can_serve(self, runner: Runner, engine: EngineSpec | None, version: int | None) -> bool:
+        if engine is None:
+            return True
+        if not runner.holds_all(engine.layers):
+            return False
+        return version is None or runner.version >= version
+
+    def _demanded_version(self, engine: EngineSpec | None, moment: float) -> int | None:
+        """Return the version that must answer, once its time has nearly come."""
+        known = self._targets.get(engine.model) if engine is not None else None
+        if known is None or moment - known[1] < self._limits.version_s - VERSION_MARGIN_S:
+            return None
+        return known[0].version
+
+    def _distance_s(self, failure_domain: str) -> float:
+        if failure_domain == self._failure_domain:
+            return 0.0
+        own = self._regions.get(self._failure_domain)
+        return OTHER_DOMAIN_S if self._regions.get(failure_domain) == own else OTHER_REGION_S
+
+    def _engine(self, service: str) -> EngineSpec | None:
+        found = self.catalog.services.get(service) if self.catalog is not None else None
+        return found.engine if found is not None else None
+
+    def _window(self, service: str) -> RetryWindow:
+        window = self._windows.get(service)
+        if window is None:
+            window = self._windows[service] = RetryWindow(
+                ratio=self._limits.retry_ratio,
+                slack=self._limits.retry_slack,
+                window_s=self._limits.retry_window_s,
+            )
+        return window
--- /dev/null
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -0,0 +1,307 @@
+"""The entry process of a deployment whose runners are called directly."""
+
+import asyncio
+import os
+import random
+from collections.abc import Callable
+
+import attrs
+from attrs import frozen
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from wasabilb_core.catalog import Catalog, WeightTarget
+from wasabilb_core.directory import Runner
+from wasabilb_core.published import Item, PublishedState
+from wasabilb_node.clock import now
+from wasabilb_node.http_client import ConnectionPool
+from wasabilb_node.links import Identity, LinkManager, Peer
+from wasabilb_node.logs import EventLog
+from wasabilb_node.published_sync import PublishedDecoder, PublishedSource, PublishedSync
+from wasabilb_wire.messages import RunnerReport
+
+from wasabilb_entry.caller_connection import CallerServer
+from wasabilb_entry.caller_protocol import CallerProtocol
+from wasabilb_entry.fleet_view import FleetLimits, FleetView
+from wasabilb_entry.forwarder import Forwarder
+from wasabilb_entry.gateway_metrics import GatewayMetrics
+
+# Upper bound of the delay with which a process hears of a change from a peer, and a third of the
+# time after which a silent link is replaced, seconds.
+HEARTBEAT_S = 0.4
+# Idle connections to one runner. Each of 7 entry processes keeps less than its part of the
+# connections that a runner accepts.
+MAX_IDLE_CONNECTIONS = 8
+# The balancer takes a process out of rotation after two failed checks, one a second, and opens
+# connections to it until then.
+ROTATION_S = 2.6
+# Pause between two looks at the requests that a drain waits for.
+DRAIN_POLL_S = 0.05
+
+
+@frozen(kw_only=True)
+class GatewaySettings:
+    """Settings of one entry process.
+
+    Parameters
+    ----------
+    host, region, failure_domain : str
+        Where it runs.
+    regions : dict of str
+        Region of each failure domain.
+    callers_address, ready_address, links_address, metrics_address : str
+        `IP:PORT` of what it serves; empty for none.
+    seeds : tuple of str
+        Link addresses of some entry processes; they may be stale.
+    agent_port : int
+        Port on which agents accept links, next to their runners.
+    limits : FleetLimits
+        Bounds of the deployment.
+    grace_s : float
+        Time between SIGTERM and SIGKILL.
+    """
+
+    host: str
+    region: str
+    failure_domain: str
+    regions: dict[str, str]
+    callers_address: str
+    ready_address: str
+    links_address: str
+    metrics_address: str
+    seeds: tuple[str, ...]
+    agent_port: int
+    limits: FleetLimits
+    grace_s: float
+
+
+class Gateway:
+    """Follows published state, accepts callers and forwards their requests.
+
+    Parameters
+    ----------
+    cfg : GatewaySettings
+        Settings.
+    protocol : CallerProtocol
+        Headers of the deployment.
+    decoder : PublishedDecoder
+        Reads published items.
+    source : callable
+        Returns the reading calls of the platform on a connection pool.
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: GatewaySettings,
+        protocol: CallerProtocol,
+        decoder: PublishedDecoder,
+        source: Callable[[ConnectionPool], PublishedSource],
+        salt: bytes,
+    ) -> None:
+        self._cfg = cfg
+        self._decoder = decoder
+        seed = int.from_bytes(os.urandom(8))
+        self._rng = random.Random(seed)
+        self._metrics = GatewayMetrics()
+        self.log = EventLog(
+            process=cfg.host,
+            role="entry",
+            host=cfg.host,
+            failure_domain=cfg.failure_domain,
+            incarnation=f"{seed:016x}",
+        )
+        self._links = LinkManager(
+            identity=Identity(
+                host=cfg.host,
+                role="entry",
+                region=cfg.region,
+                failure_domain=cfg.failure_domain,
+                incarnation=seed,
+                address=cfg.links_address,
+            ),
+            log=self.log,
+            heartbeat_s=HEARTBEAT_S,
+        )
+        self._links.on(RunnerReport, self._on_report, from_role="agent")
+        self._state = PublishedState()
+        self._store_pool = ConnectionPool(max_idle=2)
+        self._pool = ConnectionPool(
+            max_idle=MAX_IDLE_CONNECTIONS, on_open=self._metrics.on_connection
+        )
+        self._sync = PublishedSync(
+            state=self._state,
+            source=source(self._store_pool),
+            links=self._links,
+            log=self.log,
+            rng=self._rng,
+            on_change=self._on_change,
+            on_platform=self._on_platform,
+            reads_first=True,
+        )
+        self._fleet = FleetView(
+            failure_domain=cfg.failure_domain,
+            regions=cfg.regions,
+            pool=self._pool,
+            limits=cfg.limits,
+            rng=self._rng,
+            processes=self._entry_count,
+        )
+        self._forwarder = Forwarder(
+            fleet=self._fleet,
+            protocol=protocol,
+            log=self.log,
+            metrics=self._metrics,
+            rng=self._rng,
+            salt=salt,
+        )
+        self._callers = CallerServer(on_request=self._forwarder.on_request)
+        self._is_draining = False
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Listen and begin to follow published state."""
+        self.log.event("process_started", listen=self._cfg.callers_address)
+        self._links.listen()
+        self._callers.listen(self._cfg.callers_address)
+        self._serve(self._cfg.ready_address, self._answer_ready)
+        if self._cfg.metrics_address:
+            self._serve(self._cfg.metrics_address, self._answer_metrics)
+        self._tasks = [
+            asyncio.ensure_future(self._sync.run()),
+            asyncio.ensure_future(self._tick()),
+        ]
+
+    async def drain(self) -> None:
+        """Leave the rotation, finish what is under way and close.
+
+        Requests that arrive while the balancer still sends them are answered, too.
+        """
+        self._is_draining = True
+        self.log.event("drain_started", in_flight=self._forwarder.in_progress)
+        started = now()
+        await asyncio.sleep(ROTATION_S)
+        self._callers.stop_accepting()
+        self._callers.end_keep_alive()
+        last = started + self._cfg.grace_s * 0.95
+        while now() < last:
+            self._callers.close_idle()
+            if not self._forwarder.in_progress and not self._callers.connections:
+                break
+            await asyncio.sleep(DRAIN_POLL_S)
+        self.log.event("drain_done", cut_off=self._forwarder.in_progress, after_s=now() - started)
+        for task in self._tasks:
+            task.cancel()
+        self._links.close()
+
+    def on_settings(self, cfg: GatewaySettings) -> None:
+        """Put changed settings into force, except for the addresses that are listened on."""
+        if cfg == self._cfg:
+            return
+        self._cfg = attrs.evolve(cfg, links_address=self._cfg.links_address)
+        self._fleet.on_limits(cfg.limits)
+        self.log.event("settings_reloaded", seeds=len(cfg.seeds))
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether new connections should come here."""
+        return not self._is_draining and self._fleet.catalog is not None
+
+    def _serve(self, address: str, answer: Callable[[HTTPServerRequest], None]) -> None:
+        ip, _, port = address.rpartition(":")
+        HTTPServer(answer).listen(int(port), ip)
+
+    def _answer_ready(self, req: HTTPServerRequest) -> None:
+        _answer(req, 200 if self.is_ready else 503, b"")
+
+    def _answer_metrics(self, req: HTTPServerRequest) -> None:
+        text = self._metrics.text(
+            in_progress=self._forwarder.in_progress, revision=self._state.revision
+        )
+        _answer(req, 200, text)
+
+    async def _tick(self) -> None:
+        while True:
+            self._links.set_targets(self._targets())
+            self._links.tick()
+            self._sync.beat(self._cfg.links_address)
+            for runner_id in self._fleet.directory.expire(now()):
+                self._on_runner_gone(runner_id, "its entry did not come back")
+            self._pool.sweep()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    def _targets(self) -> dict[str, str]:
+        found = {address: address for address in {*self._cfg.seeds, *self._sync.known_entries}}
+        for runner in self._fleet.directory:
+            ip = runner.address.rpartition(":")[0]
+            if self._fleet.has_engine(runner.service):
+                found[f"{ip}:agent"] = f"{ip}:{self._cfg.agent_port}"
+        return found
+
+    def _entry_count(self) -> int:
+        return max(1, len(self._sync.known_entries))
+
+    def _on_platform(self, is_up: bool) -> None:
+        if is_up:
+            self._fleet.directory.on_platform_regained(now())
+        else:
+            self._fleet.directory.on_platform_lost()
+
+    def _on_change(self, items: list[Item]) -> None:
+        for item in items:
+            runner_id = self._decoder.runner_id(item.name)
+            value = self._decoder.decode(item) if item.body is not None else None
+            if isinstance(value, Catalog):
+                self._on_catalog(value, item.revision)
+            elif isinstance(value, WeightTarget):
+                self._fleet.on_target(value)
+                self.log.event(
+                    "weights_named",
+                    model=value.model,
+                    version=value.version,
+                    revision=item.revision,
+                )
+            elif isinstance(value, Runner):
+                self._fleet.directory.on_listed(value)
+                self.log.event(
+                    "runner_listed",
+                    runner=value.id,
+                    service=value.service,
+                    address=value.address,
+                    is_leaving=value.is_draining,
+                    revision=item.revision,
+                )
+            elif runner_id is not None:
+                if self._fleet.directory.on_removed(runner_id, now()):
+                    self._on_runner_gone(runner_id, f"revision {item.revision}")
+            elif item.body is not None:
+                self.log.event("published_unusable", name=item.name, revision=item.revision)
+        self._fleet.revision = self._state.revision
+
+    def _on_catalog(self, catalog: Catalog, revision: int) -> None:
+        known = self._fleet.catalog
+        if known is not None and catalog.version <= known.version:
+            return
+        self._fleet.catalog = catalog
+        self._callers.on_limits(catalog.limits)
+        self.log.event(
+            "catalog_accepted",
+            catalog=catalog.version,
+            revision=revision,
+            routes=len(catalog.routes),
+            accounts=len(catalog.accounts),
+        )
+
+    def _on_runner_gone(self, runner_id: str, reason: str) -> None:
+        self._fleet.book.forget(runner_id)
+        self.log.event("runner_gone", runner=runner_id, reason=reason)
+
+    def _on_report(self, peer: Peer, report: RunnerReport) -> None:
+        self._fleet.on_report(report)
+
+
+def _answer(req: HTTPServerRequest, status: int, body: bytes) -> None:
+    assert req.connection is not None
+    reason = "OK" if status == 200 else "Service Unavailable"
+    headers = HTTPHeaders({"Content-Length": str(len(body))})
+    req.connection.write_headers(ResponseStartLine("HTTP/1.1", status, reason), headers, body)
+    req.connection.finish()
--- /dev/null
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway_metrics.py
@@ -0,0 +1,87 @@
+"""Counters and histograms of the gateway, served as text for Prometheus."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from wasabilb_core.attempts import AttemptEnd
+from wasabilb_core.errors import ErrorKind
+
+# Upper bounds in seconds, around the latency objectives of 0.15 to 0.5 s and timeouts of 6 s.
+LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 2.0, 4.0, 6.0)
+
+
+class GatewayMetrics:
+    """Metrics of one entry process."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._done = Counter(
+            "wasabilb_requests",
+            "Requests that were forwarded, by how they ended.",
+            ["service", "outcome"],
+            registry=self._registry,
+        )
+        self._refused = Counter(
+            "wasabilb_refused",
+            "Requests that were answered without being forwarded.",
+            ["error"],
+            registry=self._registry,
+        )
+        self._attempts = Counter(
+            "wasabilb_attempts",
+            "Attempts at runners, by how they ended.",
+            ["service", "end"],
+            registry=self._registry,
+        )
+        self._first_byte = Histogram(
+            "wasabilb_first_byte_seconds",
+            "Time from the arrival of a request to the first byte of its answer.",
+            ["service"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._duration = Histogram(
+            "wasabilb_duration_seconds",
+            "Time from the arrival of a request to the end of its answer.",
+            ["service"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._connections = Counter(
+            "wasabilb_runner_connections",
+            "Connections that were opened to runners.",
+            registry=self._registry,
+        )
+        self._in_progress = Gauge(
+            "wasabilb_requests_in_progress", "Requests under way.", registry=self._registry
+        )
+        self._revision = Gauge(
+            "wasabilb_published_revision",
+            "Newest known revision of published state.",
+            registry=self._registry,
+        )
+
+    def on_done(
+        self, service: str, outcome: str, duration_s: float, first_byte_s: float | None
+    ) -> None:
+        """Count a forwarded request."""
+        self._done.labels(service, outcome).inc()
+        self._duration.labels(service).observe(duration_s)
+        if first_byte_s is not None:
+            self._first_byte.labels(service).observe(first_byte_s)
+
+    def on_refused(self, kind: ErrorKind) -> None:
+        """Count a request that was not forwarded."""
+        self._refused.labels(kind.value).inc()
+
+    def on_attempt(self, service: str, end: AttemptEnd) -> None:
+        """Count an attempt."""
+        self._attempts.labels(service, end.value).inc()
+
+    def on_connection(self) -> None:
+        """Count a new connection to a runner."""
+        self._connections.inc()
+
+    def text(self, *, in_progress: int, revision: int) -> bytes:
+        """Return all metrics in the text format."""
+        self._in_progress.set(in_progress)
+        self._revision.set(revision)
+        return bytes(generate_latest(self._registry))
--- /dev/null
+++ b/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
@@ -0,0 +1,150 @@
+"""One attempt: send a request to one runner and read its answer under deadlines."""
+
+import asyncio
+
+from attrs import define, frozen
+from tornado.httputil import HTTPHeaders
+from tornado.iostream import StreamClosedError
+from wasabilb_core.attempts import AttemptEnd
+from wasabilb_core.directory import Runner
+from wasabilb_node.clock import now
+from wasabilb_node.http_client import ConnectError, Connection, ConnectionPool, ReadEnd
+
+from wasabilb_entry.caller_connection import ReceivedRequest
+from wasabilb_entry.relay import OK, Relay
+
+SERVER_ERROR = 500
+# Methods whose requests state a length even without a body (RFC 9110, 8.6).
+BODY_METHODS = ("POST", "PUT", "PATCH")
+
+
+@frozen(kw_only=True)
+class AttemptLimits:
+    """How long one attempt may take.
+
+    Parameters
+    ----------
+    deadline : float
+        When the request ends in any case, seconds on the process's clock.
+    first_byte_s : float
+        Longest silence before the first part of the body.
+    gap_s : float
+        Longest silence between two parts.
+    """
+
+    deadline: float
+    first_byte_s: float
+    gap_s: float
+
+
+@define(kw_only=True, eq=False)
+class RunnerAttempt:
+    """Sends one request to one runner.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Connections to runners.
+    runner : Runner
+        Where it is sent.
+    req : ReceivedRequest
+        Whose request it is.
+    headers : HTTPHeaders
+        What the runner receives.
+    relay : Relay
+        Where the answer goes.
+    limits : AttemptLimits
+        How long it may take.
+    """
+
+    pool: ConnectionPool
+    runner: Runner
+    req: ReceivedRequest
+    headers: HTTPHeaders
+    relay: Relay
+    limits: AttemptLimits
+    keeps_running_when_gone: bool = False
+
+    async def run(self) -> AttemptEnd:
+        """Make the attempt and return how it ended."""
+        left_s = self.limits.deadline - now()
+        try:
+            conn = await self.pool.acquire(
+                self.runner.address, timeout_s=min(0.5, max(0.01, left_s))
+            )
+        except ConnectError:
+            return AttemptEnd.NOT_SENT
+        if self.req.is_gone:
+            self.pool.release(conn)
+            return AttemptEnd.NOT_SENT
+        if now() >= self.limits.deadline:
+            self.pool.release(conn)
+            return AttemptEnd.NOT_SENT
+        self.relay.begin()
+        if self.req.body or self.req.method in BODY_METHODS:
+            self.headers["Content-Length"] = str(len(self.req.body))
+        try:
+            conn.send(
+                method=self.req.method,
+                target=self.req.target,
+                headers=self.headers,
+                body=self.req.body,
+            )
+        except StreamClosedError:
+            return AttemptEnd.NOT_SENT
+        return await self._read(conn)
+
+    async def _read(self, conn: Connection) -> AttemptEnd:
+        if not self.keeps_running_when_gone:
+            self.req.watch_gone(conn.close)
+        reading = asyncio.ensure_future(conn.read(self.relay))
+        try:
+            cut = await self._watch(reading)
+        finally:
+            self.req.watch_gone(None)
+            if not reading.done():
+                # The runner drops a request when its connection closes.
+                conn.close()
+                await asyncio.wait({reading})
+        if cut is not None:
+            conn.close()
+            return cut
+        if self.req.is_gone and not self.keeps_running_when_gone:
+            conn.close()
+            return AttemptEnd.CALLER_GONE
+        end = self._outcome(reading.result())
+        if end is AttemptEnd.BROKEN:
+            conn.close()
+        else:
+            self.pool.release(conn)
+        return end
+
+    async def _watch(self, reading: "asyncio.Future[ReadEnd]") -> AttemptEnd | None:
+        """Wait for the answer and return why it was cut off, None when it was not."""
+        while not reading.done():
+            moment = now()
+            if moment >= self.limits.deadline:
+                return AttemptEnd.DEADLINE
+            has_begun = self.relay.head is not None
+            silence_s = self.limits.gap_s if has_begun else self.limits.first_byte_s
+            silent_at = self.relay.progress_at + silence_s
+            if moment >= silent_at:
+                return AttemptEnd.SILENT
+            await asyncio.wait({reading}, timeout=min(silent_at, self.limits.deadline) - moment)
+        return None
+
+    def _outcome(self, read: ReadEnd) -> AttemptEnd:
+        if read is not ReadEnd.COMPLETE or self.relay.head is None:
+            return AttemptEnd.BROKEN
+        head, facts = self.relay.head, self.relay.facts
+        if facts.is_not_run:
+            return AttemptEnd.REFUSED
+        if self.relay.reply() is None:
+            return AttemptEnd.ANSWERED if self.relay.finish_stream() else AttemptEnd.BROKEN
+        if not facts.is_sealed or "Content-Encoding" in head.headers:
+            # Not the runner's own answer to a request that it ran.
+            return AttemptEnd.BROKEN
+        if head.status >= SERVER_ERROR:
+            return AttemptEnd.FAILED
+        is_misplaced = self.relay.is_stream and head.status != OK and self.relay.has_passed_on
+        return AttemptEnd.BROKEN if is_misplaced else AttemptEnd.ANSWERED
--- a/packages/wasabilb-node/src/wasabilb_node/lifecycle.py
+++ b/packages/wasabilb-node/src/wasabilb_node/lifecycle.py
@@ -6,7 +6,10 @@
 
 
 def run_until_signal(
-    *, start: Callable[[], Awaitable[None]], drain: Callable[[], Awaitable[None]]
+    *,
+    start: Callable[[], Awaitable[None]],
+    drain: Callable[[], Awaitable[None]],
+    reload: Callable[[], None] | None = None,
 ) -> None:
     """Run a process on one event loop; SIGTERM or SIGINT starts the drain.
 
@@ -16,11 +19,17 @@
     ----------
     start, drain : callable
         Asynchronous start and graceful shutdown.
+    reload : callable or None
+        Called on SIGHUP, which otherwise ends the process.
     """
-    asyncio.run(_run(start, drain))
+    asyncio.run(_run(start, drain, reload))
 
 
-async def _run(start: Callable[[], Awaitable[None]], drain: Callable[[], Awaitable[None]]) -> None:
+async def _run(
+    start: Callable[[], Awaitable[None]],
+    drain: Callable[[], Awaitable[None]],
+    reload: Callable[[], None] | None,
+) -> None:
     loop = asyncio.get_running_loop()
     first, second = asyncio.Event(), asyncio.Event()
 
@@ -29,6 +38,8 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
+    if reload is not None:
+        loop.add_signal_handler(signal.SIGHUP, reload)
     await start()
     await first.wait()
     draining = asyncio.ensure_future(drain())
--- a/packages/wasabilb-node/src/wasabilb_node/links.py
+++ b/packages/wasabilb-node/src/wasabilb_node/links.py
@@ -14,6 +14,7 @@
 from wasabilb_wire.messages import PROTOCOL_VERSION, Hello, Message
 
 from wasabilb_node.clock import now, wall_ms
+from wasabilb_node.http_client import NumericResolver
 from wasabilb_node.logs import EventLog
 
 # One lost heartbeat is ordinary on a busy host, three in a row mean a silent link.
@@ -125,7 +126,7 @@
         self._silent_s = heartbeat_s * SILENT_HEARTBEATS
         self._server_tls = server_tls
         self._client_tls = client_tls
-        self._client = TCPClient()
+        self._client = TCPClient(resolver=NumericResolver())
         self._server: _LinkServer | None = None
         self._peers: dict[Link, Peer] = {}
         self._pending: dict[Link, float] = {}
--- /dev/null
+++ b/packages/wasabilb-node/src/wasabilb_node/published_sync.py
@@ -0,0 +1,242 @@
+"""Keeps published state alike in all processes: read from the platform, passed on by peers."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from attrs import frozen
+from returns.result import Failure, Result
+from wasabilb_core.catalog import Catalog, WeightTarget
+from wasabilb_core.directory import Runner
+from wasabilb_core.errors import Error
+from wasabilb_core.published import Item, PublishedState
+from wasabilb_wire.messages import NodeBeat, Published, PublishedItem, PublishedWant
+
+from wasabilb_node.clock import now
+from wasabilb_node.links import LinkManager, Peer
+from wasabilb_node.logs import EventLog
+
+# A reader that is turned away or finds the platform down tries again after this time. Peers that
+# are served tell of changes meanwhile, so that a short pause is not needed.
+FIRST_RETRY_S = 0.2
+MAX_RETRY_S = 0.8
+# A process waits this long for its own reading before it asks a peer that knows more, so that
+# each change is not sent twice to everybody.
+ASK_AFTER_S = 0.3
+# Another peer is asked when no answer came in this time.
+ASK_TIMEOUT_S = 0.6
+# A process that learns from peers gives them this long to make contact before it reads itself.
+PEERS_FIRST_S = 2.0
+# An answer is sent in frames of at most this size; a frame has a bound of 2 MiB.
+MAX_ANSWER_BYTES = 1 << 20
+
+
+@frozen(kw_only=True)
+class Snapshot:
+    """Everything that the platform publishes, read from `revision` on."""
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+@frozen(kw_only=True)
+class Changes:
+    """What changed after a revision; the history may end before that."""
+
+    items: tuple[Item, ...]
+    revision: int
+    is_history_lost: bool = False
+
+
+class PublishedDecoder(Protocol):
+    """Reads published items into types of the product."""
+
+    def decode(self, item: Item) -> Catalog | Runner | WeightTarget | None:
+        """Return what an item says, None for what cannot be used."""
+
+    def runner_id(self, name: str) -> str | None:
+        """Return the runner that an item's name stands for, if it does."""
+
+
+@frozen(kw_only=True)
+class PublishedSource:
+    """The platform's reading calls.
+
+    Parameters
+    ----------
+    snapshot : callable
+        Reads everything.
+    changes : callable
+        Waits for changes after a revision and returns them, none after a while.
+    """
+
+    snapshot: Callable[[], Awaitable[Result[Snapshot, Error]]]
+    changes: Callable[[int], Awaitable[Result[Changes, Error]]]
+
+
+class PublishedSync:
+    """Follows published state and tells listeners of each change once.
+
+    Parameters
+    ----------
+    state : PublishedState
+        What is known.
+    source : PublishedSource
+        The platform.
+    links : LinkManager
+        Peers that hold the same state.
+    on_change : callable
+        Called with the changed items, in order of their revisions.
+    on_platform : callable
+        Called with whether the platform answers, when that changes.
+    reads_first : bool
+        Whether this process reads the platform itself; one that does not reads it only while no
+        peer is linked.
+    """
+
+    def __init__(
+        self,
+        *,
+        state: PublishedState,
+        source: PublishedSource,
+        links: LinkManager,
+        log: EventLog,
+        rng: random.Random,
+        on_change: Callable[[list[Item]], None],
+        on_platform: Callable[[bool], None],
+        reads_first: bool,
+    ) -> None:
+        self._state = state
+        self._source = source
+        self._links = links
+        self._log = log
+        self._rng = rng
+        self._on_change = on_change
+        self._on_platform = on_platform
+        self._reads_first = reads_first
+        self._is_up: bool | None = None
+        self._is_read = False
+        self._asked_at = float("-inf")
+        self._behind_since: float | None = None
+        self.known_entries: set[str] = set()
+        links.on(NodeBeat, self._on_beat)
+        links.on(PublishedWant, self._on_want)
+        links.on(Published, self._on_published)
+
+    @property
+    def is_platform_up(self) -> bool:
+        """Return whether the platform answered the newest call of this process."""
+        return self._is_up is True
+
+    async def run(self) -> None:
+        """Read the platform until cancelled."""
+        retry_s = FIRST_RETRY_S
+        if not self._reads_first:
+            await asyncio.sleep(PEERS_FIRST_S)
+        while True:
+            if not self._reads_first and self._links.peers():
+                await asyncio.sleep(ASK_TIMEOUT_S)
+                continue
+            error = await self._read_once()
+            if error is None:
+                retry_s = FIRST_RETRY_S
+                continue
+            self._set_platform(False, error.detail)
+            # Jitter keeps processes that were cut off together from calling in step.
+            await asyncio.sleep(retry_s * self._rng.uniform(0.5, 1.0))
+            retry_s = min(MAX_RETRY_S, retry_s * 2)
+
+    def beat(self, own_address: str) -> None:
+        """Tell all peers what is known here; called once a heartbeat and after each change."""
+        entries = sorted({*self.known_entries, own_address} - {""})
+        self._links.broadcast(NodeBeat(revision=self._state.revision, entries=entries))
+
+    async def _read_once(self) -> Error | None:
+        if not self._is_read:
+            found = await self._source.snapshot()
+            if isinstance(found, Failure):
+                return found.failure()
+            snapshot = found.unwrap()
+            self._set_platform(True)
+            self._is_read = True
+            self._apply(self._state.on_snapshot(snapshot.items, snapshot.revision))
+            return None
+        after = self._state.revision
+        changed = await self._source.changes(after)
+        if isinstance(changed, Failure):
+            # Entries may expire while the platform is away and its history may end meanwhile.
+            self._is_read = False
+            return changed.failure()
+        changes = changed.unwrap()
+        self._set_platform(True)
+        if changes.is_history_lost:
+            self._is_read = False
+            return None
+        self._apply(self._state.on_changes(changes.items, after=after, revision=changes.revision))
+        return None
+
+    def _set_platform(self, is_up: bool, detail: str = "") -> None:
+        if self._is_up is is_up:
+            return
+        self._is_up = is_up
+        if is_up:
+            self._log.event("platform_up", service="configuration")
+        else:
+            self._log.event("platform_down", service="configuration", detail=detail)
+        self._on_platform(is_up)
+
+    def _apply(self, changed: list[Item]) -> None:
+        if self._behind_since is not None:
+            self._behind_since = None
+        if changed:
+            self._on_change(changed)
+
+    def _on_beat(self, peer: Peer, beat: NodeBeat) -> None:
+        self.known_entries.update(beat.entries)
+        if beat.revision <= self._state.revision:
+            return
+        moment = now()
+        if self._behind_since is None:
+            self._behind_since = moment
+        is_waiting = self._reads_first and self.is_platform_up
+        if is_waiting and moment - self._behind_since < ASK_AFTER_S:
+            return
+        if moment - self._asked_at >= ASK_TIMEOUT_S:
+            self._asked_at = moment
+            peer.send(PublishedWant(after=self._state.revision))
+
+    def _on_want(self, peer: Peer, want: PublishedWant) -> None:
+        items = sorted(self._state.changes_after(want.after), key=lambda item: item.revision)
+        after, batch, size = want.after, [], 0
+        for item in items:
+            body = item.body or b""
+            if batch and size + len(body) > MAX_ANSWER_BYTES:
+                peer.send(Published(after=after, revision=batch[-1].revision, items=batch))
+                after, batch, size = batch[-1].revision, [], 0
+            batch.append(
+                PublishedItem(
+                    name=item.name,
+                    revision=item.revision,
+                    is_removed=item.body is None,
+                    body=body,
+                )
+            )
+            size += len(body)
+        peer.send(Published(after=after, revision=self._state.revision, items=batch))
+
+    def _on_published(self, peer: Peer, message: Published) -> None:
+        self._asked_at = float("-inf")
+        items = [
+            Item(name=i.name, revision=i.revision, body=None if i.is_removed else i.body)
+            for i in message.items
+        ]
+        changed = self._state.on_changes(items, after=message.after, revision=message.revision)
+        if changed:
+            self._log.event(
+                "published_from_peer",
+                peer=peer.host,
+                revision=message.revision,
+                items=len(changed),
+            )
+        self._apply(changed)
--- /dev/null
+++ b/packages/wasabilb-node/src/wasabilb_node/stdout_log.py
@@ -0,0 +1,84 @@
+"""Log lines on standard output that never hold the process up."""
+
+import asyncio
+import logging
+import os
+from collections import deque
+
+# Lines that wait for a slow reader of the output; about a second at the busiest process.
+MAX_WAITING_BYTES = 256 << 10
+FLUSH_S = 0.05
+
+
+class StdoutHandler(logging.Handler):
+    """Writes lines without blocking and drops the newest when the reader is too slow.
+
+    Lines of one short interval are written with one system call. The number of dropped lines is
+    written as soon as there is room.
+
+    Parameters
+    ----------
+    fd : int
+        File descriptor to write to; it is made non-blocking.
+    """
+
+    def __init__(self, *, fd: int = 1) -> None:
+        super().__init__()
+        self._fd = fd
+        self._lines: deque[bytes] = deque()
+        self._size = 0
+        self._dropped = 0
+        self._is_scheduled = False
+        os.set_blocking(fd, False)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue a line."""
+        try:
+            line = self.format(record).encode("utf-8", "backslashreplace") + b"\n"
+        except Exception:
+            self.handleError(record)
+            return
+        if self._size + len(line) > MAX_WAITING_BYTES:
+            self._dropped += 1
+            return
+        self._lines.append(line)
+        self._size += len(line)
+        self._schedule()
+
+    def flush(self) -> None:
+        """Write what the reader takes now."""
+        self._is_scheduled = False
+        while self._lines:
+            data = b"".join(self._lines)
+            try:
+                written = os.write(self._fd, data)
+            except BlockingIOError:
+                break
+            except OSError:
+                # Nobody reads the output any more, and there is no other place to say so.
+                self._lines.clear()
+                self._size = 0
+                return
+            self._lines.clear()
+            self._size = len(data) - written
+            if self._size:
+                self._lines.append(data[written:])
+                break
+        if self._dropped and not self._lines:
+            note = f"level=WARNING event=log_lines_dropped lines={self._dropped}\n".encode()
+            self._dropped = 0
+            self._lines.append(note)
+            self._size += len(note)
+        if self._lines:
+            self._schedule()
+
+    def _schedule(self) -> None:
+        if self._is_scheduled:
+            return
+        try:
+            loop = asyncio.get_running_loop()
+        except RuntimeError:
+            self.flush()
+            return
+        self._is_scheduled = True
+        loop.call_later(FLUSH_S, self.flush)
--- a/packages/wasabilb-wire/src/wasabilb_wire/codec.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/codec.py
@@ -12,7 +12,7 @@
 from wasabilb_core.errors import Error, ErrorKind
 
 from wasabilb_wire import messages
-from wasabilb_wire.messages import AccountUsage, Header, KeyRecord, Message
+from wasabilb_wire.messages import AccountUsage, Header, KeyRecord, Message, PublishedItem
 
 MAX_FRAME_BYTES = 2 << 20
 # More than the tickets, headers or key records that any message holds.
@@ -54,8 +54,9 @@
     (messages.Head, "headers"): Header,
     (messages.Usage, "accounts"): AccountUsage,
     (messages.Released, "records"): KeyRecord,
+    (messages.Published, "items"): PublishedItem,
 }
-_ITEMS = (Header, KeyRecord, AccountUsage)
+_ITEMS = (Header, KeyRecord, AccountUsage, PublishedItem)
 
 
 def _plain(value: Any) -> Any:
--- a/packages/wasabilb-wire/src/wasabilb_wire/messages.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/messages.py
@@ -309,3 +309,66 @@
     incarnation: int
     sequence: int
     accounts: list[AccountUsage] = field(factory=list)
+
+
+@frozen(kw_only=True, slots=True)
+class NodeBeat(Message):
+    """Heartbeat of a process that follows published state.
+
+    `revision` is the newest revision up to which the sender knows all published items; `entries`
+    are the addresses of entry processes that it knows, so that processes find each other.
+    """
+
+    revision: int
+    entries: list[str] = field(factory=list)
+
+
+@frozen(kw_only=True, slots=True)
+class PublishedWant(Message):
+    """Request for all published items that changed after a revision."""
+
+    after: int
+
+
+@frozen(kw_only=True, slots=True)
+class PublishedItem:
+    """One published item at its newest revision; a removed one has an empty body."""
+
+    name: str
+    revision: int
+    is_removed: bool
+    body: bytes
+
+
+@frozen(kw_only=True, slots=True)
+class Published(Message):
+    """All items that changed after `after`, up to `revision`."""
+
+    after: int
+    revision: int
+    items: list[PublishedItem] = field(factory=list)
+
+
+@frozen(kw_only=True, slots=True)
+class RunnerReport(Message):
+    """State of a model runner as the agent beside it reads it.
+
+    `born_ms` is the wall time of the runner's start in milliseconds and names its incarnation.
+    Layers of `version` are loaded from `layer_from` up to but not including `layer_to`; `is_busy`
+    tells whether an order is in progress. Memory is in the engine's own units, `pace` is 1.0 at the
+    usual speed and higher on a slowed host.
+    """
+
+    runner: str
+    born_ms: int
+    model: str = ""
+    version: int = 0
+    layer_from: int = 0
+    layer_to: int = 0
+    is_busy: bool = False
+    is_reachable: bool = True
+    running: int = 0
+    waiting: int = 0
+    memory_used: int = 0
+    memory_total: int = 0
+    pace: float = 1.0
--- a/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
+++ b/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
@@ -24,6 +24,10 @@
     chunkData @18 :ChunkData;
     chunkNone @19 :ChunkNone;
     usage @20 :Usage;
+    nodeBeat @21 :NodeBeat;
+    publishedWant @22 :PublishedWant;
+    published @23 :Published;
+    runnerReport @24 :RunnerReport;
   }
 }
 
@@ -225,3 +229,41 @@
   sequence @2 :UInt64;
   accounts @3 :List(AccountUsage);
 }
+
+struct NodeBeat {
+  revision @0 :UInt64;
+  entries @1 :List(Text);
+}
+
+struct PublishedWant {
+  after @0 :UInt64;
+}
+
+struct PublishedItem {
+  name @0 :Text;
+  revision @1 :UInt64;
+  isRemoved @2 :Bool;
+  body @3 :Data;
+}
+
+struct Published {
+  after @0 :UInt64;
+  revision @1 :UInt64;
+  items @2 :List(PublishedItem);
+}
+
+struct RunnerReport {
+  runner @0 :Text;
+  bornMs @1 :UInt64;
+  model @2 :Text;
+  version @3 :UInt32;
+  layerFrom @4 :UInt16;
+  layerTo @5 :UInt16;
+  isBusy @6 :Bool;
+  isReachable @7 :Bool;
+  running @8 :UInt32;
+  waiting @9 :UInt32;
+  memoryUsed @10 :UInt64;
+  memoryTotal @11 :UInt64;
+  pace @12 :Float64;
+}
