Reload runners in waves; keep the time of each named version

Runners also reloaded all at once (23.0 to 23.6 s), so that nobody answered for 2 s. Change: NamedVersions keeps each version's time; three waves with easing; agents fetch before their runner answers.

--- a/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
@@ -10,7 +10,9 @@
 from wasabilb_core.catalog import Catalog, WeightTarget
 from wasabilb_core.directory import Runner
 from wasabilb_core.distribution import PlannerLimits
+from wasabilb_core.named_versions import NamedVersions
 from wasabilb_core.published import Item, PublishedState
+from wasabilb_core.reload_waves import WaveMember, is_easing, may_reload
 from wasabilb_core.settings import AgentSettings
 from wasabilb_core.tickets import HostRole, HostSpec, Variant
 from wasabilb_node.clock import now
@@ -69,6 +71,8 @@
         Service that the runner answers for.
     links_port : int
         Port on which all agents accept links.
+    version_s : float
+        Time within which a named version must be in force.
     """
 
     process: AgentSettings
@@ -77,6 +81,7 @@
     runner_address: str
     service: str
     links_port: int
+    version_s: float
 
 
 @define(kw_only=True)
@@ -138,7 +143,7 @@
             heartbeat_s=HEARTBEAT_S,
         )
         self._catalog: Catalog | None = None
-        self._targets: dict[str, int] = {}
+        self._named: dict[str, NamedVersions] = {}
         self._listed: dict[str, Runner] = {}
         self._state: RunnerState | None = None
         self._sent = _Sent()
@@ -218,6 +223,10 @@
             await asyncio.sleep(max(0.0, REPORT_S - (now() - started)))
 
     async def _step(self) -> None:
+        wanted = self._wanted()
+        if wanted is not None:
+            # Before the runner answers, too: a new host fetches while its engine starts.
+            self._transfers.set_wanted({wanted: int(wanted.version)})
         found = await self._runner.state()
         if isinstance(found, Failure):
             self._set_reachable(False, found.failure().detail)
@@ -246,13 +255,14 @@
         wanted = self._wanted()
         if wanted is None:
             return
-        self._transfers.set_wanted({wanted: int(wanted.version)})
         if state.holds_all(self._layers()) and state.version >= int(wanted.version):
             self._confirm(wanted)
             return
         is_recent = self._ordered == wanted and now() - self._ordered_at < ORDER_RETRY_S
         if state.is_busy or is_recent or wanted not in self._transfers.held:
             return
+        if not self._may_reload(wanted, state):
+            return
         await self._load(wanted, state)
 
     async def _load(self, wanted: Variant, state: RunnerState) -> None:
@@ -281,6 +291,41 @@
         else:
             self.log.event("order_refused", **names, detail=answer.unwrap().value)
 
+    def _may_reload(self, wanted: Variant, state: RunnerState) -> bool:
+        own = self._own_runner()
+        if own is None or state.version == 0 or wanted.model not in self._named:
+            return True
+        return may_reload(
+            name=own.id,
+            members=self._members(),
+            version=int(wanted.version),
+            named_s=self._named[wanted.model].named_for_s(state.version, now()),
+            bound_s=self._cfg.version_s,
+        )
+
+    def _is_easing(self, own: Runner, state: RunnerState) -> bool:
+        wanted = self._wanted()
+        if wanted is None or wanted.model not in self._named:
+            return False
+        if not 0 < state.version < int(wanted.version):
+            return False
+        return is_easing(
+            name=own.id,
+            members=self._members(),
+            named_s=self._named[wanted.model].named_for_s(state.version, now()),
+            bound_s=self._cfg.version_s,
+        )
+
+    def _members(self) -> dict[str, WaveMember]:
+        return {
+            runner.id: WaveMember(
+                failure_domain=runner.failure_domain,
+                version=runner.version if runner.holds_all(self._layers()) else 0,
+            )
+            for runner in self._listed.values()
+            if runner.service == self._cfg.service and not runner.is_draining
+        }
+
     def _confirm(self, wanted: Variant) -> None:
         if self._ordered == wanted:
             self._ordered = None
@@ -293,7 +338,8 @@
         if service is None or service.engine is None or not service.engine.model:
             return None
         model = service.engine.model
-        version = self._targets.get(model, FIRST_VERSION)
+        named = self._named.get(model)
+        version = max(FIRST_VERSION, named.newest if named is not None else 0)
         return Variant(model=model, adapter="", version=str(version))
 
     def _layers(self) -> int:
@@ -324,6 +370,7 @@
                 memory_used=state.memory_used,
                 memory_total=state.memory_total,
                 pace=state.pace,
+                is_easing=self._is_easing(listed, state),
             )
         if report == self._sent.report and now() - self._sent.at < QUIET_REPORT_S:
             return
@@ -337,7 +384,21 @@
         return origin.address if origin is not None else ""
 
     def _listed_hosts(self) -> list[HostSpec]:
-        found = {}
+        """Return the hosts beside listed runners, and those whose agents are linked already.
+
+        A new host's agent runs about a second before its runner is listed.
+        """
+        found = {
+            peer.host: HostSpec(
+                name=peer.host,
+                role=HostRole.BACKEND.value,
+                address=peer.hello.address,
+                region=peer.hello.region,
+                failure_domain=peer.hello.failure_domain,
+            )
+            for peer in self._links.peers()
+            if peer.hello.role == "agent"
+        }
         for runner in self._listed.values():
             if runner.service != self._cfg.service:
                 continue
@@ -352,6 +413,7 @@
         return list(found.values())
 
     def _on_change(self, items: list[Item]) -> None:
+        is_first = self._catalog is None
         for item in items:
             runner_id = self._decoder.runner_id(item.name)
             value = self._decoder.decode(item) if item.body is not None else None
@@ -362,8 +424,8 @@
                         "catalog_accepted", catalog=value.version, revision=item.revision
                     )
             elif isinstance(value, WeightTarget):
-                newest = max(value.version, self._targets.get(value.model, 0))
-                self._targets[value.model] = newest
+                named = self._named.setdefault(value.model, NamedVersions())
+                named.on_named(value.version, now(), is_old=is_first)
                 self.log.event(
                     "weights_named",
                     model=value.model,
--- /dev/null
+++ b/packages/wasabilb-core/src/wasabilb_core/named_versions.py
@@ -0,0 +1,47 @@
+"""Versions of a model's weights and when this process heard of each.
+
+A version may be named before the one before it is on every runner, and each has its own time. What
+matters for a runner is the oldest of the versions that are newer than its own.
+"""
+
+import math
+
+
+class NamedVersions:
+    """The named versions of one model."""
+
+    def __init__(self) -> None:
+        self._heard: dict[int, float] = {}
+
+    @property
+    def newest(self) -> int:
+        """Return the newest named version, 0 for none."""
+        return max(self._heard, default=0)
+
+    def on_named(self, version: int, now: float, *, is_old: bool) -> None:
+        """Take a named version.
+
+        Parameters
+        ----------
+        version : int
+            The version.
+        now : float
+            Current time, seconds.
+        is_old : bool
+            Whether it may have been named long before this process heard of it, as what a process
+            finds at its start may have been.
+        """
+        self._heard.setdefault(version, -math.inf if is_old else now)
+
+    def named_for_s(self, held: int, now: float) -> float:
+        """Return for how long a newer version than a held one has been named, seconds.
+
+        Returns minus infinity when there is none.
+        """
+        newer = [at for version, at in self._heard.items() if version > held]
+        return now - min(newer) if newer else -math.inf
+
+    def demanded(self, now: float, after_s: float) -> int | None:
+        """Return the newest version that was named at least so many seconds ago."""
+        due = [version for version, at in self._heard.items() if now - at >= after_s]
+        return max(due, default=None)
--- /dev/null
+++ b/packages/wasabilb-core/src/wasabilb_core/reload_waves.py
@@ -0,0 +1,91 @@
+"""When each runner changes its weights, so that the others keep answering meanwhile.
+
+A runner that is ordered to load a version accepts nothing new, ends what runs and then loads. If
+all did so at once, nobody would answer for the time of the longest request. The runners of a
+model are split into waves that follow each other within the time in which a version must be in
+force. Each agent computes the same waves from the platform's list.
+"""
+
+from collections.abc import Collection, Mapping
+
+from attrs import frozen
+
+# With three waves two thirds of the runners answer at any time; with more, each wave has less time
+# than the longest requests take.
+WAVES = 3
+# Parts of the bound on old versions at which a wave is ordered at the latest, if its weights are
+# there. The last one leaves the rest for the order itself and for a process that learned late.
+LATEST_ORDER = (0.0, 0.70, 0.84)
+# Parts of the bound from which entry processes prefer other runners, so that fewer requests hold
+# up the load.
+EASE_FROM = (0.40, 0.60, 0.74)
+
+
+@frozen(kw_only=True)
+class WaveMember:
+    """One runner of the model.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Where it stands.
+    version : int
+        Version that it holds, 0 for none.
+    """
+
+    failure_domain: str
+    version: int
+
+
+def wave_of(name: str, members: Mapping[str, WaveMember]) -> int:
+    """Return the wave of a runner; those of one failure domain are spread over the waves."""
+    ordered = sorted(members, key=lambda other: (members[other].failure_domain, other))
+    return ordered.index(name) % WAVES if name in members else 0
+
+
+def may_reload(
+    *,
+    name: str,
+    members: Mapping[str, WaveMember],
+    version: int,
+    named_s: float,
+    bound_s: float,
+) -> bool:
+    """Return whether a runner whose weights are ready may be ordered to load them now.
+
+    Parameters
+    ----------
+    name : str
+        The runner.
+    members : mapping
+        All runners of the model by name.
+    version : int
+        Wanted version.
+    named_s : float
+        Time since the version was named, seconds.
+    bound_s : float
+        Time within which it must be in force, seconds.
+    """
+    own = members.get(name)
+    if own is None or own.version == 0:
+        # A runner without weights answers nobody, so that its load costs nothing.
+        return True
+    wave = wave_of(name, members)
+    if named_s >= LATEST_ORDER[wave] * bound_s:
+        return True
+    return _is_loaded(members, version, range(wave))
+
+
+def is_easing(
+    *, name: str, members: Mapping[str, WaveMember], named_s: float, bound_s: float
+) -> bool:
+    """Return whether a runner that still holds an older version should get less to do."""
+    return named_s >= EASE_FROM[wave_of(name, members)] * bound_s
+
+
+def _is_loaded(members: Mapping[str, WaveMember], version: int, waves: Collection[int]) -> bool:
+    return all(
+        member.version >= version or member.version == 0
+        for other, member in members.items()
+        if wave_of(other, members) in waves
+    )
--- a/packages/wasabilb-core/src/wasabilb_core/runner_book.py
+++ b/packages/wasabilb-core/src/wasabilb_core/runner_book.py
@@ -12,6 +12,9 @@
 # A report says nothing of requests that were sent after it was taken; with the time that the
 # report itself was under way, sends of this age are not yet in it, seconds.
 REPORT_DELAY_S = 0.05
+# Wait elsewhere that is preferred to a runner that is to load a version, seconds. Half a latency
+# objective: requests still go there when the others would answer late.
+EASING_S = 0.2
 # Load that nobody has confirmed for this long is forgotten, seconds.
 REPORT_MAX_AGE_S = 2.0
 # A runner that refused or broke connections is left out for this time, twice as long with each
@@ -46,6 +49,8 @@
         Whether it carries out an order and accepts no new requests.
     is_reachable : bool
         Whether the process beside it can reach it.
+    is_easing : bool
+        Whether it is to load a version soon and should get less to do.
     """
 
     running: int
@@ -55,6 +60,7 @@
     pace: float = 1.0
     is_busy: bool = False
     is_reachable: bool = True
+    is_easing: bool = False
 
 
 @define(kw_only=True)
@@ -154,6 +160,7 @@
             unseen = len(known.sent)
             running, waiting = report.running, report.waiting + unseen
             slots = report.slots or slots
+            distance_s += EASING_S if report.is_easing else 0.0
         return RunnerView(
             host=runner.id,
             in_flight=known.in_flight,
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -9,6 +9,7 @@
 from wasabilb_core.directory import Runner, RunnerDirectory
 from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.forwarding import AnswerFacts
+from wasabilb_core.named_versions import NamedVersions
 from wasabilb_core.retry_window import RetryWindow
 from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView
 from wasabilb_core.runner_book import LoadReport, RunnerBook
@@ -30,7 +31,7 @@
 OTHER_REGION_S = 0.012
 # Before the bound on old versions no request is sent to a runner that may still hold the old one;
 # what waits in a runner's queue meanwhile must begin in time, too.
-VERSION_MARGIN_S = 1.5
+VERSION_MARGIN_S = 0.9
 
 
 @frozen(kw_only=True)
@@ -118,7 +119,7 @@
         self._processes = processes
         self._routing = ROUTING.create("batch_backlog").unwrap()
         self._windows: dict[str, RetryWindow] = {}
-        self._targets: dict[str, tuple[WeightTarget, float]] = {}
+        self._named: dict[str, NamedVersions] = {}
 
     def on_limits(self, limits: FleetLimits) -> None:
         """Put other bounds into force; budgets begin anew when theirs changed."""
@@ -126,11 +127,10 @@
             self._limits = limits
             self._windows.clear()
 
-    def on_target(self, target: WeightTarget) -> None:
-        """Take a newly named version of a model's weights."""
-        known = self._targets.get(target.model)
-        if known is None or target.version > known[0].version:
-            self._targets[target.model] = (target, now())
+    def on_target(self, target: WeightTarget, *, is_old: bool) -> None:
+        """Take a named version of a model's weights, an old one if it was there at the start."""
+        named = self._named.setdefault(target.model, NamedVersions())
+        named.on_named(target.version, now(), is_old=is_old)
 
     def on_report(self, report: RunnerReport) -> None:
         """Take the report of the agent beside a model runner."""
@@ -150,6 +150,7 @@
                 pace=report.pace,
                 is_busy=report.is_busy,
                 is_reachable=report.is_reachable,
+                is_easing=report.is_easing,
             ),
         )
 
@@ -247,10 +248,10 @@
 
     def _demanded_version(self, engine: EngineSpec | None, moment: float) -> int | None:
         """Return the version that must answer, once its time has nearly come."""
-        known = self._targets.get(engine.model) if engine is not None else None
-        if known is None or moment - known[1] < self._limits.version_s - VERSION_MARGIN_S:
+        named = self._named.get(engine.model) if engine is not None else None
+        if named is None:
             return None
-        return known[0].version
+        return named.demanded(moment, self._limits.version_s - VERSION_MARGIN_S)
 
     def _distance_s(self, failure_domain: str) -> float:
         if failure_domain == self._failure_domain:
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -123,6 +123,7 @@
             heartbeat_s=HEARTBEAT_S,
         )
         self._links.on(RunnerReport, self._on_report, from_role="agent")
+        self._links.on_up.append(self._on_link)
         self._state = PublishedState()
         self._store_pool = ConnectionPool(max_idle=2)
         self._pool = ConnectionPool(
@@ -247,13 +248,14 @@
             self._fleet.directory.on_platform_lost()
 
     def _on_change(self, items: list[Item]) -> None:
+        is_first = self._fleet.catalog is None
         for item in items:
             runner_id = self._decoder.runner_id(item.name)
             value = self._decoder.decode(item) if item.body is not None else None
             if isinstance(value, Catalog):
                 self._on_catalog(value, item.revision)
             elif isinstance(value, WeightTarget):
-                self._fleet.on_target(value)
+                self._fleet.on_target(value, is_old=is_first)
                 self.log.event(
                     "weights_named",
                     model=value.model,
@@ -276,6 +278,8 @@
             elif item.body is not None:
                 self.log.event("published_unusable", name=item.name, revision=item.revision)
         self._fleet.revision = self._state.revision
+        self._links.set_targets(self._targets())
+        self._sync.beat(self._cfg.links_address)
 
     def _on_catalog(self, catalog: Catalog, revision: int) -> None:
         known = self._fleet.catalog
@@ -295,6 +299,10 @@
         self._fleet.book.forget(runner_id)
         self.log.event("runner_gone", runner=runner_id, reason=reason)
 
+    def _on_link(self, peer: Peer) -> None:
+        # A process that has just started learns of published state without waiting for a beat.
+        self._sync.beat(self._cfg.links_address)
+
     def _on_report(self, peer: Peer, report: RunnerReport) -> None:
         self._fleet.on_report(report)
 
--- a/packages/wasabilb-node/src/wasabilb_node/published_sync.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_sync.py
@@ -26,8 +26,6 @@
 ASK_AFTER_S = 0.3
 # Another peer is asked when no answer came in this time.
 ASK_TIMEOUT_S = 0.6
-# A process that learns from peers gives them this long to make contact before it reads itself.
-PEERS_FIRST_S = 2.0
 # An answer is sent in frames of at most this size; a frame has a bound of 2 MiB.
 MAX_ANSWER_BYTES = 1 << 20
 
@@ -91,8 +89,8 @@
     on_platform : callable
         Called with whether the platform answers, when that changes.
     reads_first : bool
-        Whether this process reads the platform itself; one that does not reads it only while no
-        peer is linked.
+        Whether this process reads the platform itself; one that does not reads it once at its
+        start and then only while no peer is linked.
     """
 
     def __init__(
@@ -132,10 +130,9 @@
     async def run(self) -> None:
         """Read the platform until cancelled."""
         retry_s = FIRST_RETRY_S
-        if not self._reads_first:
-            await asyncio.sleep(PEERS_FIRST_S)
         while True:
-            if not self._reads_first and self._links.peers():
+            has_tried = self._is_up is not None
+            if has_tried and not self._reads_first and self._links.peers():
                 await asyncio.sleep(ASK_TIMEOUT_S)
                 continue
             error = await self._read_once()
--- a/packages/wasabilb-wire/src/wasabilb_wire/messages.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/messages.py
@@ -356,7 +356,8 @@
     `born_ms` is the wall time of the runner's start in milliseconds and names its incarnation.
     Layers of `version` are loaded from `layer_from` up to but not including `layer_to`; `is_busy`
     tells whether an order is in progress. Memory is in the engine's own units, `pace` is 1.0 at the
-    usual speed and higher on a slowed host.
+    usual speed and higher on a slowed host. `is_easing` asks for fewer requests, as the runner is
+    to load a version soon.
     """
 
     runner: str
@@ -372,3 +373,4 @@
     memory_used: int = 0
     memory_total: int = 0
     pace: float = 1.0
+    is_easing: bool = False
--- a/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
+++ b/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
@@ -266,4 +266,5 @@
   memoryUsed @10 :UInt64;
   memoryTotal @11 :UInt64;
   pace @12 :Float64;
+  isEasing @13 :Bool;
 }
