--- a/packages/wasabilb-agent/src/wasabilb_agent/_uploads.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_uploads.py
@@ -9,10 +9,12 @@
 from wasabilb_node.links import Peer
 from wasabilb_wire.messages import ChunkData, ChunkWant
 
-# Small pieces let live frames on the same link in between.
-PIECE_BYTES = min(MAX_PIECE_BYTES, 128 << 10)
+# Time of the host's link that one piece takes; live frames wait at most that long behind it.
+PIECE_S = 0.015
+MIN_PIECE_BYTES = 4 << 10
+LARGEST_PIECE_BYTES = min(MAX_PIECE_BYTES, 128 << 10)
 # Above this backlog the peer or the network is slower than the pacer, so sending waits.
-MAX_BACKLOG_BYTES = 4 * PIECE_BYTES
+MAX_BACKLOG_PIECES = 4
 BACKLOG_CHECK_S = 0.01
 
 
@@ -35,6 +37,8 @@
         self._region_share = cfg.region_live_share
         self._live_bytes = 0
         self._across: dict[str, Pacer] = {}
+        wanted = int(PIECE_S * cfg.link_bytes_per_s)
+        self._piece_bytes = min(LARGEST_PIECE_BYTES, max(MIN_PIECE_BYTES, wanted))
 
     def on_live_total(self, total: int) -> None:
         """Take note of all bytes sent so far on the open links to entry hosts."""
@@ -57,7 +61,7 @@
         """
         offset = want.offset
         while offset < len(data) and not peer.link.is_closed:
-            payload = data[offset : offset + PIECE_BYTES]
+            payload = data[offset : offset + self._piece_bytes]
             await self._wait(peer, len(payload), sharers)
             end = offset + len(payload)
             is_sent = peer.send(
@@ -86,5 +90,8 @@
             # Each of the sharers takes as much from its own bucket as all of them send.
             delay = max(delay, pacer.take(size * sharers, now()))
         await asyncio.sleep(delay)
-        while peer.link.unsent_bytes > MAX_BACKLOG_BYTES and not peer.link.is_closed:
+        while (
+            peer.link.unsent_bytes > MAX_BACKLOG_PIECES * self._piece_bytes
+            and not peer.link.is_closed
+        ):
             await asyncio.sleep(BACKLOG_CHECK_S)
