Keep requests from runners whose version would be out of date when they begin; tests of forwarding and published state

Change: the expected wait counts against the bound. Scenarios for forwarding, published state, versions and waves; the scripted runner first closed cleanly where a reset was meant.

--- /dev/null
+++ b/features/direct_forwarding.feature
@@ -0,0 +1,73 @@
+Feature: Requests sent to runners directly
+  What callers get when runners break off, refuse, fall silent or answer twice.
+
+  Scenario Outline: A caller gets one whole and correct answer
+    # Guards against mixed, doubled, shortened or wrongly repeated answers.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that <first> and then <second>
+    When a caller sends a request on the <kind> route
+    Then the caller gets <answer>
+    And the runners received <sends> requests that may have run
+
+    Examples:
+      | kind         | first                      | second                 | answer                     | sends |
+      | idempotent   | answer                     | answer                 | the whole answer           | 1     |
+      | idempotent   | reset without an answer    | answer                 | the whole answer           | 2     |
+      | idempotent   | refuse as full             | answer                 | the whole answer           | 1     |
+      | idempotent   | fail with status 500       | answer                 | the whole answer           | 2     |
+      | idempotent   | fail with status 500       | fail with status 500   | status 500 of the runner   | 2     |
+      | idempotent   | break off in the body      | answer                 | the whole answer           | 2     |
+      | idempotent   | answer without a length    | answer                 | the whole answer           | 1     |
+      | idempotent   | answer without a seal      | answer                 | the whole answer           | 2     |
+      | at-most-once | answer                     | answer                 | the whole answer           | 1     |
+      | at-most-once | reset without an answer    | answer                 | status 502, outcome unknown | 1    |
+      | at-most-once | fail with status 500       | answer                 | status 500 of the runner   | 1     |
+      | at-most-once | refuse as full             | refuse as full         | status 503, outcome not-run | 0    |
+      | stream       | answer                     | answer                 | all events once            | 1     |
+      | stream       | break off within an event  | answer                 | all events once            | 2     |
+      | stream       | reset after two events     | answer                 | all events once            | 2     |
+      | stream       | reset after two events     | reset after two events | a broken stream            | 2     |
+      | stream       | answer without a length    | answer                 | all events once            | 1     |
+      | stream       | reset without a length     | answer                 | all events once            | 2     |
+
+  Scenario: An extra answer on a kept connection goes to nobody
+    # Guards against an answer that belongs to an earlier request.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that answer twice and then answer
+    When a caller sends two requests on the idempotent route one after the other
+    Then each of the two gets its own answer
+
+  Scenario: A caller that leaves ends its stream at the runner
+    # Guards against runners that work on for callers who have left.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that send two events and fall silent and then answer
+    When a caller leaves a stream after its first event
+    Then the runner sees the end of the connection within 0.5 s
+
+  Scenario: A request that nobody can serve is refused at once
+    # Guards against requests that wait for a deadline although no runner exists.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And no runner
+    When a caller sends a request on the at-most-once route
+    Then the caller gets status 503, outcome not-run
+    And the answer came within 0.2 s and tells when to come back
+
+  Scenario: The account of a key replaces what the caller claims
+    # Guards against keys that reach runners and accounts that callers make up.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that answer and then answer
+    When a caller sends a request with a key and with headers of the system
+    Then the runner gets the account of the key, itself as the expected runner and no key
+
+  Scenario Outline: Requests that the catalog does not allow
+    # Guards against requests that run for unknown keys or on unknown routes.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that answer and then answer
+    When a caller sends a request with <fault>
+    Then the caller gets status <status>
+
+    Examples:
+      | fault               | status |
+      | an unknown key      | 401    |
+      | an unknown path     | 404    |
+      | no identifier       | 400    |
--- /dev/null
+++ b/features/published_state.feature
@@ -0,0 +1,69 @@
+Feature: Published state, runners and versions
+  What every process believes of the fleet, from a platform that can only be read.
+
+  Scenario: Changes that arrive twice, late or out of order leave the same state
+    # Guards against a process that falls back to an older catalog or runner entry.
+    When updates of published items reach two processes in random order and repeatedly
+    Then both hold the same items at their newest revisions
+    And no item ever went back to an older revision
+
+  Scenario: A gap in the changes is not taken for knowledge
+    # Guards against a process that never asks for changes it has missed.
+    Given a process that knows everything up to revision 5
+    When it hears of changes after revision 8 up to revision 9
+    Then it still asks for what changed after revision 5
+
+  Scenario: An item that is missing from a full reading was removed
+    # Guards against requests to runners that left while the history was lost.
+    Given a process that knows everything up to revision 5
+    When a full reading at revision 9 no longer lists an item
+    Then that item counts as removed
+
+  Scenario Outline: Entries that expire while the platform is away
+    # Guards against an outage of the platform that takes all runners out of service.
+    Given a listed runner
+    When the platform is <platform> and the runner's entry is removed
+    Then after <seconds> s the runner is <state>
+
+    Examples:
+      | platform          | seconds | state    |
+      | answering         | 0       | gone     |
+      | away              | 60      | routable |
+      | away and back     | 2       | routable |
+      | away and back     | 3       | gone     |
+
+  Scenario: A leaving runner is not kept when its entry goes during an outage
+    # Guards against new requests to a runner that has announced its end.
+    Given a listed runner that is draining
+    When the platform is away and the runner's entry is removed
+    Then after 0 s the runner is gone
+
+  Scenario: Versions named in quick succession keep their own times
+    # Guards against requests that begin on an old version because a newer one was named later.
+    When version 2 is named at 18 s and version 3 at 20 s
+    Then version 2 is demanded from 25 s and version 3 from 27 s
+    And a runner with version 1 has been outdated since 18 s
+
+  Scenario: A version found at the start may have been named long ago
+    # Guards against a restarted process that sends requests to outdated runners.
+    When a process finds version 2 at its start
+    Then version 2 is demanded at once
+
+  Scenario Outline: Most runners answer while a version is loaded
+    # Guards against all runners of a model reloading at the same moment.
+    Given <runners> runners in 3 failure domains that hold version 1
+    When version 2 is named and every runner has its weights after <ready> s
+    Then at most <share> of 3 parts of the runners reload at once before 7 s
+    And every runner is ordered within 7 s of the 8 s bound
+
+    Examples:
+      | runners | ready | share |
+      | 9       | 5.2   | 2     |
+      | 17      | 4.0   | 2     |
+      | 3       | 5.0   | 2     |
+
+  Scenario: A runner without weights loads at once
+    # Guards against empty runners that wait for a turn they do not need.
+    Given 9 runners in 3 failure domains that hold version 1
+    When one of them restarts empty after version 2 was named
+    Then it may load at once
--- /dev/null
+++ b/features/steps/direct_forwarding_steps.py
@@ -0,0 +1,338 @@
+"""Steps about requests that the entry process sends to runners itself."""
+
+import asyncio
+import random
+import re
+
+from behave import given, then, when
+from scripted_runner import BODY, EVENTS, ScriptedRunner
+from wasabilb_core.catalog import (
+    Catalog,
+    ClientAccount,
+    RequestKind,
+    Route,
+    RouteTarget,
+    Service,
+    key_digest,
+)
+from wasabilb_core.directory import Runner
+from wasabilb_core.forwarding import AnswerFacts, RequestFacts
+from wasabilb_entry.caller_connection import CallerServer
+from wasabilb_entry.caller_protocol import end_to_end
+from wasabilb_entry.fleet_view import FleetLimits, FleetView
+from wasabilb_entry.forwarder import Forwarder
+from wasabilb_entry.gateway_metrics import GatewayMetrics
+from wasabilb_node.http_client import ConnectionPool
+from wasabilb_node.logs import EventLog
+
+SALT = b"salt" * 8
+KEY = "k" * 20
+PATHS = {"idempotent": "/safe/x", "at-most-once": "/once/x", "stream": "/stream/x"}
+
+
+class PlainProtocol:
+    """Headers with names of the tests' own."""
+
+    def read_request(self, headers):
+        return RequestFacts(
+            id=headers.get("Request-Id", ""),
+            timeout_s=3.0,
+            key=headers.get("Authorization", "").partition(" ")[2] or None,
+        )
+
+    def write_request(self, headers, facts):
+        sent = end_to_end(headers)
+        for name in ("Authorization", "Account", "Expect-Runner"):
+            if name in sent:
+                del sent[name]
+        sent["Expect-Runner"] = facts.runner_id
+        if facts.account:
+            sent["Account"] = facts.account
+        if facts.last_event_id:
+            sent["Last-Event-Id"] = facts.last_event_id
+        return sent
+
+    def read_answer(self, head, now):
+        return AnswerFacts(
+            request_id=head.headers.get("Request-Id", ""),
+            is_not_run="Not-Run" in head.headers,
+            is_sealed="Seal" in head.headers,
+        )
+
+    def label_answer(self, headers, request_id):
+        headers["Request-Id"] = request_id
+
+
+def route(name, kind, **changes):
+    return Route(
+        name=name,
+        host="h.example",
+        prefix=f"/{name}/",
+        targets=(RouteTarget(service="s"),),
+        kind=kind,
+        timeout_s=3.0,
+        objective_s=0.5,
+        **changes,
+    )
+
+
+def catalog():
+    account = ClientAccount(name="acme", key_digests=frozenset({key_digest(KEY, SALT)}))
+    return Catalog(
+        version=1,
+        routes=(
+            route("safe", RequestKind.IDEMPOTENT, max_attempts=2),
+            route("once", RequestKind.NON_IDEMPOTENT, max_attempts=2),
+            route("stream", RequestKind.STREAM, max_attempts=2, is_resumable=True),
+        ),
+        services={"s": Service(name="s")},
+        accounts=(account,),
+    )
+
+
+class Stage:
+    """A forwarder in front of scripted runners, on loopback."""
+
+    def __init__(self, behaviours):
+        # One script for all runners: the first send plays the first behaviour wherever it goes.
+        self.runners = [ScriptedRunner(behaviours) for _ in range(2 if behaviours else 0)]
+        for other in self.runners[1:]:
+            other.behaviours = self.runners[0].behaviours
+
+    async def __aenter__(self):
+        rng = random.Random(1)
+        self.fleet = FleetView(
+            failure_domain="a",
+            regions={"a": "r"},
+            pool=ConnectionPool(max_idle=4),
+            limits=FleetLimits(
+                retry_ratio=0.2, retry_slack=100, retry_window_s=10.0, version_s=8.0
+            ),
+            rng=rng,
+            processes=lambda: 1,
+        )
+        self.fleet.catalog = catalog()
+        for number, scripted in enumerate(self.runners):
+            address = await scripted.start()
+            self.fleet.directory.on_listed(
+                Runner(
+                    id=f"r-{number}",
+                    born_ms=1,
+                    service="s",
+                    address=address,
+                    failure_domain="a",
+                    slots=4,
+                )
+            )
+        forwarder = Forwarder(
+            fleet=self.fleet,
+            protocol=PlainProtocol(),
+            log=EventLog(process="t", role="entry", host="t", failure_domain="a", incarnation="1"),
+            metrics=GatewayMetrics(),
+            rng=rng,
+            salt=SALT,
+        )
+        self.server = CallerServer(on_request=forwarder.on_request)
+        sockets = self.server.listen("127.0.0.1:0")
+        self.port = sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *exc):
+        self.server.stop_accepting()
+        self.server.close_all()
+        self.fleet.pool.close()
+        for scripted in self.runners:
+            await scripted.stop()
+
+    async def connect(self):
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    @property
+    def ran(self):
+        return sum(scripted.ran for scripted in self.runners)
+
+    @property
+    def heads(self):
+        return [head for scripted in self.runners for head in scripted.requests]
+
+
+def request(path, *, request_id="q-1", key=KEY, extra=""):
+    method = "GET" if path.startswith("/safe") else "POST"
+    named = f"Request-Id: {request_id}\r\n" if request_id else ""
+    return (
+        f"{method} {path} HTTP/1.1\r\nHost: h.example\r\n{named}"
+        f"Authorization: Token {key}\r\nContent-Length: 2\r\n{extra}\r\nhi"
+    ).encode()
+
+
+async def read_answer(reader):
+    """Return status, headers, body and whether the answer is whole."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    status = int(head.split()[1])
+    length = re.search(r"(?im)^content-length: (\d+)", head)
+    if length:
+        return status, head, await reader.readexactly(int(length[1])), True
+    body = b""
+    while True:
+        line = await reader.readline()
+        if not line:
+            return status, head, body, False
+        size = int(line, 16)
+        try:
+            data = await reader.readexactly(size + 2)
+        except asyncio.IncompleteReadError:
+            return status, head, body, False
+        if size == 0:
+            return status, head, body, True
+        body += data[:-2]
+
+
+def play(context, coroutine_of):
+    async def run():
+        async with Stage(context.behaviours) as stage:
+            context.stage = stage
+            return await asyncio.wait_for(coroutine_of(stage), 10)
+
+    context.result = asyncio.run(run())
+
+
+async def ask(stage, data):
+    reader, writer = await stage.connect()
+    started = asyncio.get_running_loop().time()
+    writer.write(data)
+    answer = await read_answer(reader)
+    writer.close()
+    return (*answer, asyncio.get_running_loop().time() - started)
+
+
+@given("a catalog with an idempotent, an at-most-once and a resumable stream route")
+def given_catalog(context):
+    context.behaviours = []
+
+
+@given("runners that {first} and then {second}")
+def given_runners(context, first, second):
+    context.behaviours = [first, second]
+
+
+@given("no runner")
+def given_no_runner(context):
+    context.behaviours = []
+
+
+@when("a caller sends a request on the {kind} route")
+def send_request(context, kind):
+    play(context, lambda stage: ask(stage, request(PATHS[kind])))
+
+
+@when("a caller sends two requests on the idempotent route one after the other")
+def send_two(context):
+    async def both(stage):
+        reader, writer = await stage.connect()
+        bodies = []
+        for name in ("q-1", "q-2"):
+            writer.write(request(PATHS["idempotent"], request_id=name))
+            bodies.append((await read_answer(reader))[2])
+            # A kept connection to a runner is used again, where the extra answer waits.
+            await asyncio.sleep(0.01)
+        writer.close()
+        return bodies
+
+    play(context, both)
+
+
+@then("each of the two gets its own answer")
+def own_answers(context):
+    assert context.result == [BODY + b"q-1", BODY + b"q-2"], context.result
+
+
+@when("a caller leaves a stream after its first event")
+def leave_stream(context):
+    async def leave(stage):
+        reader, writer = await stage.connect()
+        writer.write(request(PATHS["stream"]))
+        await reader.readuntil(b"id: 1")
+        left_at = asyncio.get_running_loop().time()
+        writer.close()
+        while not any(scripted.closed_at for scripted in stage.runners):
+            await asyncio.sleep(0.01)
+        return max(s.closed_at for s in stage.runners if s.closed_at) - left_at
+
+    play(context, leave)
+
+
+@then("the runner sees the end of the connection within {seconds:g} s")
+def sees_end(context, seconds):
+    assert context.result <= seconds, context.result
+
+
+@when("a caller sends a request with a key and with headers of the system")
+def claim_headers(context):
+    extra = "Account: rich\r\nExpect-Runner: r-9\r\n"
+    play(context, lambda stage: ask(stage, request(PATHS["at-most-once"], extra=extra)))
+
+
+@then("the runner gets the account of the key, itself as the expected runner and no key")
+def runner_gets_account(context):
+    (head,) = context.stage.heads
+    assert re.search(r"(?m)^Account: acme\r$", head), head
+    assert re.search(r"(?m)^Expect-Runner: r-[01]\r$", head), head
+    assert "rich" not in head and "r-9" not in head and KEY not in head, head
+
+
+@when("a caller sends a request with {fault}")
+def send_faulty(context, fault):
+    data = {
+        "an unknown key": request(PATHS["at-most-once"], key="x" * 20),
+        "an unknown path": request("/nowhere/x"),
+        "no identifier": request(PATHS["at-most-once"], request_id=""),
+    }[fault]
+    play(context, lambda stage: ask(stage, data))
+
+
+@then("the caller gets the whole answer")
+def whole_answer(context):
+    status, _, body, is_whole, _ = context.result
+    assert status == 200 and is_whole and body.startswith(BODY), context.result
+
+
+@then("the caller gets all events once")
+def all_events(context):
+    status, _, body, is_whole, _ = context.result
+    assert status == 200 and is_whole, context.result
+    assert body == b"".join(EVENTS), body
+
+
+@then("the caller gets a broken stream")
+def broken_stream(context):
+    status, _, body, is_whole, _ = context.result
+    assert status == 200 and not is_whole
+    assert b"".join(EVENTS).startswith(body), body
+
+
+@then("the caller gets status {status:d} of the runner")
+def status_of_runner(context, status):
+    assert context.result[0] == status and "Seal: s" in context.result[1], context.result
+
+
+@then("the caller gets status {status:d}, outcome {outcome}")
+def status_and_outcome(context, status, outcome):
+    assert context.result[0] == status, context.result
+    assert f'"outcome": "{outcome}"'.encode() in context.result[2], context.result
+
+
+@then("the caller gets status {status:d}")
+def status_only(context, status):
+    assert context.result[0] == status, context.result
+    assert context.stage.ran == 0
+
+
+@then("the runners received {sends:d} requests that may have run")
+def sends_that_ran(context, sends):
+    assert context.stage.ran == sends, context.stage.ran
+
+
+@then("the answer came within {seconds:g} s and tells when to come back")
+def came_soon(context, seconds):
+    assert context.result[4] <= seconds, context.result
+    assert re.search(r"(?im)^retry-after: \d", context.result[1]), context.result
--- /dev/null
+++ b/features/steps/published_state_steps.py
@@ -0,0 +1,199 @@
+"""Steps about published state, the directory of runners, versions and reload waves."""
+
+import random
+
+from behave import given, then, when
+from wasabilb_core.directory import Runner, RunnerDirectory
+from wasabilb_core.named_versions import NamedVersions
+from wasabilb_core.published import Item, PublishedState
+from wasabilb_core.reload_waves import WaveMember, is_easing, may_reload
+
+BOUND_S = 8.0
+# A runner that entry processes have avoided for the time of most requests loads within 0.5 s; one
+# that is full until then needs up to 2 s.
+EASED_S, EASED_RELOAD_S, FULL_RELOAD_S = 1.5, 0.5, 2.0
+
+
+def runner(**changes):
+    values = {
+        "id": "r-1",
+        "born_ms": 1,
+        "service": "models",
+        "address": "127.0.0.1:9",
+        "failure_domain": "a",
+    }
+    return Runner(**{**values, **changes})
+
+
+@when("updates of published items reach two processes in random order and repeatedly")
+def updates_reach_processes(context):
+    rng = random.Random(7)
+    history, names = [], ["a", "b", "c"]
+    for revision in range(1, 60):
+        body = None if rng.random() < 0.2 else str(revision).encode()
+        history.append(Item(name=rng.choice(names), revision=revision, body=body))
+    context.states, context.went_back = [], 0
+    for _ in range(2):
+        state, seen = PublishedState(), {}
+        updates = [history[i : i + rng.randint(1, 9)] for i in rng.choices(range(59), k=300)]
+        for update in [*updates, history]:
+            before = update[0].revision - 1
+            for item in state.on_changes(update, after=before, revision=update[-1].revision):
+                context.went_back += item.revision <= seen.get(item.name, 0)
+                seen[item.name] = item.revision
+        context.states.append(state)
+    context.newest = {item.name: item for item in history}
+
+
+@then("both hold the same items at their newest revisions")
+def hold_newest(context):
+    for state in context.states:
+        assert {item.name: item for item in state.changes_after(0)} == context.newest
+        assert state.revision == 59
+
+
+@then("no item ever went back to an older revision")
+def never_went_back(context):
+    assert context.went_back == 0
+
+
+@given("a process that knows everything up to revision 5")
+def knows_up_to_five(context):
+    context.state = PublishedState()
+    items = [Item(name="kept", revision=2, body=b"1"), Item(name="old", revision=5, body=b"2")]
+    context.state.on_snapshot(items, 5)
+
+
+@when("it hears of changes after revision 8 up to revision 9")
+def hears_of_gap(context):
+    context.state.on_changes([Item(name="new", revision=9, body=b"")], after=8, revision=9)
+
+
+@then("it still asks for what changed after revision 5")
+def asks_after_five(context):
+    assert context.state.revision == 5
+
+
+@when("a full reading at revision 9 no longer lists an item")
+def full_reading(context):
+    listed = [Item(name="kept", revision=2, body=b"1")]
+    context.changed = context.state.on_snapshot(listed, 9)
+
+
+@then("that item counts as removed")
+def item_removed(context):
+    assert [(item.name, item.body) for item in context.changed] == [("old", None)]
+
+
+@given("a listed runner")
+def listed_runner(context):
+    context.directory = RunnerDirectory()
+    context.directory.on_listed(runner())
+
+
+@given("a listed runner that is draining")
+def listed_draining(context):
+    context.directory = RunnerDirectory()
+    context.directory.on_listed(runner(is_draining=True))
+
+
+@when("the platform is {platform} and the runner's entry is removed")
+def entry_removed(context, platform):
+    if platform != "answering":
+        context.directory.on_platform_lost()
+    if platform == "away and back":
+        context.directory.on_platform_regained(100.0)
+    context.directory.on_removed("r-1", 100.0)
+
+
+@then("after {seconds:d} s the runner is {state}")
+def runner_state(context, seconds, state):
+    context.directory.expire(100.0 + seconds)
+    is_routable = bool(context.directory.routable("models"))
+    assert is_routable == (state == "routable"), state
+    if state == "gone":
+        assert context.directory.get("r-1") is None
+
+
+@when("version 2 is named at 18 s and version 3 at 20 s")
+def versions_named(context):
+    context.named = NamedVersions()
+    context.named.on_named(2, 18.0, is_old=False)
+    context.named.on_named(3, 20.0, is_old=False)
+
+
+@then("version 2 is demanded from 25 s and version 3 from 27 s")
+def versions_demanded(context):
+    found = [context.named.demanded(at, 7.0) for at in (24.9, 25.0, 26.9, 27.0)]
+    assert found == [None, 2, 2, 3], found
+
+
+@then("a runner with version 1 has been outdated since 18 s")
+def outdated_since(context):
+    assert context.named.named_for_s(1, 24.0) == 6.0
+    assert context.named.named_for_s(2, 24.0) == 4.0
+    assert context.named.named_for_s(3, 24.0) < 0
+
+
+@when("a process finds version 2 at its start")
+def found_at_start(context):
+    context.named = NamedVersions()
+    context.named.on_named(2, 50.0, is_old=True)
+
+
+@then("version 2 is demanded at once")
+def demanded_at_once(context):
+    assert context.named.demanded(50.0, 7.0) == 2
+
+
+@given("{count:d} runners in 3 failure domains that hold version 1")
+def runners_hold(context, count):
+    context.members = {
+        f"r-{n}": WaveMember(failure_domain="abc"[n % 3], version=1) for n in range(count)
+    }
+
+
+@when("version 2 is named and every runner has its weights after {ready:g} s")
+def weights_ready(context, ready):
+    """Play the time after the naming in steps of 50 ms."""
+    members, loading = dict(context.members), {}
+    context.ordered, context.most = {}, 0
+    for step in range(int(BOUND_S / 0.05)):
+        now = step * 0.05
+        for name, done_at in list(loading.items()):
+            if now >= done_at:
+                members[name] = WaveMember(failure_domain=members[name].failure_domain, version=2)
+                del loading[name]
+        for name, member in list(members.items()):
+            is_waiting = member.version == 1 and name not in loading and now >= ready
+            if is_waiting and may_reload(
+                name=name, members=members, version=2, named_s=now, bound_s=BOUND_S
+            ):
+                is_eased = is_easing(
+                    name=name, members=members, named_s=now - EASED_S, bound_s=BOUND_S
+                )
+                loading[name] = now + (EASED_RELOAD_S if is_eased else FULL_RELOAD_S)
+                context.ordered[name] = now
+        if now < 7.0:
+            context.most = max(context.most, len(loading))
+
+
+@then("at most {parts:d} of 3 parts of the runners reload at once before 7 s")
+def most_reload(context, parts):
+    assert context.most <= parts * -(-len(context.members) // 3), context.most
+
+
+@then("every runner is ordered within {seconds:g} s of the 8 s bound")
+def all_ordered(context, seconds):
+    assert len(context.ordered) == len(context.members)
+    assert max(context.ordered.values()) <= seconds, context.ordered
+
+
+@when("one of them restarts empty after version 2 was named")
+def restarts_empty(context):
+    context.members["r-5"] = WaveMember(failure_domain="c", version=0)
+
+
+@then("it may load at once")
+def loads_at_once(context):
+    assert may_reload(name="r-5", members=context.members, version=2, named_s=0.1, bound_s=BOUND_S)
--- /dev/null
+++ b/features/steps/scripted_runner.py
@@ -0,0 +1,121 @@
+"""A runner on loopback that answers each request as its script says."""
+
+import asyncio
+import re
+import socket
+import struct
+
+EVENTS = [f'id: {n}\ndata: {{"tokens":"t{n}"}}\n\n'.encode() for n in range(1, 6)]
+BODY = b"the whole body"
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def reset(writer):
+    """End a connection with a reset, not with a clean close."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+class ScriptedRunner:
+    """Plays one behaviour for each request, the last one for all further ones."""
+
+    def __init__(self, behaviours):
+        self.behaviours = list(behaviours)
+        self.requests, self.ran, self.closed_at = [], 0, None
+        self.server = None
+        self.writers = []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def stop(self):
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+        # Connections that are served still end with an error of their own.
+        await asyncio.sleep(0.01)
+
+    async def serve(self, reader, writer):
+        self.writers.append(writer)
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                length = re.search(r"(?im)^content-length: (\d+)", head)
+                if length:
+                    await reader.readexactly(int(length[1]))
+                self.requests.append(head)
+                play = self.behaviours.pop(0) if len(self.behaviours) > 1 else self.behaviours[0]
+                if not await self.play(play, head, reader, writer):
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.closed_at = asyncio.get_running_loop().time()
+            writer.close()
+
+    async def play(self, play, head, reader, writer):
+        """Answer one request; False ends the connection."""
+        request_id = re.search(r"(?im)^request-id: (\S+)", head)[1]
+        after = re.search(r"(?im)^last-event-id: (\d+)", head)
+        events = EVENTS[int(after[1]) if after else 0 :]
+        seal = b"" if play == "answer without a seal" else b"Seal: s\r\n"
+        start = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s" % (request_id.encode(), seal)
+        is_stream = head.startswith("POST /stream/")
+        if play == "refuse as full":
+            writer.write(
+                b"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n"
+                % request_id.encode()
+            )
+            return True
+        self.ran += 1
+        if play == "reset without an answer":
+            reset(writer)
+            return False
+        if play == "fail with status 500":
+            writer.write(start.replace(b"200 OK", b"500 Bad") + b"Content-Length: 3\r\n\r\nbad")
+            return True
+        if is_stream:
+            return await self.stream(play, start, events, reader, writer)
+        if play == "break off in the body":
+            writer.write(start + b"Content-Length: 50\r\n\r\nhalf")
+            await writer.drain()
+            return False
+        if play == "answer without a length":
+            writer.write(start + b"\r\n" + BODY)
+            await writer.drain()
+            return False
+        body = BODY + request_id.encode()
+        whole = start + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+        writer.write(whole * (2 if play == "answer twice" else 1))
+        return True
+
+    async def stream(self, play, start, events, reader, writer):
+        if "without a length" in play:
+            writer.write(start + b"\r\n" + b"".join(events[:2]))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            if play.startswith("reset"):
+                reset(writer)
+            else:
+                writer.write(b"".join(events[2:]))
+                await writer.drain()
+            return False
+        writer.write(start + b"Transfer-Encoding: chunked\r\n\r\n")
+        if play == "answer":
+            writer.write(b"".join(chunk(event) for event in events) + b"0\r\n\r\n")
+            return True
+        writer.write(b"".join(chunk(event) for event in events[:2]))
+        if play == "break off within an event":
+            writer.write(chunk(events[2][:7]))
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        if play == "send two events and fall silent":
+            await reader.read(1)
+            return False
+        reset(writer)
+        return False
--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -23,7 +23,16 @@
     decode,
     encode,
 )
-from wasabilb_wire.messages import AccountUsage, Call, Header, KeyRecord, Message, Ping, Report
+from wasabilb_wire.messages import (
+    AccountUsage,
+    Call,
+    Header,
+    KeyRecord,
+    Message,
+    Ping,
+    PublishedItem,
+    Report,
+)
 
 TEXT = st.text(st.characters(codec="utf-8", exclude_characters="\x00"), max_size=20)
 VALUES = {
@@ -58,6 +67,16 @@
         ),
         max_size=3,
     ),
+    list[PublishedItem]: st.lists(
+        st.builds(
+            PublishedItem,
+            name=TEXT,
+            revision=st.integers(0, 2**48),
+            is_removed=st.booleans(),
+            body=st.binary(max_size=30),
+        ),
+        max_size=3,
+    ),
 }
 
 
--- a/packages/wasabilb-core/src/wasabilb_core/routing.py
+++ b/packages/wasabilb-core/src/wasabilb_core/routing.py
@@ -3,6 +3,7 @@
 from wasabilb_core import _batch_backlog, _peer_compared, _prefix_bounded
 from wasabilb_core._routing_base import ROUTING, RouteRequest, RoutingPolicy, RunnerView
 
+expected_wait_s = _batch_backlog.expected_wait_s
 BatchBacklog = _batch_backlog.BatchBacklog
 PeerCompared = _peer_compared.PeerCompared
 PrefixBounded = _prefix_bounded.PrefixBounded
@@ -15,4 +16,5 @@
     "RouteRequest",
     "RoutingPolicy",
     "RunnerView",
+    "expected_wait_s",
 ]
--- a/packages/wasabilb-entry/src/wasabilb_entry/caller_connection.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/caller_connection.py
@@ -1,6 +1,7 @@
 """Callers' connections: whole requests in, whole answers or streams out."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 from tornado.http1connection import HTTP1Connection
@@ -14,6 +15,7 @@
     responses,
 )
 from tornado.iostream import StreamClosedError
+from tornado.netutil import bind_sockets
 from wasabilb_core.catalog import CallerLimits
 from wasabilb_node.clock import now
 
@@ -164,10 +166,12 @@
         """Return the number of open connections."""
         return len(self._open)
 
-    def listen(self, address: str) -> None:
-        """Accept connections on `IP:PORT`."""
+    def listen(self, address: str) -> list[socket.socket]:
+        """Accept connections on `IP:PORT` and return the sockets; port 0 takes a free one."""
         ip, _, port = address.rpartition(":")
-        self._server.listen(int(port), ip, backlog=LISTEN_BACKLOG)
+        sockets = bind_sockets(int(port), ip, backlog=LISTEN_BACKLOG)
+        self._server.add_sockets(sockets)
+        return sockets
 
     def on_limits(self, limits: CallerLimits) -> None:
         """Put limits into force for the next request of each connection."""
@@ -197,6 +201,11 @@
         """Accept no new connections."""
         self._server.stop()
 
+    def close_all(self) -> None:
+        """Close all connections, unfinished answers included."""
+        for delegate in list(self._open.values()):
+            delegate.close()
+
     def close_idle(self) -> None:
         """Close the connections on which no request has begun."""
         for delegate in list(self._open.values()):
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -11,7 +11,7 @@
 from wasabilb_core.forwarding import AnswerFacts
 from wasabilb_core.named_versions import NamedVersions
 from wasabilb_core.retry_window import RetryWindow
-from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView
+from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView, expected_wait_s
 from wasabilb_core.runner_book import LoadReport, RunnerBook
 from wasabilb_node.clock import now
 from wasabilb_node.http_client import ConnectionPool
@@ -215,7 +215,13 @@
         usable = [r for r in runners if self.book.is_usable(r, moment)] or [
             r for r in runners if engine is None
         ]
-        views = [self._view(runner, engine, moment) for runner in usable]
+        views = [
+            view
+            for runner in usable
+            if self._begins_in_time(
+                runner, view := self._view(runner, engine, moment), engine, moment
+            )
+        ]
         chosen = self._routing.choose(request, views, moment, self._rng)
         if chosen is None:
             return Error(
@@ -246,6 +252,16 @@
             return False
         return version is None or runner.version >= version
 
+    def _begins_in_time(
+        self, runner: Runner, view: RunnerView, engine: EngineSpec | None, moment: float
+    ) -> bool:
+        """Return whether a request would begin before its runner's version is out of date."""
+        named = self._named.get(engine.model) if engine is not None else None
+        if named is None:
+            return True
+        outdated_s = named.named_for_s(runner.version, moment)
+        return outdated_s + expected_wait_s(view) < self._limits.version_s - VERSION_MARGIN_S
+
     def _demanded_version(self, engine: EngineSpec | None, moment: float) -> int | None:
         """Return the version that must answer, once its time has nearly come."""
         named = self._named.get(engine.model) if engine is not None else None
