Do not forward a request that crosses the close of its idle connection

Change: such a connection is not idle, and a request whose connection is closed is dropped. Ruled out: closing of the listening sockets. A scenario failed before ((0, 1): ran without an answer).

--- a/features/direct_forwarding.feature
+++ b/features/direct_forwarding.feature
@@ -71,3 +71,10 @@
       | an unknown key      | 401    |
       | an unknown path     | 404    |
       | no identifier       | 400    |
+
+  Scenario: A request that crosses the close of an idle connection is not passed on
+    # Guards against a request that runs although its caller's connection was closed at a drain.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that answer and then answer
+    When the entry process closes a connection in the moment in which a request arrives
+    Then the request is answered whole or reaches no runner
--- a/features/steps/direct_forwarding_steps.py
+++ b/features/steps/direct_forwarding_steps.py
@@ -336,3 +336,33 @@
 def came_soon(context, seconds):
     assert context.result[4] <= seconds, context.result
     assert re.search(r"(?im)^retry-after: \d", context.result[1]), context.result
+
+
+@when("the entry process closes a connection in the moment in which a request arrives")
+def close_at_arrival(context):
+    async def cross(stage):
+        answered = []
+        for turns in range(12):
+            reader, writer = await stage.connect()
+            await asyncio.sleep(0.01)
+            before = stage.ran
+            writer.write(request(PATHS["at-most-once"], request_id=f"q-{turns}"))
+            # The request is read some turns of the loop after it was sent.
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            stage.server.close_idle()
+            try:
+                status, *_ = await asyncio.wait_for(read_answer(reader), 1)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                status = 0
+            await asyncio.sleep(0.01)
+            writer.close()
+            answered.append((status, stage.ran - before))
+        return answered
+
+    play(context, cross)
+
+
+@then("the request is answered whole or reaches no runner")
+def whole_or_none(context):
+    assert all(pair in ((200, 1), (0, 0)) for pair in context.result), context.result
--- a/packages/wasabilb-entry/src/wasabilb_entry/caller_connection.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/caller_connection.py
@@ -18,6 +18,7 @@
 from tornado.netutil import bind_sockets
 from wasabilb_core.catalog import CallerLimits
 from wasabilb_node.clock import now
+from wasabilb_node.http_client import has_input
 
 LISTEN_BACKLOG = 1024
 
@@ -118,8 +119,8 @@
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request was begun."""
-        return self._line is None
+        """Return whether no request was begun, not even one that still waits to be read."""
+        return self._line is None and not has_input(self._conn.stream)
 
     def close(self) -> None:
         """Close the connection."""
@@ -136,6 +137,9 @@
 
     def finish(self) -> None:
         assert self._line is not None
+        if self._conn.stream.closed():
+            # The request crossed the close of an idle connection and must not be passed on.
+            return
         self._on_request(
             ReceivedRequest(
                 line=self._line,
--- a/packages/wasabilb-node/src/wasabilb_node/http_client.py
+++ b/packages/wasabilb-node/src/wasabilb_node/http_client.py
@@ -77,15 +77,21 @@
         The socket is looked at directly, because the event loop may not have read yet what
         arrived a moment ago: the peer's close, or a second answer to an earlier request.
         """
-        if self.closed() or self._read_buffer_size or self.writing():
-            return False
-        try:
-            self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
+        is_idle = not self.closed() and not self._read_buffer_size and not self.writing()
+        return is_idle and not has_input(self)
+
+
+def has_input(stream: IOStream) -> bool:
+    """Return whether the socket holds bytes, an error or the peer's close that wait to be read."""
+    if stream.closed():
         return False
+    try:
+        stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
 
 
 class _ClientConnection(HTTP1Connection):
