--- a/packages/wasabilb-core/src/wasabilb_core/_near_first.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_near_first.py
@@ -11,6 +11,8 @@
 # A chunk that another region was to read is read from the origin when no far host has offered it
 # for this time after the start, seconds. One copy leaves an origin of 15 Mbit/s in 1.3 s.
 FAR_WAIT_S = 2.5
+# Time in which the hosts of a region hear of a version and greet each other, seconds.
+MEETING_S = 0.8
 
 
 class NearFirst:
@@ -54,7 +56,7 @@
         wanted = missing & ~view.origin.asked & ~_union(near)
         if not wanted:
             return None
-        own = wanted & self._own_chunks(view)
+        own = wanted & self._own_chunks(view, now)
         is_origin_free = now >= view.origin.avoid_until and view.origin.in_flight == 0
         if is_origin_free and own & self._of_region(view):
             return self._from_origin(view, own & self._of_region(view))
@@ -103,10 +105,17 @@
             self._region_owned[region] = found
         return found
 
-    def _own_chunks(self, view: TransferView) -> int:
-        """Return the chunks that this host reads, among the near hosts that are linked."""
-        names = sorted(p.name for p in view.peers.values() if p.is_near and p.is_linked)
-        key = (view.host.name, *names)
+    def _own_chunks(self, view: TransferView, now: float) -> int:
+        """Return the chunks that this host brings in, among the near hosts that take part.
+
+        At first all hosts of the region count, as each of them hears of the version at another
+        moment; later those that do not take part leave their chunks to the others.
+        """
+        if now - view.started_at < MEETING_S:
+            names = [n for n in view.overlay.hosts if self._is_near(view, n)]
+        else:
+            names = [p.name for p in view.peers.values() if p.is_near and p.is_linked]
+        key = tuple(sorted({view.host.name, *names}))
         found = self._owned.get(key)
         if found is None:
             found = sum(
