Hold or refuse model requests that would begin late; quieter heartbeats

Cause: while half of the runners reload or restart every request was sent, the queues grew and nearly all answers were late. Change: core.overload decides by the expected wait; held requests go out when a runner has spare places; request_done tells load, its age, wait and hold. Heartbeats 0.8 s, addresses of entry processes only when new. The log shows that runners with 8 of 16 places taken still answered after 1 s: the expected wait leaves out prompts that wait to be read; next.

--- a/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
@@ -29,7 +29,8 @@
 from wasabilb_agent.staging import Staging
 from wasabilb_agent.transfer import ChunkTransfers
 
-HEARTBEAT_S = 0.4
+# A third of the time after which a silent link is replaced, seconds.
+HEARTBEAT_S = 0.8
 # Interval of the runner's report; reports of this age change the choice of a runner little, as a
 # place in a full batch becomes free about every 0.08 s.
 REPORT_S = 0.1
--- /dev/null
+++ b/packages/wasabilb-core/src/wasabilb_core/overload.py
@@ -0,0 +1,182 @@
+"""Which model requests are sent, held back or refused while runners are full.
+
+Answers the load of a few seconds in which more requests arrive than the runners can begin in time:
+a roll-out, a lost failure domain, a burst. A request that is begun late is worth a fraction of one
+that is begun in time, and takes as much of a runner. Sending everything in order of arrival lets
+the runners' queues grow until every request is late. So a request is sent only while it is
+expected to begin in time. The others are held for a free place, which serves them late without
+delaying anybody, and refused at once when there are too many of them.
+"""
+
+from enum import Enum, unique
+
+from attrs import define, frozen
+
+from wasabilb_core.catalog import EngineSpec
+
+# The expected wait leaves out what other entry processes have sent since the last report.
+WAIT_FACTOR = 1.3
+# Delay to the runner and back and the first step of an answer, seconds.
+FIRST_STEP_S = 0.06
+# Prompts that join the batch before this one share the engine with it.
+PROMPT_FACTOR = 1.3
+# Longest time for which a request is held; those that come back after a refusal are lost for good
+# when they are refused again, and are held longer, seconds.
+HOLD_S = 1.2
+HOLD_RETURNED_S = 2.2
+# Places that a runner must have free for a held request, so that requests that can still begin in
+# time find room.
+SPARE_PLACES = 2
+# Time that is left for the answer itself when a held request is given up, seconds.
+ANSWER_S = 0.8
+# Pause for callers who come back, as a part of the time in which held requests are served.
+RETURN_FACTOR = 1.0
+MIN_RETURN_S = 0.3
+
+
+@unique
+class Decision(Enum):
+    """What is done with a request now."""
+
+    SEND = "send"
+    HOLD = "hold"
+    REFUSE = "refuse"
+
+
+def prompt_s(engine: EngineSpec, tokens: int) -> float:
+    """Return the time that an engine takes to read a prompt, seconds."""
+    return tokens / engine.prefill_tokens_per_s + tokens**2 / 2 * engine.prefill_pair_s
+
+
+def begins_on_time(*, wait_s: float, own_s: float, left_s: float) -> bool:
+    """Return whether an answer is expected to begin within its latency objective.
+
+    Parameters
+    ----------
+    wait_s : float
+        Expected wait for a place in a batch.
+    own_s : float
+        Time to read the request's own prompt.
+    left_s : float
+        What is left of the objective.
+    """
+    return WAIT_FACTOR * wait_s + PROMPT_FACTOR * own_s + FIRST_STEP_S <= left_s
+
+
+@frozen(kw_only=True)
+class HeldLimit:
+    """How many requests one process holds.
+
+    Parameters
+    ----------
+    runners : int
+        Runners that answer now.
+    turn_s : float
+        Mean time after which a full runner ends a request.
+    processes : int
+        Entry processes that share the runners.
+    """
+
+    runners: int
+    turn_s: float
+    processes: int
+
+    @property
+    def rate(self) -> float:
+        """Return the requests a second that this process can expect to send."""
+        return self.runners / max(self.turn_s, 1e-3) / max(1, self.processes)
+
+    def is_full(self, held: int) -> bool:
+        """Return whether one more request could not be sent within `HOLD_S`."""
+        return held + 1 > self.rate * HOLD_S
+
+    def return_after_s(self, held: int) -> float:
+        """Return when a refused caller should come back."""
+        return max(MIN_RETURN_S, RETURN_FACTOR * (held + 1) / max(self.rate, 1e-3))
+
+
+def decide(
+    *,
+    is_on_time: bool,
+    has_room: bool,
+    is_returned: bool,
+    held: int,
+    limit: HeldLimit,
+) -> Decision:
+    """Return what is done with a new request.
+
+    Parameters
+    ----------
+    is_on_time : bool
+        Whether it is expected to begin within its objective when it is sent now.
+    has_room : bool
+        Whether a runner has more free places than requests on time are likely to need.
+    is_returned : bool
+        Whether its caller came back after a refusal, and will not do so again.
+    held : int
+        Requests that are held already.
+    limit : HeldLimit
+        How many may be held.
+    """
+    if is_on_time or (has_room and not held):
+        return Decision.SEND
+    if limit.rate <= 0 or (limit.is_full(held) and not is_returned):
+        return Decision.REFUSE
+    return Decision.HOLD
+
+
+@define(kw_only=True)
+class Held:
+    """One request that waits for a free place.
+
+    Parameters
+    ----------
+    key : int
+        Number of the request in this process.
+    is_returned : bool
+        Whether its caller came back after a refusal.
+    held_at, give_up_at : float
+        When it was held and when it is refused, seconds.
+    """
+
+    key: int
+    is_returned: bool
+    held_at: float
+    give_up_at: float
+
+
+class HeldRequests:
+    """The requests of one service that wait for a free place.
+
+    Those that came back after a refusal go first, then the oldest.
+    """
+
+    def __init__(self) -> None:
+        self._held: dict[int, Held] = {}
+
+    def __len__(self) -> int:
+        return len(self._held)
+
+    def hold(self, key: int, *, is_returned: bool, now: float, deadline: float) -> Held:
+        """Hold a request."""
+        longest = HOLD_RETURNED_S if is_returned else HOLD_S
+        held = Held(
+            key=key,
+            is_returned=is_returned,
+            held_at=now,
+            give_up_at=min(now + longest, deadline - ANSWER_S),
+        )
+        self._held[key] = held
+        return held
+
+    def first(self) -> Held | None:
+        """Return the request to send next."""
+        return min(self._held.values(), key=lambda h: (not h.is_returned, h.held_at), default=None)
+
+    def remove(self, key: int) -> None:
+        """Forget a request that is sent, refused or whose caller has left."""
+        self._held.pop(key, None)
+
+    def expired(self, now: float) -> list[Held]:
+        """Return the requests that have waited too long."""
+        return [held for held in self._held.values() if now >= held.give_up_at]
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -8,12 +8,12 @@
 from wasabilb_core.attempts import AttemptEnd
 from wasabilb_core.catalog import Catalog, EngineSpec, RequestKind, Route, WeightTarget
 from wasabilb_core.directory import Runner, RunnerDirectory
-from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.forwarding import AnswerFacts
 from wasabilb_core.named_versions import NamedVersions
+from wasabilb_core.overload import HeldLimit
 from wasabilb_core.retry_window import RetryWindow
 from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView, expected_wait_s
-from wasabilb_core.runner_book import LoadReport, RunnerBook
+from wasabilb_core.runner_book import LoadReport, RunnerBook, turn_s
 from wasabilb_node.clock import now
 from wasabilb_node.http_client import ConnectionPool
 from wasabilb_wire.messages import RunnerReport
@@ -24,12 +24,10 @@
 STREAM_FIRST_BYTE_S = 2.0
 # Part of a plain request's timeout after which a repeatable one is tried elsewhere.
 PLAIN_SILENCE_SHARE = 0.4
-# When callers may come back while a service has no usable runner: about the time that a crashed
-# runner or a link takes to return, or a loaded version to serve.
-RETURN_S = 0.6
-# Routing weights of distance: a region costs traffic on a narrow link besides its delay, seconds.
+# Routing weights of distance, seconds. A request to another region puts 5 KB on a narrow link; so
+# much wait is accepted in the own region instead.
 OTHER_DOMAIN_S = 0.004
-OTHER_REGION_S = 0.012
+OTHER_REGION_S = 0.030
 # Before the bound on old versions no request is sent to a runner that may still hold the old one;
 # what waits in a runner's queue meanwhile must begin in time, too.
 VERSION_MARGIN_S = 0.9
@@ -74,12 +72,15 @@
         Requests running and waiting, and places, as far as known.
     load_age_ms : float or None
         Age of the report.
+    wait_s : float
+        Expected wait for a place in the batch.
     """
 
     runner: Runner
     version: int | None
     load: str
     load_age_ms: float | None
+    wait_s: float
 
 
 class FleetView:
@@ -160,7 +161,7 @@
 
     def has_engine(self, service: str) -> bool:
         """Return whether model engines answer for a service."""
-        return self._engine(service) is not None
+        return self.engine(service) is not None
 
     def on_request(self, service: str) -> None:
         """Count a request for the retry budget."""
@@ -181,7 +182,7 @@
     def on_attempt(self, runner: Runner, end: AttemptEnd, facts: AnswerFacts) -> None:
         """Learn from the end of an attempt."""
         moment = now()
-        if facts.load is not None and self._engine(runner.service) is None:
+        if facts.load is not None and self.engine(runner.service) is None:
             self.book.on_report(runner, facts.load)
         if end in (AttemptEnd.NOT_SENT, AttemptEnd.BROKEN, AttemptEnd.SILENT):
             self.book.on_failure(runner, moment)
@@ -200,48 +201,47 @@
             return (PLAIN_SILENCE_SHARE * route.timeout_s,) * 2
         return route.timeout_s, route.timeout_s
 
-    def return_after_s(self, service: str) -> float:
-        """Return when a caller of a service should come back."""
-        return RETURN_S
-
-    async def place(
-        self, service: str, request: RouteRequest, route: Route, deadline: float
-    ) -> Placement | Error:
-        """Return a runner for a request, or why there is none."""
+    def views(self, service: str, request: RouteRequest) -> list[RunnerView]:
+        """Return the runners to which a request may be sent now."""
         moment = now()
-        engine = self._engine(service)
+        engine = self.engine(service)
         version = self._demanded_version(engine, moment)
-        runners = [
+        able = [
             runner
             for runner in self.directory.routable(service)
-            if self._can_serve(runner, engine, version)
-        ]
-        usable = [r for r in runners if self.book.is_usable(r, moment)] or [
-            r for r in runners if engine is None
-        ]
-        views = [
-            view
-            for runner in usable
-            if self._begins_in_time(
-                runner, view := self._view(runner, engine, moment), engine, moment
-            )
+            if runner.id not in request.excluded and self._can_serve(runner, engine, version)
         ]
-        chosen = self._routing.choose(request, views, moment, self._rng)
-        if chosen is None:
-            return Error(
-                kind=ErrorKind.NO_BACKEND,
-                detail=f"{len(runners)} runners, {len(usable)} usable, "
-                f"{len(request.excluded)} tried",
-                retry_after_s=self.return_after_s(service),
-            )
+        usable = [r for r in able if self.book.is_usable(r, moment)]
+        if engine is None:
+            return [self._view(runner, engine, moment) for runner in usable or able]
+        views = [(runner, self._view(runner, engine, moment)) for runner in usable]
+        return [v for r, v in views if self._begins_in_time(r, v, engine, moment)]
+
+    def choose(self, request: RouteRequest, views: list[RunnerView]) -> RunnerView | None:
+        """Return the best of some runners."""
+        return self._routing.choose(request, views, now(), self._rng)
+
+    def placement(self, service: str, chosen: RunnerView) -> Placement | None:
+        """Return where a request is sent; None when the runner has just gone."""
         runner = self.directory.get(chosen.host)
-        assert runner is not None
-        is_known = chosen.report_age_s < float("inf")
+        if runner is None:
+            return None
+        is_known = chosen.report_age_s < math.inf
         return Placement(
             runner=runner,
-            version=version,
+            version=self._demanded_version(self.engine(service), now()),
             load=f"{chosen.reported_running}+{chosen.reported_queued}/{chosen.slots}",
             load_age_ms=chosen.report_age_s * 1000 if is_known else None,
+            wait_s=expected_wait_s(chosen),
+        )
+
+    def held_limit(self, service: str) -> HeldLimit:
+        """Return how many requests of a service this process may hold."""
+        views = self.views(service, RouteRequest())
+        return HeldLimit(
+            runners=len(views),
+            turn_s=turn_s(self.engine(service)),
+            processes=self._processes(),
         )
 
     def _view(self, runner: Runner, engine: EngineSpec | None, moment: float) -> RunnerView:
@@ -271,7 +271,7 @@
 
         A request that still waits there then is taken back, as it would begin on an old version.
         """
-        engine = self._engine(runner.service)
+        engine = self.engine(runner.service)
         named = self._named.get(engine.model) if engine is not None else None
         if named is None:
             return math.inf
@@ -292,7 +292,8 @@
         own = self._regions.get(self._failure_domain)
         return OTHER_DOMAIN_S if self._regions.get(failure_domain) == own else OTHER_REGION_S
 
-    def _engine(self, service: str) -> EngineSpec | None:
+    def engine(self, service: str) -> EngineSpec | None:
+        """Return how the engines of a service work, None for a plain one."""
         found = self.catalog.services.get(service) if self.catalog is not None else None
         return found.engine if found is not None else None
 
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -16,7 +16,6 @@
 from wasabilb_core.directory import Runner
 from wasabilb_core.errors import Error, ErrorKind, Outcome
 from wasabilb_core.forwarding import RequestFacts, SendFacts
-from wasabilb_core.routing import RouteRequest
 from wasabilb_node.clock import now
 from wasabilb_node.logs import EventLog
 
@@ -25,11 +24,14 @@
 from wasabilb_entry.caller_protocol import CallerProtocol
 from wasabilb_entry.fleet_view import FleetView, Placement
 from wasabilb_entry.gateway_metrics import GatewayMetrics
+from wasabilb_entry.placer import Demand, Placer
 from wasabilb_entry.relay import Relay, WholeReply, send_reply
 from wasabilb_entry.runner_attempt import AttemptLimits, RunnerAttempt
 
 # Part of a route's timeout that is kept for writing the final answer, seconds.
 ANSWER_MARGIN_S = 0.02
+# A caller with so much less time than the route's timeout has asked before, seconds.
+RETURNED_S = 0.25
 # Callers come back at most after a third of their time, so that longer pauses are of no use.
 RETRY_AFTER_SHARE = 1 / 3
 
@@ -48,7 +50,8 @@
     history: AttemptHistory = field(factory=AttemptHistory)
     tried: set[str] = field(factory=set)
     failed_reply: WholeReply | None = None
-    last_runner: str = ""
+    placed: Placement | None = None
+    held_s: float = 0.0
     last_end: AttemptEnd | None = None
 
     @property
@@ -87,6 +90,7 @@
         salt: bytes,
     ) -> None:
         self._fleet = fleet
+        self._placer = Placer(fleet=fleet)
         self._protocol = protocol
         self._log = log
         self._metrics = metrics
@@ -178,8 +182,20 @@
 
     async def _place(self, work: _Work) -> Placement | Error:
         """Return where to send a request now, or why it cannot be sent."""
-        request = RouteRequest(excluded=frozenset(work.tried))
-        return await self._fleet.place(work.service, request, work.route, work.deadline)
+        route, timeout_s = work.route, work.facts.timeout_s
+        demand = Demand(
+            service=work.service,
+            prompt_tokens=work.facts.prompt_tokens,
+            objective_at=work.req.arrived_at + route.objective_s,
+            deadline=work.deadline,
+            is_returned=timeout_s is not None and timeout_s < route.timeout_s - RETURNED_S,
+            is_first=work.history.sent == 0 and not work.relay.has_passed_on,
+            tried=frozenset(work.tried),
+        )
+        began = now()
+        placed = await self._placer.place(demand, work.req)
+        work.held_s += now() - began
+        return placed
 
     async def _attempt(self, work: _Work, placed: Placement) -> AttemptEnd:
         runner = placed.runner
@@ -208,7 +224,7 @@
             self._fleet.on_ended(runner)
         work.history = work.history.after(end)
         work.tried.add(runner.id)
-        work.last_runner, work.last_end = runner.id, end
+        work.placed, work.last_end = placed, end
         self._fleet.on_attempt(runner, end, work.relay.facts)
         self._metrics.on_attempt(work.service, end)
         if end is not AttemptEnd.ANSWERED:
@@ -280,7 +296,7 @@
                 f"{work.last_end.value if work.last_end else 'none'}",
                 outcome=outcome,
                 retry_after_s=(
-                    None if work.history.may_have_run else self._fleet.return_after_s(work.service)
+                    None if work.history.may_have_run else self._placer.return_after_s(work.service)
                 ),
             )
         self._send_error(work.req, work.facts, error)
@@ -315,7 +331,7 @@
         return min(spread, longest)
 
     def _done(self, work: _Work, *, outcome: str, error: ErrorKind | None = None) -> None:
-        req = work.req
+        req, placed = work.req, work.placed
         moment = now()
         first_s = None if req.first_byte_at is None else req.first_byte_at - req.arrived_at
         self._metrics.on_done(work.service, outcome, moment - req.arrived_at, first_s)
@@ -326,7 +342,11 @@
             kind=work.route.kind.value,
             service=work.service,
             route=work.route.name,
-            runner=work.last_runner or None,
+            runner=placed.runner.id if placed else None,
+            load=placed.load if placed else None,
+            load_age_ms=placed.load_age_ms if placed else None,
+            wait_ms=placed.wait_s * 1000 if placed else None,
+            held_ms=work.held_s * 1000,
             status=req.status or None,
             outcome=outcome,
             error=error.value if error else None,
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -25,9 +25,8 @@
 from wasabilb_entry.forwarder import Forwarder
 from wasabilb_entry.gateway_metrics import GatewayMetrics
 
-# Upper bound of the delay with which a process hears of a change from a peer, and a third of the
-# time after which a silent link is replaced, seconds.
-HEARTBEAT_S = 0.4
+# A third of the time after which a silent link is replaced, seconds. Changes are told at once.
+HEARTBEAT_S = 0.8
 # Idle connections to one runner. Each of 7 entry processes keeps less than its part of the
 # connections that a runner accepts.
 MAX_IDLE_CONNECTIONS = 8
@@ -301,7 +300,7 @@
 
     def _on_link(self, peer: Peer) -> None:
         # A process that has just started learns of published state without waiting for a beat.
-        self._sync.beat(self._cfg.links_address)
+        self._sync.greet(peer, self._cfg.links_address)
 
     def _on_report(self, peer: Peer, report: RunnerReport) -> None:
         self._fleet.on_report(report)
--- /dev/null
+++ b/packages/wasabilb-entry/src/wasabilb_entry/held_places.py
@@ -0,0 +1,83 @@
+"""Waits for free places at runners on behalf of held requests."""
+
+import asyncio
+from collections.abc import Callable
+
+from wasabilb_core.overload import Held, HeldRequests
+from wasabilb_node.clock import now
+
+# Reports arrive every 0.1 s; between them the end of an own request frees a place.
+LOOK_S = 0.05
+
+
+class HeldPlaces:
+    """The held requests of one service and who wakes them.
+
+    Parameters
+    ----------
+    has_room : callable
+        Returns whether a held request may be sent now.
+    """
+
+    def __init__(self, *, has_room: Callable[[], bool]) -> None:
+        self._has_room = has_room
+        self._requests = HeldRequests()
+        self._waiters: dict[int, asyncio.Future[bool]] = {}
+        self._next = 0
+        self._is_looking = False
+
+    def __len__(self) -> int:
+        return len(self._requests)
+
+    async def wait(
+        self,
+        *,
+        is_returned: bool,
+        deadline: float,
+        watch_gone: Callable[[Callable[[], None] | None], None],
+    ) -> bool:
+        """Wait for a free place; False when none came in time or the caller has left.
+
+        Parameters
+        ----------
+        watch_gone : callable
+            Sets what is called when the caller leaves.
+        """
+        self._next += 1
+        key = self._next
+        fut: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._waiters[key] = fut
+        self._requests.hold(key, is_returned=is_returned, now=now(), deadline=deadline)
+        self._look_later()
+        watch_gone(lambda: fut.done() or fut.set_result(False))
+        try:
+            return await fut
+        finally:
+            watch_gone(None)
+            self._requests.remove(key)
+            self._waiters.pop(key, None)
+
+    def look(self) -> None:
+        """Send held requests while there is room, and give up those that waited too long."""
+        for held in self._requests.expired(now()):
+            self._wake(held, is_sent=False)
+        # One request at a time, as its send changes what is known of the runners.
+        first = self._requests.first()
+        if first is not None and self._has_room():
+            self._wake(first, is_sent=True)
+        self._look_later()
+
+    def _wake(self, held: Held, *, is_sent: bool) -> None:
+        self._requests.remove(held.key)
+        fut = self._waiters.pop(held.key, None)
+        if fut is not None and not fut.done():
+            fut.set_result(is_sent)
+
+    def _look_later(self) -> None:
+        if self._requests and not self._is_looking:
+            self._is_looking = True
+            asyncio.get_running_loop().call_later(LOOK_S, self._look_now)
+
+    def _look_now(self) -> None:
+        self._is_looking = False
+        self.look()
--- a/packages/wasabilb-node/src/wasabilb_node/published_sync.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_sync.py
@@ -117,6 +117,7 @@
         self._is_read = False
         self._asked_at = float("-inf")
         self._behind_since: float | None = None
+        self._told_entries: list[str] = []
         self.known_entries: set[str] = set()
         links.on(NodeBeat, self._on_beat)
         links.on(PublishedWant, self._on_want)
@@ -145,9 +146,20 @@
             retry_s = min(MAX_RETRY_S, retry_s * 2)
 
     def beat(self, own_address: str) -> None:
-        """Tell all peers what is known here; called once a heartbeat and after each change."""
+        """Tell all peers what is known here; called once a heartbeat and after each change.
+
+        The addresses of entry processes are sent again only when one was added.
+        """
+        entries = sorted({*self.known_entries, own_address} - {""})
+        is_news = entries != self._told_entries
+        self._told_entries = entries
+        revision = self._state.revision
+        self._links.broadcast(NodeBeat(revision=revision, entries=entries if is_news else []))
+
+    def greet(self, peer: Peer, own_address: str) -> None:
+        """Tell a new peer everything that beats say."""
         entries = sorted({*self.known_entries, own_address} - {""})
-        self._links.broadcast(NodeBeat(revision=self._state.revision, entries=entries))
+        peer.send(NodeBeat(revision=self._state.revision, entries=entries))
 
     async def _read_once(self) -> Error | None:
         if not self._is_read:
