Route by prompts that wait to be read; entry processes tell each other of their sends

Cause: first tokens took 1 s at runners with half of their places free: up to seven entry processes chose the same runner within the age of a report, and its engine read their prompts one after the other. Ruled out: places in the batch (8 of 16 taken). Change: the expected wait counts prompts that are not read yet, own ones and those of the others, which are told within 10 ms (SendNotice).

--- a/features/steps/direct_forwarding_steps.py
+++ b/features/steps/direct_forwarding_steps.py
@@ -112,6 +112,7 @@
             ),
             rng=rng,
             processes=lambda: 1,
+            tell_sent=lambda runner_id, tokens: None,
         )
         self.fleet.catalog = catalog()
         for number, scripted in enumerate(self.runners):
--- a/packages/wasabilb-core/src/wasabilb_core/_routing_base.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_routing_base.py
@@ -30,6 +30,8 @@
         One-way delay to the host, and what its use costs otherwise, in seconds.
     turn_s : float
         Mean time in seconds after which a full engine ends one of its requests.
+    prompts_s : float
+        Time in seconds to read the prompts that were sent there and are not read yet.
     """
 
     host: str
@@ -41,6 +43,7 @@
     pace: float = 1.0
     distance_s: float = 0.0
     turn_s: float = 0.0
+    prompts_s: float = 0.0
 
 
 def _to_hosts(hosts: Iterable[str]) -> frozenset[str]:
--- a/packages/wasabilb-core/src/wasabilb_core/runner_book.py
+++ b/packages/wasabilb-core/src/wasabilb_core/runner_book.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field, frozen
 
+from wasabilb_core._batch_backlog import READING_SHARE
 from wasabilb_core._routing_base import RunnerView
 from wasabilb_core.catalog import EngineSpec
 from wasabilb_core.directory import Runner
@@ -73,6 +74,17 @@
     report: LoadReport | None = None
     avoid_until: float = -math.inf
     failures: int = 0
+    prompts_s: float = 0.0
+    prompts_at: float = -math.inf
+
+    def prompts_left_s(self, now: float) -> float:
+        """Return the time to read the prompts that are not read yet, seconds.
+
+        Engines read all the time while prompts wait, in the share that answers leave them.
+        """
+        pace = self.report.pace if self.report is not None else 1.0
+        read_s = max(0.0, now - self.prompts_at) * READING_SHARE / max(1.0, pace)
+        return max(0.0, self.prompts_s - read_s)
 
 
 def turn_s(engine: EngineSpec | None) -> float:
@@ -100,11 +112,23 @@
     def __init__(self) -> None:
         self._known: dict[str, _Known] = {}
 
-    def on_sent(self, runner: Runner, now: float) -> None:
-        """Count a request that is being sent."""
+    def on_sent(self, runner: Runner, now: float, prompt_s: float = 0.0) -> None:
+        """Count a request of this process that is being sent.
+
+        Parameters
+        ----------
+        prompt_s : float
+            Time that the runner's engine takes to read its prompt, seconds.
+        """
+        self._of(runner).in_flight += 1
+        self.on_told(runner, now, prompt_s)
+
+    def on_told(self, runner: Runner, now: float, prompt_s: float) -> None:
+        """Count a request that another entry process has sent."""
         known = self._of(runner)
-        known.in_flight += 1
         known.sent.append(now)
+        known.prompts_s = known.prompts_left_s(now) + prompt_s
+        known.prompts_at = now
 
     def on_ended(self, runner: Runner) -> None:
         """Count the end of a request."""
@@ -171,6 +195,7 @@
             pace=pace,
             distance_s=distance_s,
             turn_s=turn_s(engine),
+            prompts_s=known.prompts_left_s(now),
         )
 
     def _of(self, runner: Runner) -> _Known:
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -10,7 +10,7 @@
 from wasabilb_core.directory import Runner, RunnerDirectory
 from wasabilb_core.forwarding import AnswerFacts
 from wasabilb_core.named_versions import NamedVersions
-from wasabilb_core.overload import HeldLimit
+from wasabilb_core.overload import HeldLimit, prompt_s
 from wasabilb_core.retry_window import RetryWindow
 from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView, expected_wait_s
 from wasabilb_core.runner_book import LoadReport, RunnerBook, turn_s
@@ -100,6 +100,8 @@
         Breaks ties.
     processes : callable
         Returns the number of entry processes that share the budget.
+    tell_sent : callable
+        Tells the other entry processes of a runner and the tokens of a prompt that was sent there.
     """
 
     def __init__(
@@ -111,6 +113,7 @@
         limits: FleetLimits,
         rng: random.Random,
         processes: Callable[[], int],
+        tell_sent: Callable[[str, int], None],
     ) -> None:
         self.catalog: Catalog | None = None
         self.revision = 0
@@ -122,6 +125,7 @@
         self._limits = limits
         self._rng = rng
         self._processes = processes
+        self._tell_sent = tell_sent
         self._routing = ROUTING.create("batch_backlog").unwrap()
         self._windows: dict[str, RetryWindow] = {}
         self._named: dict[str, NamedVersions] = {}
@@ -171,9 +175,21 @@
         """Take a repeated send from the budget."""
         return self._window(service).spend(now(), self._processes())
 
-    def on_sent(self, runner: Runner) -> None:
-        """Count a send."""
-        self.book.on_sent(runner, now())
+    def on_sent(self, runner: Runner, prompt_tokens: int) -> None:
+        """Count a send and tell the other entry processes of one to a model runner."""
+        engine = self.engine(runner.service)
+        if engine is None:
+            self.book.on_sent(runner, now())
+            return
+        self.book.on_sent(runner, now(), prompt_s(engine, prompt_tokens))
+        self._tell_sent(runner.id, prompt_tokens)
+
+    def on_told(self, runner_id: str, prompt_tokens: int) -> None:
+        """Count a send of another entry process."""
+        runner = self.directory.get(runner_id)
+        engine = self.engine(runner.service) if runner is not None else None
+        if runner is not None and engine is not None:
+            self.book.on_told(runner, now(), prompt_s(engine, prompt_tokens))
 
     def on_ended(self, runner: Runner) -> None:
         """Count its end."""
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -216,7 +216,7 @@
             limits=self._limits(work, runner),
             keeps_running_when_gone=route.kind is RequestKind.NON_IDEMPOTENT,
         )
-        self._fleet.on_sent(runner)
+        self._fleet.on_sent(runner, work.facts.prompt_tokens)
         started = now()
         try:
             end = await attempt.run()
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -17,13 +17,14 @@
 from wasabilb_node.links import Identity, LinkManager, Peer
 from wasabilb_node.logs import EventLog
 from wasabilb_node.published_sync import PublishedDecoder, PublishedSource, PublishedSync
-from wasabilb_wire.messages import RunnerReport
+from wasabilb_wire.messages import RunnerReport, SendNotice
 
 from wasabilb_entry.caller_connection import CallerServer
 from wasabilb_entry.caller_protocol import CallerProtocol
 from wasabilb_entry.fleet_view import FleetLimits, FleetView
 from wasabilb_entry.forwarder import Forwarder
 from wasabilb_entry.gateway_metrics import GatewayMetrics
+from wasabilb_entry.send_notices import SendNotices
 
 # A third of the time after which a silent link is replaced, seconds. Changes are told at once.
 HEARTBEAT_S = 0.8
@@ -122,6 +123,7 @@
             heartbeat_s=HEARTBEAT_S,
         )
         self._links.on(RunnerReport, self._on_report, from_role="agent")
+        self._links.on(SendNotice, self._on_notice, from_role="entry")
         self._links.on_up.append(self._on_link)
         self._state = PublishedState()
         self._store_pool = ConnectionPool(max_idle=2)
@@ -145,6 +147,7 @@
             limits=cfg.limits,
             rng=self._rng,
             processes=self._entry_count,
+            tell_sent=SendNotices(links=self._links).add,
         )
         self._forwarder = Forwarder(
             fleet=self._fleet,
@@ -302,6 +305,10 @@
         # A process that has just started learns of published state without waiting for a beat.
         self._sync.greet(peer, self._cfg.links_address)
 
+    def _on_notice(self, peer: Peer, notice: SendNotice) -> None:
+        for runner_id, tokens in zip(notice.runners, notice.prompt_tokens, strict=False):
+            self._fleet.on_told(runner_id, tokens)
+
     def _on_report(self, peer: Peer, report: RunnerReport) -> None:
         self._fleet.on_report(report)
 
--- /dev/null
+++ b/packages/wasabilb-entry/src/wasabilb_entry/send_notices.py
@@ -0,0 +1,39 @@
+"""Tells the other entry processes which runners have just been sent requests."""
+
+import asyncio
+
+from wasabilb_node.links import LinkManager
+from wasabilb_wire.messages import SendNotice
+
+# Sends of this time go into one message; the farthest peer hears 3 ms later, seconds.
+COLLECT_S = 0.01
+
+
+class SendNotices:
+    """Collects sends and tells them to the linked entry processes.
+
+    Parameters
+    ----------
+    links : LinkManager
+        Links to peers.
+    """
+
+    def __init__(self, *, links: LinkManager) -> None:
+        self._links = links
+        self._runners: list[str] = []
+        self._tokens: list[int] = []
+
+    def add(self, runner_id: str, prompt_tokens: int) -> None:
+        """Note a send."""
+        if not self._runners:
+            asyncio.get_running_loop().call_later(COLLECT_S, self._tell)
+        self._runners.append(runner_id)
+        self._tokens.append(prompt_tokens)
+
+    def _tell(self) -> None:
+        notice = SendNotice(runners=self._runners, prompt_tokens=self._tokens)
+        self._runners, self._tokens = [], []
+        told: set[str] = set()
+        for peer in self._links.peers():
+            if peer.hello.role == "entry" and peer.host not in told and peer.send(notice):
+                told.add(peer.host)
--- a/packages/wasabilb-wire/src/wasabilb_wire/messages.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/messages.py
@@ -374,3 +374,15 @@
     memory_total: int = 0
     pace: float = 1.0
     is_easing: bool = False
+
+
+@frozen(kw_only=True, slots=True)
+class SendNotice(Message):
+    """Requests that the sender has just sent to runners, one item of each list a request.
+
+    Reports of a runner's load are a tenth of a second old, in which all entry processes would
+    choose the same runner.
+    """
+
+    runners: list[str] = field(factory=list)
+    prompt_tokens: list[int] = field(factory=list)
--- a/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
+++ b/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
@@ -28,6 +28,7 @@
     publishedWant @22 :PublishedWant;
     published @23 :Published;
     runnerReport @24 :RunnerReport;
+    sendNotice @25 :SendNotice;
   }
 }
 
@@ -268,3 +269,8 @@
   pace @12 :Float64;
   isEasing @13 :Bool;
 }
+
+struct SendNotice {
+  runners @0 :List(Text);
+  promptTokens @1 :List(UInt64);
+}
