Place by the end of the answer, too; held requests look at their own runner

Change: smoothed pace, runners for long answers, a cost for runners that would not end an answer in time, admission and held requests go by the runner that would be chosen.

--- a/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
@@ -4,6 +4,7 @@
 import os
 import random
 from collections.abc import Callable
+from typing import Any
 
 from attrs import define, frozen
 from returns.result import Failure
@@ -270,7 +271,7 @@
         assembly = self._transfers.assembly(wanted)
         if assembly is None:
             return
-        names = {"model": wanted.model, "version": wanted.version, "order": "load"}
+        names: dict[str, Any] = {"model": wanted.model, "version": wanted.version, "order": "load"}
         self._ordered, self._ordered_at = wanted, now()
         intact = await self._staging.is_intact(assembly)
         if isinstance(intact, Failure):
--- a/packages/wasabilb-core/src/wasabilb_core/_batch_backlog.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_batch_backlog.py
@@ -9,6 +9,11 @@
 # A runner reads prompts between the steps of the requests that are being answered: at most 2,048
 # tokens (0.11 s) between 5 steps (0.045 s).
 READING_SHARE = 0.7
+# Wait that is accepted for a runner that is preferred for the size of the answer, seconds.
+OTHER_SIZE_S = 0.06
+# Cost of a runner that is not expected to end the answer by its deadline, seconds; more than any
+# wait at the others, as an answer that is cut off has used a runner for nothing.
+UNFINISHED_S = 3.0
 
 
 def expected_wait_s(runner: RunnerView) -> float:
@@ -22,15 +27,32 @@
     return runner.pace * (max(place_s, prompts_s) + load * SHARED_STEP_S)
 
 
+def ends_after_s(runner: RunnerView, request: RouteRequest) -> float:
+    """Return the seconds until a runner has ended an answer that is asked for now."""
+    return expected_wait_s(runner) + runner.pace * runner.token_s * request.predicted_tokens
+
+
 @ROUTING.register("batch_backlog")
 class BatchBacklog(RoutingPolicy):
-    """The runner that begins soonest, near ones first among equals.
+    """The runner that begins soonest; near ones and those of the request's size among equals.
 
     Answers loads that fill the batches of all runners: the in-flight numbers of one entry process
     say little there, because the other processes send to the same runners.
+
+    Each prompt that joins a batch holds up all its answers. Where long answers share a runner with
+    many short ones, their tokens take twice the time and the longest do not end by their deadline.
+    So half of the runners get the long ones first: fewer prompts join there. Runners on slowed
+    hosts get answers that they can end in time.
     """
 
     def _pick(
         self, request: RouteRequest, runners: list[RunnerView], now: float, rng: random.Random
     ) -> RunnerView:
-        return min(runners, key=lambda r: (expected_wait_s(r) + r.distance_s, rng.random()))
+        def cost_s(runner: RunnerView) -> float:
+            is_other_size = request.predicted_tokens > 0 and runner.is_for_long == request.is_short
+            other_s = OTHER_SIZE_S if is_other_size else 0.0
+            late_s = ends_after_s(runner, request) - request.left_s
+            unfinished_s = UNFINISHED_S + late_s if late_s > 0 else 0.0
+            return expected_wait_s(runner) + runner.distance_s + other_s + unfinished_s
+
+        return min(runners, key=lambda r: (cost_s(r), rng.random()))
--- a/packages/wasabilb-core/src/wasabilb_core/_routing_base.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_routing_base.py
@@ -1,5 +1,6 @@
 """Types that all routing policies share, the registry and the baseline policies."""
 
+import math
 import random
 from collections.abc import Iterable, Sequence
 
@@ -32,6 +33,10 @@
         Mean time in seconds after which a full engine ends one of its requests.
     prompts_s : float
         Time in seconds to read the prompts that were sent there and are not read yet.
+    is_for_long : bool
+        Whether long answers are preferred there.
+    token_s : float
+        Time in seconds between two tokens of an answer in a full batch at the usual pace.
     """
 
     host: str
@@ -44,6 +49,8 @@
     distance_s: float = 0.0
     turn_s: float = 0.0
     prompts_s: float = 0.0
+    is_for_long: bool = False
+    token_s: float = 0.0
 
 
 def _to_hosts(hosts: Iterable[str]) -> frozenset[str]:
@@ -62,6 +69,8 @@
         Hash of each prefix of the prompt, the shortest prefix first.
     is_short : bool
         Whether the request belongs to the shortest size class.
+    left_s : float
+        Seconds until the answer must have ended.
     excluded : frozenset of str
         Hosts that must not be chosen, for example those of failed attempts.
     """
@@ -69,6 +78,7 @@
     predicted_tokens: float = 0.0
     prefix_hashes: tuple[int, ...] = ()
     is_short: bool = False
+    left_s: float = math.inf
     excluded: frozenset[str] = field(default=frozenset(), converter=_to_hosts)
 
 
--- a/packages/wasabilb-core/src/wasabilb_core/overload.py
+++ b/packages/wasabilb-core/src/wasabilb_core/overload.py
@@ -24,6 +24,8 @@
 # when they are refused again, and are held longer, seconds.
 HOLD_S = 1.2
 HOLD_RETURNED_S = 2.2
+# A long answer cannot be held; it is sent although it begins late while the wait is below this.
+LONG_WAIT_S = 0.8
 # Places that a runner must have free for a held request, so that requests that can still begin in
 # time find room.
 SPARE_PLACES = 2
@@ -99,6 +101,8 @@
     *,
     is_on_time: bool,
     has_room: bool,
+    has_slack: bool,
+    wait_s: float,
     is_returned: bool,
     held: int,
     limit: HeldLimit,
@@ -111,6 +115,10 @@
         Whether it is expected to begin within its objective when it is sent now.
     has_room : bool
         Whether a runner has more free places than requests on time are likely to need.
+    has_slack : bool
+        Whether its answer would still end by its deadline after it was held.
+    wait_s : float
+        Expected wait at the best runner now.
     is_returned : bool
         Whether its caller came back after a refusal, and will not do so again.
     held : int
@@ -120,7 +128,11 @@
     """
     if is_on_time or (has_room and not held):
         return Decision.SEND
-    if limit.rate <= 0 or (limit.is_full(held) and not is_returned):
+    if limit.rate <= 0:
+        return Decision.REFUSE
+    if not has_slack:
+        return Decision.SEND if wait_s <= LONG_WAIT_S else Decision.REFUSE
+    if limit.is_full(held) and not is_returned:
         return Decision.REFUSE
     return Decision.HOLD
 
@@ -169,9 +181,9 @@
         self._held[key] = held
         return held
 
-    def first(self) -> Held | None:
-        """Return the request to send next."""
-        return min(self._held.values(), key=lambda h: (not h.is_returned, h.held_at), default=None)
+    def in_order(self) -> list[Held]:
+        """Return the requests in the order in which they are to be sent."""
+        return sorted(self._held.values(), key=lambda held: (not held.is_returned, held.held_at))
 
     def remove(self, key: int) -> None:
         """Forget a request that is sent, refused or whose caller has left."""
--- a/packages/wasabilb-core/src/wasabilb_core/routing.py
+++ b/packages/wasabilb-core/src/wasabilb_core/routing.py
@@ -3,6 +3,7 @@
 from wasabilb_core import _batch_backlog, _peer_compared, _prefix_bounded
 from wasabilb_core._routing_base import ROUTING, RouteRequest, RoutingPolicy, RunnerView
 
+ends_after_s = _batch_backlog.ends_after_s
 expected_wait_s = _batch_backlog.expected_wait_s
 BatchBacklog = _batch_backlog.BatchBacklog
 PeerCompared = _peer_compared.PeerCompared
@@ -16,5 +17,6 @@
     "RouteRequest",
     "RoutingPolicy",
     "RunnerView",
+    "ends_after_s",
     "expected_wait_s",
 ]
--- a/packages/wasabilb-core/src/wasabilb_core/runner_book.py
+++ b/packages/wasabilb-core/src/wasabilb_core/runner_book.py
@@ -16,6 +16,9 @@
 # Wait elsewhere that is preferred to a runner that is to load a version, seconds. Half a latency
 # objective: requests still go there when the others would answer late.
 EASING_S = 0.2
+# A neighbour slows a host for moments and some hosts all the time; an answer takes 1 to 5 s, so
+# that the mean over about a second tells more of it than the newest report.
+PACE_SMOOTHING_S = 1.0
 # Load that nobody has confirmed for this long is forgotten, seconds.
 REPORT_MAX_AGE_S = 2.0
 # A runner that refused or broke connections is left out for this time, twice as long with each
@@ -76,14 +79,14 @@
     failures: int = 0
     prompts_s: float = 0.0
     prompts_at: float = -math.inf
+    pace: float = 1.0
 
     def prompts_left_s(self, now: float) -> float:
         """Return the time to read the prompts that are not read yet, seconds.
 
         Engines read all the time while prompts wait, in the share that answers leave them.
         """
-        pace = self.report.pace if self.report is not None else 1.0
-        read_s = max(0.0, now - self.prompts_at) * READING_SHARE / max(1.0, pace)
+        read_s = max(0.0, now - self.prompts_at) * READING_SHARE / self.pace
         return max(0.0, self.prompts_s - read_s)
 
 
@@ -106,6 +109,16 @@
     return step * engine.usual_answer_tokens / engine.slots + PREFILL_OVERLAP * prefill
 
 
+def token_s(engine: EngineSpec | None) -> float:
+    """Return the time between two tokens of an answer in a full batch, seconds.
+
+    Each token waits for a step of the batch and for a part of the prompts that join it.
+    """
+    if engine is None:
+        return 0.0
+    return turn_s(engine) * engine.slots / max(1.0, engine.usual_answer_tokens)
+
+
 class RunnerBook:
     """Load and health of runners, from reports and from this process's own requests."""
 
@@ -137,7 +150,17 @@
 
     def on_report(self, runner: Runner, report: LoadReport) -> None:
         """Take a load report."""
-        self._of(runner).report = report
+        known = self._of(runner)
+        if known.report is not None:
+            part = min(1.0, (report.at - known.report.at) / PACE_SMOOTHING_S)
+            known.pace += part * (max(1.0, report.pace) - known.pace)
+        else:
+            known.pace = max(1.0, report.pace)
+        known.report = report
+
+    def pace(self, runner: Runner) -> float:
+        """Return how many times longer than usual the runner has lately taken."""
+        return self._of(runner).pace
 
     def on_success(self, runner: Runner) -> None:
         """Note an answer."""
@@ -175,9 +198,9 @@
         known = self._of(runner)
         report = known.report
         running = waiting = 0
-        age, pace, slots = math.inf, 1.0, runner.slots
+        age, slots = math.inf, runner.slots
         if report is not None and now - report.at <= REPORT_MAX_AGE_S:
-            age, pace = now - report.at, max(1.0, report.pace)
+            age = now - report.at
             seen_before = report.at - REPORT_DELAY_S
             while known.sent and known.sent[0] <= seen_before:
                 known.sent.popleft()
@@ -192,9 +215,10 @@
             reported_queued=waiting,
             slots=slots,
             report_age_s=age,
-            pace=pace,
+            pace=known.pace,
             distance_s=distance_s,
             turn_s=turn_s(engine),
+            token_s=token_s(engine),
             prompts_s=known.prompts_left_s(now),
         )
 
--- a/packages/wasabilb-entry/src/wasabilb_entry/caller_connection.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/caller_connection.py
@@ -3,16 +3,17 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from http.client import responses
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
+    HTTPConnection,
     HTTPHeaders,
     HTTPMessageDelegate,
     HTTPServerConnectionDelegate,
     RequestStartLine,
     ResponseStartLine,
-    responses,
 )
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
@@ -186,9 +187,10 @@
         params.header_timeout = limits.idle_timeout_s
 
     def start_request(
-        self, server_conn: object, request_conn: HTTP1Connection
+        self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the collector of a connection's next request."""
+        assert isinstance(request_conn, HTTP1Connection)
         delegate = _RequestDelegate(conn=request_conn, on_request=self._on_request)
         self._open[server_conn] = delegate
         return delegate
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+import attrs
 from attrs import frozen
 from wasabilb_core.attempts import AttemptEnd
 from wasabilb_core.catalog import Catalog, EngineSpec, RequestKind, Route, WeightTarget
@@ -28,6 +29,8 @@
 # much wait is accepted in the own region instead.
 OTHER_DOMAIN_S = 0.004
 OTHER_REGION_S = 0.030
+# Long answers do not go to hosts that take so many times longer than usual by choice.
+SLOWED_PACE = 1.5
 # Before the bound on old versions no request is sent to a runner that may still hold the old one;
 # what waits in a runner's queue meanwhile must begin in time, too.
 VERSION_MARGIN_S = 0.9
@@ -230,9 +233,20 @@
         usable = [r for r in able if self.book.is_usable(r, moment)]
         if engine is None:
             return [self._view(runner, engine, moment) for runner in usable or able]
-        views = [(runner, self._view(runner, engine, moment)) for runner in usable]
+        long_ids = self._long_runners(service)
+        views = [
+            (r, attrs.evolve(self._view(r, engine, moment), is_for_long=r.id in long_ids))
+            for r in usable
+        ]
         return [v for r, v in views if self._begins_in_time(r, v, engine, moment)]
 
+    def _long_runners(self, service: str) -> set[str]:
+        """Return every second runner at the usual pace, so that each failure domain has some."""
+        routable = self.directory.routable(service)
+        runners = [runner for runner in routable if self.book.pace(runner) < SLOWED_PACE]
+        ordered = sorted(runners, key=lambda runner: (runner.failure_domain, runner.id))
+        return {runner.id for runner in ordered[::2]}
+
     def choose(self, request: RouteRequest, views: list[RunnerView]) -> RunnerView | None:
         """Return the best of some runners."""
         return self._routing.choose(request, views, now(), self._rng)
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -186,6 +186,7 @@
         demand = Demand(
             service=work.service,
             prompt_tokens=work.facts.prompt_tokens,
+            answer_tokens=work.facts.hinted_answer_tokens,
             objective_at=work.req.arrived_at + route.objective_s,
             deadline=work.deadline,
             is_returned=timeout_s is not None and timeout_s < route.timeout_s - RETURNED_S,
@@ -347,6 +348,9 @@
             load_age_ms=placed.load_age_ms if placed else None,
             wait_ms=placed.wait_s * 1000 if placed else None,
             held_ms=work.held_s * 1000,
+            prompt=work.facts.prompt_tokens or None,
+            answer_max=work.facts.max_answer_tokens or None,
+            answer_hint=work.facts.hinted_answer_tokens,
             status=req.status or None,
             outcome=outcome,
             error=error.value if error else None,
--- a/packages/wasabilb-entry/src/wasabilb_entry/held_places.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/held_places.py
@@ -2,27 +2,32 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
+from attrs import frozen
 from wasabilb_core.overload import Held, HeldRequests
 from wasabilb_node.clock import now
 
 # Reports arrive every 0.1 s; between them the end of an own request frees a place.
 LOOK_S = 0.05
+# Requests that are looked at each time; those behind them fit hardly better.
+MOST_LOOKED_AT = 8
 
 
-class HeldPlaces:
-    """The held requests of one service and who wakes them.
+@frozen(kw_only=True)
+class _Waiter:
+    """Who waits, and what tells whether it may go on."""
+
+    fut: "asyncio.Future[bool]"
+    has_room: Callable[[], bool]
+
 
-    Parameters
-    ----------
-    has_room : callable
-        Returns whether a held request may be sent now.
-    """
+class HeldPlaces:
+    """The held requests of one service and who wakes them."""
 
-    def __init__(self, *, has_room: Callable[[], bool]) -> None:
-        self._has_room = has_room
+    def __init__(self) -> None:
         self._requests = HeldRequests()
-        self._waiters: dict[int, asyncio.Future[bool]] = {}
+        self._waiters: dict[int, _Waiter] = {}
         self._next = 0
         self._is_looking = False
 
@@ -34,22 +39,25 @@
         *,
         is_returned: bool,
         deadline: float,
+        has_room: Callable[[], bool],
         watch_gone: Callable[[Callable[[], None] | None], None],
     ) -> bool:
         """Wait for a free place; False when none came in time or the caller has left.
 
         Parameters
         ----------
+        has_room : callable
+            Returns whether the request may be sent now.
         watch_gone : callable
             Sets what is called when the caller leaves.
         """
         self._next += 1
         key = self._next
         fut: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        self._waiters[key] = fut
+        self._waiters[key] = _Waiter(fut=fut, has_room=has_room)
         self._requests.hold(key, is_returned=is_returned, now=now(), deadline=deadline)
         self._look_later()
-        watch_gone(lambda: fut.done() or fut.set_result(False))
+        watch_gone(partial(_settle, fut))
         try:
             return await fut
         finally:
@@ -61,17 +69,18 @@
         """Send held requests while there is room, and give up those that waited too long."""
         for held in self._requests.expired(now()):
             self._wake(held, is_sent=False)
-        # One request at a time, as its send changes what is known of the runners.
-        first = self._requests.first()
-        if first is not None and self._has_room():
-            self._wake(first, is_sent=True)
+        for held in self._requests.in_order()[:MOST_LOOKED_AT]:
+            if self._waiters[held.key].has_room():
+                # One request at a time, as its send changes what is known of the runners.
+                self._wake(held, is_sent=True)
+                break
         self._look_later()
 
     def _wake(self, held: Held, *, is_sent: bool) -> None:
         self._requests.remove(held.key)
-        fut = self._waiters.pop(held.key, None)
-        if fut is not None and not fut.done():
-            fut.set_result(is_sent)
+        waiter = self._waiters.pop(held.key, None)
+        if waiter is not None:
+            _settle(waiter.fut, is_sent)
 
     def _look_later(self) -> None:
         if self._requests and not self._is_looking:
@@ -81,3 +90,9 @@
     def _look_now(self) -> None:
         self._is_looking = False
         self.look()
+
+
+def _settle(fut: "asyncio.Future[bool]", is_sent: bool = False) -> None:
+    """End a wait unless it has ended."""
+    if not fut.done():
+        fut.set_result(is_sent)
--- a/packages/wasabilb-entry/src/wasabilb_entry/placer.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/placer.py
@@ -1,9 +1,12 @@
 """Sends, holds or refuses each request, by what is known of the runners at that moment."""
 
+import math
+
 from attrs import define, field, frozen
 from wasabilb_core.catalog import EngineSpec
 from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.overload import (
+    HOLD_S,
     SPARE_PLACES,
     Decision,
     HeldLimit,
@@ -11,7 +14,7 @@
     decide,
     prompt_s,
 )
-from wasabilb_core.routing import RouteRequest, RunnerView, expected_wait_s
+from wasabilb_core.routing import RouteRequest, RunnerView, ends_after_s, expected_wait_s
 from wasabilb_node.clock import now
 
 from wasabilb_entry.caller_connection import ReceivedRequest
@@ -21,6 +24,9 @@
 # When callers come back while a service has no usable runner: about the time that a crashed runner
 # or a link takes to return, or a loaded version to serve, seconds.
 NO_RUNNER_RETURN_S = 0.6
+# Answers above this many times the usual size are long. A quarter of the known services' answers
+# are, and they make half of all tokens.
+LONG_FACTOR = 1.3
 
 
 @frozen(kw_only=True)
@@ -33,6 +39,8 @@
         Service that answers.
     prompt_tokens : int
         Tokens of its prompt.
+    answer_tokens : float or None
+        Expected tokens of its answer.
     objective_at : float
         When its answer should have begun, seconds.
     deadline : float
@@ -47,6 +55,7 @@
 
     service: str
     prompt_tokens: int
+    answer_tokens: float | None
     objective_at: float
     deadline: float
     is_returned: bool
@@ -69,8 +78,8 @@
 
     async def place(self, demand: Demand, req: ReceivedRequest) -> Placement | Error:
         """Return where a request is sent, or why it is refused."""
-        request = RouteRequest(excluded=demand.tried)
         engine = self.fleet.engine(demand.service)
+        request = _to_route_request(demand, engine)
         if engine is not None and demand.is_first:
             refused = await self._admit(demand, request, engine, req)
             if refused is not None:
@@ -100,9 +109,19 @@
         places = self._places(demand.service)
         views = self.fleet.views(demand.service, request)
         limit = self.fleet.held_limit(demand.service)
+        best = self.fleet.choose(request, views)
+        wait_s = expected_wait_s(best) if best is not None else math.inf
+        ends_s = ends_after_s(best, request) if best is not None else math.inf
         decision = decide(
-            is_on_time=self._is_on_time(demand, engine, views),
-            has_room=_has_room(views),
+            is_on_time=best is not None
+            and begins_on_time(
+                wait_s=wait_s,
+                own_s=best.pace * prompt_s(engine, demand.prompt_tokens),
+                left_s=demand.objective_at - now(),
+            ),
+            has_room=best is not None and _has_room(best),
+            has_slack=HOLD_S + ends_s < request.left_s,
+            wait_s=wait_s,
             is_returned=demand.is_returned,
             held=len(places),
             limit=limit,
@@ -114,6 +133,7 @@
         is_sent = await places.wait(
             is_returned=demand.is_returned,
             deadline=demand.deadline,
+            has_room=lambda: self._finds_room(demand, request),
             watch_gone=req.watch_gone,
         )
         if is_sent or req.is_gone:
@@ -121,15 +141,9 @@
         limit = self.fleet.held_limit(demand.service)
         return self._overloaded(limit, len(places), "no place became free")
 
-    def _is_on_time(self, demand: Demand, engine: EngineSpec, views: list[RunnerView]) -> bool:
-        if not views:
-            return False
-        best = min(views, key=expected_wait_s)
-        return begins_on_time(
-            wait_s=expected_wait_s(best),
-            own_s=best.pace * prompt_s(engine, demand.prompt_tokens),
-            left_s=demand.objective_at - now(),
-        )
+    def _finds_room(self, demand: Demand, request: RouteRequest) -> bool:
+        best = self.fleet.choose(request, self.fleet.views(demand.service, request))
+        return best is not None and _has_room(best)
 
     def _overloaded(self, limit: HeldLimit, held: int, reason: str) -> Error:
         detail = f"{reason}: {limit.runners} runners, {held} held"
@@ -139,15 +153,24 @@
     def _places(self, service: str) -> HeldPlaces:
         places = self._held.get(service)
         if places is None:
-            places = self._held[service] = HeldPlaces(
-                has_room=lambda: _has_room(self.fleet.views(service, RouteRequest()))
-            )
+            places = self._held[service] = HeldPlaces()
         return places
 
 
-def _has_room(views: list[RunnerView]) -> bool:
-    """Return whether a runner has free places besides those that are kept for others."""
-    return any(
-        max(v.in_flight, v.reported_running + v.reported_queued) + SPARE_PLACES < v.slots
-        for v in views
+def _to_route_request(demand: Demand, engine: EngineSpec | None) -> RouteRequest:
+    if engine is None:
+        return RouteRequest(excluded=demand.tried)
+    usual = engine.usual_answer_tokens
+    expected = demand.answer_tokens if demand.answer_tokens is not None else usual
+    return RouteRequest(
+        predicted_tokens=expected,
+        is_short=expected < LONG_FACTOR * usual,
+        left_s=demand.deadline - now(),
+        excluded=demand.tried,
     )
+
+
+def _has_room(view: RunnerView) -> bool:
+    """Return whether a runner has free places besides those that are kept for others."""
+    load = max(view.in_flight, view.reported_running + view.reported_queued)
+    return load + SPARE_PLACES < view.slots
--- a/packages/wasabilb-node/src/wasabilb_node/published_sync.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_sync.py
@@ -165,7 +165,8 @@
         if not self._is_read:
             found = await self._source.snapshot()
             if isinstance(found, Failure):
-                return found.failure()
+                unread: Error = found.failure()
+                return unread
             snapshot = found.unwrap()
             self._set_platform(True)
             self._is_read = True
@@ -176,7 +177,8 @@
         if isinstance(changed, Failure):
             # Entries may expire while the platform is away and its history may end meanwhile.
             self._is_read = False
-            return changed.failure()
+            error: Error = changed.failure()
+            return error
         changes = changed.unwrap()
         self._set_platform(True)
         if changes.is_history_lost:
@@ -217,7 +219,8 @@
 
     def _on_want(self, peer: Peer, want: PublishedWant) -> None:
         items = sorted(self._state.changes_after(want.after), key=lambda item: item.revision)
-        after, batch, size = want.after, [], 0
+        batch: list[PublishedItem] = []
+        after, size = want.after, 0
         for item in items:
             body = item.body or b""
             if batch and size + len(body) > MAX_ANSWER_BYTES:
