Hold as many requests as lately found a place

Cause: with full runners more requests were held than found a place. Change: while held requests give up, the number held follows those that were sent in the last 2 s.

--- a/packages/wasabilb-core/src/wasabilb_core/overload.py
+++ b/packages/wasabilb-core/src/wasabilb_core/overload.py
@@ -8,6 +8,8 @@
 delaying anybody, and refused at once when there are too many of them.
 """
 
+import math
+from collections import deque
 from enum import Enum, unique
 
 from attrs import define, frozen
@@ -31,6 +33,11 @@
 SPARE_PLACES = 2
 # Time that is left for the answer itself when a held request is given up, seconds.
 ANSWER_S = 0.8
+# Held requests that were sent are counted over this time; one a second is held in any case, so that
+# the count can rise again.
+RATE_WINDOW_S = 2.0
+MIN_RATE = 1.0
+MOST_COUNTED = 256
 # Pause for callers who come back, as a part of the time in which held requests are served.
 RETURN_FACTOR = 1.0
 MIN_RETURN_S = 0.3
@@ -77,16 +84,20 @@
         Mean time after which a full runner ends a request.
     processes : int
         Entry processes that share the runners.
+    lately : float
+        Held requests a second that found a place, while others did not.
     """
 
     runners: int
     turn_s: float
     processes: int
+    lately: float = math.inf
 
     @property
     def rate(self) -> float:
         """Return the requests a second that this process can expect to send."""
-        return self.runners / max(self.turn_s, 1e-3) / max(1, self.processes)
+        share = self.runners / max(self.turn_s, 1e-3) / max(1, self.processes)
+        return min(share, self.lately)
 
     def is_full(self, held: int) -> bool:
         """Return whether one more request could not be sent within `HOLD_S`."""
@@ -165,6 +176,8 @@
 
     def __init__(self) -> None:
         self._held: dict[int, Held] = {}
+        self._sent: deque[float] = deque(maxlen=MOST_COUNTED)
+        self._expired_at = -math.inf
 
     def __len__(self) -> int:
         return len(self._held)
@@ -185,10 +198,27 @@
         """Return the requests in the order in which they are to be sent."""
         return sorted(self._held.values(), key=lambda held: (not held.is_returned, held.held_at))
 
+    def rate(self, now: float) -> float:
+        """Return the held requests a second that are likely to find a place.
+
+        Without a bound while none gives up, then as many as lately were sent.
+        """
+        if now - self._expired_at > RATE_WINDOW_S:
+            return math.inf
+        sent = sum(at > now - RATE_WINDOW_S for at in self._sent)
+        return max(MIN_RATE, sent / RATE_WINDOW_S)
+
+    def on_sent(self, now: float) -> None:
+        """Count a held request that found a place."""
+        self._sent.append(now)
+
     def remove(self, key: int) -> None:
         """Forget a request that is sent, refused or whose caller has left."""
         self._held.pop(key, None)
 
     def expired(self, now: float) -> list[Held]:
         """Return the requests that have waited too long."""
-        return [held for held in self._held.values() if now >= held.give_up_at]
+        late = [held for held in self._held.values() if now >= held.give_up_at]
+        if late:
+            self._expired_at = now
+        return late
--- a/packages/wasabilb-entry/src/wasabilb_entry/held_places.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/held_places.py
@@ -34,6 +34,11 @@
     def __len__(self) -> int:
         return len(self._requests)
 
+    @property
+    def rate(self) -> float:
+        """Return the held requests a second that are likely to find a place."""
+        return self._requests.rate(now())
+
     async def wait(
         self,
         *,
@@ -72,6 +77,7 @@
         for held in self._requests.in_order()[:MOST_LOOKED_AT]:
             if self._waiters[held.key].has_room():
                 # One request at a time, as its send changes what is known of the runners.
+                self._requests.on_sent(now())
                 self._wake(held, is_sent=True)
                 break
         self._look_later()
--- a/packages/wasabilb-entry/src/wasabilb_entry/placer.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/placer.py
@@ -2,7 +2,7 @@
 
 import math
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 from wasabilb_core.catalog import EngineSpec
 from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.overload import (
@@ -96,7 +96,8 @@
         """Return when a caller of a service should come back."""
         if self.fleet.engine(service) is None:
             return NO_RUNNER_RETURN_S
-        return self.fleet.held_limit(service).return_after_s(len(self._places(service)))
+        places = self._places(service)
+        return self._limit(service, places).return_after_s(len(places))
 
     async def _admit(
         self,
@@ -108,7 +109,7 @@
         """Wait until a request may be sent and return None, or why it is refused."""
         places = self._places(demand.service)
         views = self.fleet.views(demand.service, request)
-        limit = self.fleet.held_limit(demand.service)
+        limit = self._limit(demand.service, places)
         best = self.fleet.choose(request, views)
         wait_s = expected_wait_s(best) if best is not None else math.inf
         ends_s = ends_after_s(best, request) if best is not None else math.inf
@@ -138,13 +139,16 @@
         )
         if is_sent or req.is_gone:
             return None
-        limit = self.fleet.held_limit(demand.service)
+        limit = self._limit(demand.service, places)
         return self._overloaded(limit, len(places), "no place became free")
 
     def _finds_room(self, demand: Demand, request: RouteRequest) -> bool:
         best = self.fleet.choose(request, self.fleet.views(demand.service, request))
         return best is not None and _has_room(best)
 
+    def _limit(self, service: str, places: HeldPlaces) -> HeldLimit:
+        return evolve(self.fleet.held_limit(service), lately=places.rate)
+
     def _overloaded(self, limit: HeldLimit, held: int, reason: str) -> Error:
         detail = f"{reason}: {limit.runners} runners, {held} held"
         pause_s = limit.return_after_s(held) if limit.runners else NO_RUNNER_RETURN_S
