--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN = $(VENV)/bin
 PACKAGES = core wire node entry agent standins
 SEED ?= 1
-SOURCES = packages features bench tools
+SOURCES = packages features bench tools platform
 export PYTHONPATH := $(subst $() ,:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/wasabilb-$(p)/src)):$(CURDIR)/tools
 
 .PHONY: setup test demo fleet bench matrix fuzz capacity format lint types checks docs clean
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -159,6 +159,8 @@
         )
         self._callers = CallerServer(on_request=self._forwarder.on_request)
         self._is_draining = False
+        # Called once a heartbeat, for what may change without a signal.
+        self.on_tick: list[Callable[[], None]] = []
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -230,6 +232,8 @@
             for runner_id in self._fleet.directory.expire(now()):
                 self._on_runner_gone(runner_id, "its entry did not come back")
             self._pool.sweep()
+            for callback in self.on_tick:
+                callback()
             await asyncio.sleep(HEARTBEAT_S)
 
     def _targets(self) -> dict[str, str]:
