Play overload, crowding and slowed hosts without a network

Cause: the gains in placing and refusing had no test of their own. Change: a model of runners that batch, driven by the product's decisions; three loads and the single decisions.

--- /dev/null
+++ b/features/overload.feature
@@ -0,0 +1,41 @@
+Feature: Full runners
+  Which requests are sent, held or refused, and where they go, while runners are full.
+
+  Scenario: More callers get an answer in time than when everything is sent
+    # Load: 5 runners, requests for 1.3 times what they can do, for 12 s, from 7 entry processes.
+    # Guards against queues in which every answer begins late.
+    When the load is played with everything sent and with requests held and refused
+    Then holding and refusing serves at least 1.2 times the worth of sending everything
+    And no caller that was refused had its request run
+    And each refused caller was told when to come back
+
+  Scenario: Entry processes do not crowd one runner
+    # Load: 9 runners, requests for 0.7 times what they can do, for 15 s, from 7 entry processes.
+    # Guards against prompts that are read one after the other at one runner for a second.
+    When the load is played with and without notices of sends between entry processes
+    Then with notices the 95th percentile of the first token is at most 0.8 of that without
+
+  Scenario: Long answers end although hosts are slowed
+    # Load: 6 runners, one of which takes 2.5 times longer, at the fleet's full capacity for 15 s.
+    # Guards against answers that are cut off at their deadline on slowed hosts.
+    When the load is played by expected wait alone and by the end of the answer, too
+    Then at most half as many answers are cut off at their deadline
+
+  Scenario Outline: One request at one moment
+    # Guards against a decision that keeps a caller waiting for nothing.
+    When a request that is <on_time>, with <room> at its runner, <slack> and <held> held is placed
+    Then the request is <decision>
+
+    Examples:
+      | on_time | room    | slack    | held | decision |
+      | on time | no room | slack    | 5    | sent     |
+      | late    | room    | slack    | 0    | sent     |
+      | late    | room    | slack    | 3    | held     |
+      | late    | no room | slack    | 3    | held     |
+      | late    | no room | slack    | 99   | refused  |
+      | late    | no room | no slack | 0    | refused  |
+
+  Scenario: Nobody is held while no runner can answer
+    # Guards against requests that wait although no runner is expected.
+    When a late request is placed while there is no runner
+    Then the request is refused
