Forget callers' closed connections

Change: the server's on_close passes the news on; a scenario failed before (5 connections counted after 5 callers had left).

--- a/features/direct_forwarding.feature
+++ b/features/direct_forwarding.feature
@@ -86,3 +86,10 @@
     When the version of the first runner goes out of date while a stream waits there
     Then the caller gets all events once
     And the first runner sees the end of the connection within 0.1 s of that time
+
+  Scenario: Closed connections are forgotten
+    # Guards against memory that grows with each caller, and drains that wait for callers who left.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that answer and then answer
+    When five callers send a request each and close their connections
+    Then the entry process counts no open connection
--- a/features/steps/direct_forwarding_steps.py
+++ b/features/steps/direct_forwarding_steps.py
@@ -388,3 +388,19 @@
 @then("the first runner sees the end of the connection within 0.1 s of that time")
 def sees_end_in_time(context):
     assert context.closed_early > -0.1, context.closed_early
+
+
+@when("five callers send a request each and close their connections")
+def five_callers(context):
+    async def send(stage):
+        for number in range(5):
+            await ask(stage, request(PATHS["idempotent"], request_id=f"q-{number}"))
+        await asyncio.sleep(0.05)
+        return stage.server.connections
+
+    play(context, send)
+
+
+@then("the entry process counts no open connection")
+def none_open(context):
+    assert context.result == 0, context.result
--- a/packages/wasabilb-entry/src/wasabilb_entry/caller_connection.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/caller_connection.py
@@ -151,6 +151,19 @@
         )
 
 
+class _Server(HTTPServer):
+    """Tells of closed connections, which the library keeps to itself."""
+
+    # Set after the construction, whose arguments are the library's.
+    on_closed: Callable[[object], None] | None = None
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a closed connection and pass the news on."""
+        super().on_close(server_conn)
+        if self.on_closed is not None:
+            self.on_closed(server_conn)
+
+
 class CallerServer(HTTPServerConnectionDelegate):
     """Accepts callers' connections.
 
@@ -163,7 +176,8 @@
     def __init__(self, *, on_request: Callable[[ReceivedRequest], None]) -> None:
         self._on_request = on_request
         self._open: dict[object, _RequestDelegate] = {}
-        self._server = HTTPServer(self)
+        self._server = _Server(self)
+        self._server.on_closed = self.on_close
         self.on_limits(CallerLimits())
 
     @property
