--- /dev/null
+++ b/features/platform_adapter.feature
@@ -0,0 +1,68 @@
+Feature: The operators' platform
+  The adapter reads each name of the platform once, into types whose fields say what they hold.
+
+  Scenario: A published catalog becomes routes, services and accounts
+    # Guards against a name of the platform that is read as something else.
+    When the example of a catalog is decoded
+    Then its routes have kinds, times in seconds, attempts and the longest prefix wins
+    And its accounts are found by their keys, and the keys themselves are not held
+    And its engine and origin have their rates in seconds and bytes
+
+  Scenario Outline: Items of other writers name no runner
+    # Guards against entries with foreign or broken content that stop a process or receive requests.
+    When a runner's entry has <fault>
+    Then it is decoded as nothing
+
+    Examples:
+      | fault                 |
+      | bytes that are no JSON |
+      | a list                |
+      | no address            |
+      | an unknown state      |
+      | a text for the places |
+      | no start time         |
+      | a port that is no number |
+
+  Scenario: Random content never raises
+    # Guards against a process that ends because of what another writer published.
+    When random JSON is published under each name
+    Then each is decoded into a known type or nothing
+
+  Scenario: A restarted runner under its old identifier is a new incarnation
+    # Guards against load and weights of an earlier incarnation.
+    When a runner's entry comes again with a later start
+    Then its earlier reports no longer count
+
+  Scenario: Headers towards a runner
+    # Guards against keys, claims of callers and connection headers that reach a runner.
+    When a caller's headers are translated for a runner
+    Then the runner, the account, the version and what is left of the time are named
+    And the key, other claims and headers of the connection are gone
+    And all other headers are unchanged
+
+  Scenario Outline: What an answer says
+    # Guards against a request that is repeated although it ran, or not although it did not.
+    When a runner answers <status> with <header>
+    Then the request counts as <outcome>
+
+    Examples:
+      | status | header         | outcome |
+      | 200    | a seal         | run     |
+      | 500    | a seal         | run     |
+      | 503    | not executed   | not run |
+      | 421    | nothing        | not run |
+      | 429    | not executed   | not run |
+      | 503    | nothing        | unknown |
+
+  Scenario: The store's readings
+    # Guards against missed changes after the history was lost, and calls that hang.
+    Given a stand-in of the store with two pages of items
+    When everything is read and changes are waited for
+    Then all items are known and each change arrives with its revision
+    And a lost history is reported as such
+    And a store that answers with status 503 or nothing is reported as unavailable
+
+  Scenario: Settings of a process
+    # Guards against a settings file whose fields are read under another meaning.
+    When the example of a settings file is read
+    Then addresses, rates and bounds have the product's units
--- /dev/null
+++ b/features/steps/platform_adapter_steps.py
@@ -0,0 +1,390 @@
+"""Steps about the adapter to the operators' platform; the only tests that use its names."""
+
+import asyncio
+import base64
+import json
+import sys
+from pathlib import Path
+
+from behave import given, then, when
+from hypothesis import given as property_given
+from hypothesis import strategies as st
+from returns.result import Failure
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, ResponseStartLine
+from tornado.netutil import bind_sockets
+from wasabilb_core.catalog import Catalog, RequestKind, WeightTarget, key_digest
+from wasabilb_core.directory import Runner
+from wasabilb_core.forwarding import SendFacts
+from wasabilb_core.published import Item
+from wasabilb_core.runner_book import LoadReport, RunnerBook
+from wasabilb_node.http_client import ConnectionPool, Head
+
+sys.path.append(str(Path(__file__).resolve().parents[2] / "platform"))
+
+from wasabilb_platform import store as store_module
+from wasabilb_platform.documents import Decoder
+from wasabilb_platform.headers import PlatformHeaders
+from wasabilb_platform.settings import to_settings
+from wasabilb_platform.store import store_source
+
+SALT = b"s" * 32
+DECODER = Decoder(salt=SALT)
+RUNNER = {
+    "service": "llm",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 16,
+    "state": "ready",
+    "sequence": 1,
+    "coldLeftMs": 500,
+    "born": 1700000000000,
+    "layers": {"from": 0, "to": 16, "version": 3},
+}
+CATALOG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "wide",
+            "host": "h.example",
+            "prefix": "/a/",
+            "kind": "non_idempotent",
+            "timeoutMs": 800,
+            "targetLatencyMs": 150,
+            "priority": 2,
+            "service": "plain",
+            "maxAttempts": 1,
+            "anonymous": False,
+        },
+        {
+            "name": "deep",
+            "host": "h.example",
+            "prefix": "/a/b/",
+            "kind": "stream",
+            "timeoutMs": 6000,
+            "targetLatencyMs": 500,
+            "gapTargetMs": 400,
+            "trafficSplit": [
+                {"service": "llm", "weight": 3},
+                {"service": "other", "weight": 1},
+            ],
+            "maxAttempts": 2,
+            "resumable": True,
+        },
+    ],
+    "services": [
+        {"name": "plain", "healthPath": "/health", "maxConnections": 100},
+        {"name": "src", "origin": "10.0.0.9:81", "zone": "c", "linkMbps": 15.0},
+        {
+            "name": "llm",
+            "maxConnections": 424,
+            "engine": {
+                "slots": 16,
+                "models": [{"name": "m"}],
+                "step_ms": 8.87,
+                "per_seq_ms": 0.0388,
+                "context_per_k": 0.0227,
+                "read_per_s": 19100.0,
+                "pairs_per_m": 1.47,
+                "usual": {"prompt": 977, "answer": 94},
+                "layers": 16,
+                "chunks": 48,
+                "chunkBytes": 49152,
+            },
+        },
+    ],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 4194304,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+    "tenants": [{"name": "acme", "apiKeys": ["key-one", "key-two"], "priority": 0}],
+}
+SETTINGS = {
+    "nodeName": "front-a-1",
+    "ip": "10.1.0.40",
+    "zone": "a",
+    "region": "r",
+    "zones": {"a": "r"},
+    "listen": {"front": "10.1.0.40:8005", "ready": "10.1.0.40:8002"},
+    "internalPorts": [7700, 7715],
+    "seeds": ["10.1.0.40:8000", "10.2.0.37:8000"],
+    "limits": {"linkMbps": 4.7},
+    "bounds": {
+        "graceS": 8,
+        "retryBudgetRatio": 0.2,
+        "budgetSlack": 102,
+        "budgetWindowS": 10,
+        "version_ms": 8000,
+    },
+    "platformStore": {"address": "10.200.1.7:8007"},
+    "aFieldOfTomorrow": 1,
+}
+
+
+def item(name, value):
+    body = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return Item(name=name, revision=1, body=body)
+
+
+@when("the example of a catalog is decoded")
+def decode_catalog(context):
+    context.catalog = DECODER.decode(item("op/config", CATALOG))
+    assert isinstance(context.catalog, Catalog)
+
+
+@then("its routes have kinds, times in seconds, attempts and the longest prefix wins")
+def check_routes(context):
+    wide = context.catalog.route_for("h.example", "/a/x")
+    deep = context.catalog.route_for("H.example", "/a/b/x")
+    assert (wide.name, deep.name) == ("wide", "deep")
+    assert wide.kind is RequestKind.NON_IDEMPOTENT and not wide.is_repeatable
+    assert (wide.timeout_s, wide.objective_s, wide.max_attempts) == (0.8, 0.15, 1)
+    assert deep.is_repeatable and deep.gap_objective_s == 0.4
+    shares = [deep.service_for(f"q-{n}") for n in range(2000)]
+    assert 0.70 < shares.count("llm") / 2000 < 0.80
+    assert context.catalog.route_for("h.example", "/b/") is None
+    assert context.catalog.route_for("other.example", "/a/") is None
+
+
+@then("its accounts are found by their keys, and the keys themselves are not held")
+def check_accounts(context):
+    found = context.catalog.account_for(key_digest("key-two", SALT))
+    assert found.name == "acme" and found.priority == 0
+    assert context.catalog.account_for(key_digest("key-three", SALT)) is None
+    assert "key-one" not in repr(context.catalog)
+
+
+@then("its engine and origin have their rates in seconds and bytes")
+def check_engine(context):
+    engine = context.catalog.services["llm"].engine
+    assert (engine.model, engine.layers, engine.chunks) == ("m", 16, 48)
+    assert abs(engine.step_s - 0.00887) < 1e-9 and engine.prefill_tokens_per_s == 19100.0
+    assert abs(engine.step_per_token_s - 0.0227 / 1e6) < 1e-15
+    assert abs(engine.prefill_pair_s - 1.47 / 1e9) < 1e-18
+    origin = context.catalog.origin
+    assert (origin.address, origin.bytes_per_s) == ("10.0.0.9:81", 1.875e6)
+
+
+@when("a runner's entry has {fault}")
+def entry_with_fault(context, fault):
+    values = {
+        "bytes that are no JSON": b"\xff{",
+        "a list": [1],
+        "no address": {k: v for k, v in RUNNER.items() if k != "address"},
+        "an unknown state": {**RUNNER, "state": "asleep"},
+        "a text for the places": {**RUNNER, "slots": "16"},
+        "no start time": {k: v for k, v in RUNNER.items() if k != "born"},
+        "a port that is no number": {**RUNNER, "address": "10.0.0.1:http"},
+    }
+    context.decoded = DECODER.decode(item("servers/i-1", values[fault]))
+
+
+@then("it is decoded as nothing")
+def decoded_nothing(context):
+    assert context.decoded is None
+
+
+@when("random JSON is published under each name")
+def random_json(context):
+    context.kinds = set()
+    leaves = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9)
+    names = st.sampled_from([*RUNNER, *CATALOG, "model"])
+    values = st.recursive(
+        leaves, lambda inner: st.lists(inner, max_size=3) | st.dictionaries(names, inner)
+    )
+    keys = st.sampled_from(["op/config", "op/version/m", "servers/i-1", "servers/", "x"])
+
+    @property_given(keys, values)
+    def check(name, value):
+        context.kinds.add(type(DECODER.decode(item(name, value))))
+
+    check()
+
+
+@then("each is decoded into a known type or nothing")
+def known_types(context):
+    assert context.kinds <= {Catalog, Runner, WeightTarget, type(None)}
+
+
+@when("a runner's entry comes again with a later start")
+def comes_again(context):
+    first = DECODER.decode(item("servers/i-1", RUNNER))
+    again = DECODER.decode(item("servers/i-1", {**RUNNER, "born": RUNNER["born"] + 5}))
+    assert (first.version, first.holds_all(16), first.cold_s) == (3, True, 0.5)
+    book = RunnerBook()
+    book.on_report(first, LoadReport(running=9, waiting=4, at=10.0))
+    context.view = book.view(again, now=10.0, engine=None, distance_s=0.0)
+
+
+@then("its earlier reports no longer count")
+def no_earlier_reports(context):
+    assert (context.view.reported_running, context.view.reported_queued) == (0, 0)
+
+
+@when("a caller's headers are translated for a runner")
+def translate(context):
+    caller = HTTPHeaders(
+        {
+            "Host": "h.example",
+            "X-Wasabilb-Request-Id": "q-1",
+            "X-Wasabilb-Request-Timeout-Ms": "6060",
+            "X-Wasabilb-Token-Count": "1460,80",
+            "X-Wasabilb-Model": "m",
+            "Authorization": "Token secret",
+            "X-Wasabilb-Tenant": "rich",
+            "X-Wasabilb-Expect-Runner": "i-9",
+            "Path": "10.0.0.1:80=0-16",
+            "Connection": "keep-alive, X-Hop",
+            "X-Hop": "1",
+            "X-Other": "kept",
+        }
+    )
+    protocol = PlatformHeaders()
+    context.facts = protocol.read_request(caller)
+    sent = SendFacts(runner_id="i-1", timeout_s=1.25, account="acme", version=2)
+    context.sent = protocol.write_request(caller, sent)
+
+
+@then("the runner, the account, the version and what is left of the time are named")
+def named(context):
+    sent = context.sent
+    assert sent["X-Wasabilb-Expect-Runner"] == "i-1"
+    assert sent["X-Wasabilb-Tenant"] == "acme"
+    assert sent["X-Wasabilb-Expect-Version"] == "2"
+    assert sent["X-Wasabilb-Request-Timeout-Ms"] == "1250"
+    assert (context.facts.timeout_s, context.facts.key) == (6.06, "secret")
+    assert (context.facts.prompt_tokens, context.facts.max_answer_tokens) == (1460, 80)
+
+
+@then("the key, other claims and headers of the connection are gone")
+def gone(context):
+    for name in ("Authorization", "Path", "Connection", "X-Hop"):
+        assert name not in context.sent, name
+
+
+@then("all other headers are unchanged")
+def unchanged(context):
+    for name, value in (
+        ("Host", "h.example"),
+        ("X-Wasabilb-Request-Id", "q-1"),
+        ("X-Wasabilb-Token-Count", "1460,80"),
+        ("X-Wasabilb-Model", "m"),
+        ("X-Other", "kept"),
+    ):
+        assert context.sent[name] == value, name
+
+
+@when("a runner answers {status:d} with {header}")
+def answers(context, status, header):
+    names = {"a seal": "X-Wasabilb-Runner-Seal", "not executed": "X-Wasabilb-Not-Executed"}
+    headers = HTTPHeaders({names[header]: "1"}) if header in names else HTTPHeaders()
+    head = Head(status=status, reason="", headers=headers)
+    context.answer = PlatformHeaders().read_answer(head, 0.0)
+
+
+@then("the request counts as {outcome}")
+def counts_as(context, outcome):
+    seen = (context.answer.is_sealed, context.answer.is_not_run)
+    expected = {"run": (True, False), "not run": (False, True), "unknown": (False, False)}
+    assert seen == expected[outcome], seen
+
+
+class StoreStandIn:
+    """Answers reads of the store as its script says."""
+
+    def __init__(self):
+        self.answers, self.targets = [], []
+        self.server = HTTPServer(self.on_request)
+        sockets = bind_sockets(0, "127.0.0.1")
+        self.server.add_sockets(sockets)
+        self.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+
+    def on_request(self, req):
+        self.targets.append(req.uri)
+        status, value = self.answers.pop(0)
+        if status == 0:
+            return
+        body = json.dumps(value).encode()
+        req.connection.write_headers(
+            ResponseStartLine("HTTP/1.1", status, "x"),
+            HTTPHeaders({"Content-Length": str(len(body))}),
+            body,
+        )
+        req.connection.finish()
+
+
+def entry(name, revision, value):
+    text = base64.b64encode(value).decode()
+    return {"key": name, "revision": revision, "created": 1, "lease": 0, "value": text}
+
+
+@given("a stand-in of the store with two pages of items")
+def store_stand_in(context):
+    context.script = [
+        (200, {"items": [entry("a", 2, b"1")], "currentRev": 5, "morePages": True}),
+        (200, {"items": [entry("b", 6, b"2")], "currentRev": 6, "morePages": False}),
+        (200, {"events": [{"key": "a", "revision": 7, "deleted": True}], "currentRev": 7}),
+        (410, {"currentRev": 9}),
+        (503, {}),
+        (200, {"no": "events"}),
+        (0, None),
+    ]
+
+
+@when("everything is read and changes are waited for")
+def read_store(context):
+    async def run():
+        stand_in = StoreStandIn()
+        stand_in.answers = list(context.script)
+        pool = ConnectionPool(max_idle=2)
+        source = store_source(pool, stand_in.address)
+        usual = store_module.WATCH_WAIT_MS, store_module.WATCH_SLACK_S
+        store_module.WATCH_WAIT_MS, store_module.WATCH_SLACK_S = 100, 0.1
+        try:
+            context.snapshot = (await source.snapshot()).unwrap()
+            context.changes = [await source.changes(after) for after in (5, 7, 9, 9, 9)]
+        finally:
+            store_module.WATCH_WAIT_MS, store_module.WATCH_SLACK_S = usual
+        context.targets = stand_in.targets
+        pool.close()
+        stand_in.server.stop()
+
+    asyncio.run(run())
+
+
+@then("all items are known and each change arrives with its revision")
+def all_known(context):
+    items = [(i.name, i.revision, i.body) for i in context.snapshot.items]
+    assert items == [("a", 2, b"1"), ("b", 6, b"2")], items
+    # What changed while the pages were read is asked for again.
+    assert context.snapshot.revision == 5
+    changed = context.changes[0].unwrap()
+    assert changed.revision == 7 and changed.items[0].body is None
+    assert "after=a" in context.targets[1] and "after=5" in context.targets[2]
+
+
+@then("a lost history is reported as such")
+def history_lost(context):
+    assert context.changes[1].unwrap().is_history_lost
+
+
+@then("a store that answers with status 503 or nothing is reported as unavailable")
+def unavailable(context):
+    assert all(isinstance(found, Failure) for found in context.changes[2:])
+
+
+@when("the example of a settings file is read")
+def read_settings_file(context):
+    context.settings = to_settings(SETTINGS)
+
+
+@then("addresses, rates and bounds have the product's units")
+def settings_units(context):
+    boot = context.settings
+    assert boot.seed_ips == ("10.1.0.40", "10.2.0.37") and boot.own_port == 7700
+    assert boot.link_bits_per_s == 4.7e6 and boot.version_s == 8.0
+    assert (boot.retry_ratio, boot.retry_slack, boot.grace_s) == (0.2, 102.0, 8.0)
+    assert boot.runner_address == ""
