One copy of what processes know from published items; placing looks at the runners once

Cause: the agent and the entry process each decoded published items, and the agent dropped a runner's entry as soon as it expired, so that it stopped reporting a living runner. Placing a request built the views of all runners up to three times. The steps' stage stands in a module of its own.

--- a/features/published_state.feature
+++ b/features/published_state.feature
@@ -67,3 +67,11 @@
     Given 9 runners in 3 failure domains that hold version 1
     When one of them restarts empty after version 2 was named
     Then it may load at once
+
+  Scenario: The entry of an agent's own runner expires
+    Guards against an agent that stops reporting a living runner because the list lost its entry.
+    Given an agent that knows the entry of the runner on its host
+    When the entry is removed
+    Then the agent still knows which runner it reports
+    When an entry with a later start is listed at the same address
+    Then the agent reports the later one
--- /dev/null
+++ b/features/steps/forwarding_stage.py
@@ -0,0 +1,182 @@
+"""A forwarder in front of scripted runners, for steps about direct forwarding."""
+
+import asyncio
+import random
+
+from scripted_runner import ScriptedRunner
+from wasabilb_core.catalog import (
+    Catalog,
+    ClientAccount,
+    RequestKind,
+    Route,
+    RouteTarget,
+    Service,
+    key_digest,
+)
+from wasabilb_core.directory import Runner
+from wasabilb_core.forwarding import AnswerFacts, RequestFacts
+from wasabilb_core.published import PublishedState
+from wasabilb_entry.caller_connection import CallerServer
+from wasabilb_entry.caller_protocol import end_to_end
+from wasabilb_entry.fleet_view import FleetLimits, FleetView
+from wasabilb_entry.forwarder import Forwarder
+from wasabilb_entry.gateway_metrics import GatewayMetrics
+from wasabilb_node.followed_state import FollowedState
+from wasabilb_node.http_client import ConnectionPool
+from wasabilb_node.logs import EventLog
+
+SALT = b"salt" * 8
+KEY = "k" * 20
+PATHS = {"idempotent": "/safe/x", "at-most-once": "/once/x", "stream": "/stream/x"}
+
+
+class PlainProtocol:
+    """Headers with names of the tests' own."""
+
+    def read_request(self, headers):
+        return RequestFacts(
+            id=headers.get("Request-Id", ""),
+            timeout_s=3.0,
+            key=headers.get("Authorization", "").partition(" ")[2] or None,
+        )
+
+    def write_request(self, headers, facts):
+        sent = end_to_end(headers)
+        for name in ("Authorization", "Account", "Expect-Runner"):
+            if name in sent:
+                del sent[name]
+        sent["Expect-Runner"] = facts.runner_id
+        if facts.account:
+            sent["Account"] = facts.account
+        if facts.last_event_id:
+            sent["Last-Event-Id"] = facts.last_event_id
+        return sent
+
+    def read_answer(self, head, now):
+        return AnswerFacts(
+            request_id=head.headers.get("Request-Id", ""),
+            is_not_run="Not-Run" in head.headers,
+            is_sealed="Seal" in head.headers,
+        )
+
+    def label_answer(self, headers, request_id):
+        headers["Request-Id"] = request_id
+
+
+def route(name, kind, **changes):
+    return Route(
+        name=name,
+        host="h.example",
+        prefix=f"/{name}/",
+        targets=(RouteTarget(service="s"),),
+        kind=kind,
+        timeout_s=3.0,
+        objective_s=0.5,
+        **changes,
+    )
+
+
+def catalog():
+    account = ClientAccount(name="acme", key_digests=frozenset({key_digest(KEY, SALT)}))
+    return Catalog(
+        version=1,
+        routes=(
+            route("safe", RequestKind.IDEMPOTENT, max_attempts=2),
+            route("once", RequestKind.NON_IDEMPOTENT, max_attempts=2),
+            route("stream", RequestKind.STREAM, max_attempts=2, is_resumable=True),
+        ),
+        services={"s": Service(name="s")},
+        accounts=(account,),
+    )
+
+
+class StoredValues:
+    """Decodes published items by looking up what a test has put under their bodies."""
+
+    def __init__(self, values):
+        self._values = values
+
+    def decode(self, item):
+        return self._values.get(item.body)
+
+    def runner_id(self, name):
+        return name.removeprefix("runner/") if name.startswith("runner/") else None
+
+
+class Stage:
+    """A forwarder in front of scripted runners, on loopback."""
+
+    def __init__(self, behaviours):
+        # One script for all runners: the first send plays the first behaviour wherever it goes.
+        self.runners = [ScriptedRunner(behaviours) for _ in range(2 if behaviours else 0)]
+        for other in self.runners[1:]:
+            other.behaviours = self.runners[0].behaviours
+
+    async def __aenter__(self):
+        rng = random.Random(1)
+        log = EventLog(process="t", role="entry", host="t", failure_domain="a", incarnation="1")
+        published = FollowedState(items=PublishedState(), decoder=StoredValues({}), log=log)
+        self.fleet = FleetView(
+            published=published,
+            failure_domain="a",
+            regions={"a": "r"},
+            pool=ConnectionPool(max_idle=4),
+            limits=FleetLimits(
+                retry_ratio=0.2, retry_slack=100, retry_window_s=10.0, version_s=8.0
+            ),
+            rng=rng,
+            processes=lambda: 1,
+            tell_sent=lambda runner_id, tokens: None,
+        )
+        published.catalog = catalog()
+        for number, scripted in enumerate(self.runners):
+            address = await scripted.start()
+            self.fleet.directory.on_listed(
+                Runner(
+                    id=f"r-{number}",
+                    born_ms=1,
+                    service="s",
+                    address=address,
+                    failure_domain="a",
+                    slots=4,
+                )
+            )
+        forwarder = Forwarder(
+            fleet=self.fleet,
+            protocol=PlainProtocol(),
+            log=log,
+            metrics=GatewayMetrics(),
+            rng=rng,
+            salt=SALT,
+        )
+        self.server = CallerServer(on_request=forwarder.on_request)
+        sockets = self.server.listen("127.0.0.1:0")
+        self.port = sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *exc):
+        self.server.stop_accepting()
+        self.server.close_all()
+        self.fleet.pool.close()
+        for scripted in self.runners:
+            await scripted.stop()
+
+    async def connect(self):
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    @property
+    def ran(self):
+        return sum(scripted.ran for scripted in self.runners)
+
+    @property
+    def heads(self):
+        return [head for scripted in self.runners for head in scripted.requests]
+
+
+def request(path, *, request_id="q-1", key=KEY, extra=""):
+    method = "GET" if path.startswith("/safe") else "POST"
+    named = f"Request-Id: {request_id}\r\n" if request_id else ""
+    return (
+        f"{method} {path} HTTP/1.1\r\nHost: h.example\r\n{named}"
+        f"Authorization: Token {key}\r\nContent-Length: 2\r\n{extra}\r\nhi"
+    ).encode()
--- a/features/steps/published_state_steps.py
+++ b/features/steps/published_state_steps.py
@@ -3,10 +3,14 @@
 import random
 
 from behave import given, then, when
+from forwarding_stage import StoredValues
+from wasabilb_agent._model_fleet import ModelFleet
 from wasabilb_core.directory import Runner, RunnerDirectory
 from wasabilb_core.named_versions import NamedVersions
 from wasabilb_core.published import Item, PublishedState
 from wasabilb_core.reload_waves import WaveMember, is_easing, may_reload
+from wasabilb_node.followed_state import FollowedState
+from wasabilb_node.logs import EventLog
 
 BOUND_S = 8.0
 # A runner that entry processes have avoided for the time of most requests loads within 0.5 s; one
@@ -197,3 +201,41 @@
 @then("it may load at once")
 def loads_at_once(context):
     assert may_reload(name="r-5", members=context.members, version=2, named_s=0.1, bound_s=BOUND_S)
+
+
+@given("an agent that knows the entry of the runner on its host")
+def step_own_entry(context):
+    log = EventLog(process="t", role="agent", host="t", failure_domain="a", incarnation="1")
+    values = {b"first": runner(), b"second": runner(born_ms=2)}
+    context.followed = FollowedState(items=PublishedState(), decoder=StoredValues(values), log=log)
+    context.model_fleet = ModelFleet(
+        published=context.followed,
+        links=None,
+        service="models",
+        runner_address="127.0.0.1:9",
+        regions={},
+        links_port=1,
+    )
+    context.followed.take([Item(name="runner/r-1", revision=1, body=b"first")])
+    assert context.model_fleet.own().born_ms == 1
+
+
+@when("the entry is removed")
+def step_own_removed(context):
+    context.followed.take([Item(name="runner/r-1", revision=2, body=None)])
+    assert context.followed.directory.get("r-1") is None
+
+
+@then("the agent still knows which runner it reports")
+def step_own_known(context):
+    assert context.model_fleet.own().born_ms == 1
+
+
+@when("an entry with a later start is listed at the same address")
+def step_own_later(context):
+    context.followed.take([Item(name="runner/r-1", revision=3, body=b"second")])
+
+
+@then("the agent reports the later one")
+def step_own_is_later(context):
+    assert context.model_fleet.own().born_ms == 2
--- /dev/null
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_model_fleet.py
@@ -0,0 +1,118 @@
+"""The runners of one model, as the agent beside one of them knows them."""
+
+from wasabilb_core.directory import Runner
+from wasabilb_core.reload_waves import WaveMember
+from wasabilb_core.tickets import HostRole, HostSpec, Variant
+from wasabilb_node.followed_state import FollowedState
+from wasabilb_node.links import LinkManager
+
+# The version that runners hold before the operator names one.
+FIRST_VERSION = 1
+
+
+class ModelFleet:
+    """Which version is wanted, and which runners and hosts share it.
+
+    Parameters
+    ----------
+    published : FollowedState
+        Catalog, runners and named versions.
+    links : LinkManager
+        Links to peers.
+    service : str
+        Service that the runner on this host answers for.
+    runner_address : str
+        `IP:PORT` of that runner.
+    regions : dict of str
+        Region of each failure domain.
+    links_port : int
+        Port on which all agents accept links.
+    """
+
+    def __init__(
+        self,
+        *,
+        published: FollowedState,
+        links: LinkManager,
+        service: str,
+        runner_address: str,
+        regions: dict[str, str],
+        links_port: int,
+    ) -> None:
+        self._published = published
+        self._links = links
+        self._service = service
+        self._runner_address = runner_address
+        self._regions = regions
+        self._links_port = links_port
+        self._own: Runner | None = None
+
+    def wanted(self) -> Variant | None:
+        """Return the newest version of the model, None before the catalog is known."""
+        engine = self._published.engine(self._service)
+        if engine is None or not engine.model:
+            return None
+        named = self._published.named(engine.model)
+        version = max(FIRST_VERSION, named.newest if named is not None else 0)
+        return Variant(model=engine.model, adapter="", version=str(version))
+
+    @property
+    def layers(self) -> int:
+        """Return the number of the model's layers."""
+        engine = self._published.engine(self._service)
+        return engine.layers if engine is not None else 1
+
+    @property
+    def origin_address(self) -> str:
+        """Return the address of the origin of weights, empty while it is unknown."""
+        catalog = self._published.catalog
+        return catalog.origin.address if catalog is not None and catalog.origin is not None else ""
+
+    def own(self) -> Runner | None:
+        """Return the listed runner on this host.
+
+        Its last entry stands while none is listed: entries expire while the platform is away, and
+        the agent hears from the runner itself whether it lives.
+        """
+        found = [r for r in self._published.directory if r.address == self._runner_address]
+        self._own = max(found, key=lambda runner: runner.born_ms, default=self._own)
+        return self._own
+
+    def members(self) -> dict[str, WaveMember]:
+        """Return the listed runners of the model that are not leaving, by id."""
+        return {
+            runner.id: WaveMember(
+                failure_domain=runner.failure_domain,
+                version=runner.version if runner.holds_all(self.layers) else 0,
+            )
+            for runner in self._published.directory.routable(self._service)
+        }
+
+    def hosts(self) -> list[HostSpec]:
+        """Return the hosts beside listed runners, and those whose agents are linked already.
+
+        A new host's agent runs about a second before its runner is listed.
+        """
+        found = {
+            peer.host: HostSpec(
+                name=peer.host,
+                role=HostRole.BACKEND.value,
+                address=peer.hello.address,
+                region=peer.hello.region,
+                failure_domain=peer.hello.failure_domain,
+            )
+            for peer in self._links.peers()
+            if peer.hello.role == "agent"
+        }
+        for runner in self._published.directory:
+            if runner.service != self._service:
+                continue
+            ip = runner.address.rpartition(":")[0]
+            found[ip] = HostSpec(
+                name=ip,
+                role=HostRole.BACKEND.value,
+                address=f"{ip}:{self._links_port}",
+                region=self._regions.get(runner.failure_domain, ""),
+                failure_domain=runner.failure_domain,
+            )
+        return list(found.values())
--- /dev/null
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_runner_reports.py
@@ -0,0 +1,56 @@
+"""Tells entry processes how busy the runner on this host is and what it holds."""
+
+from wasabilb_core.directory import Runner
+from wasabilb_node.clock import now
+from wasabilb_node.links import LinkManager
+from wasabilb_wire.messages import RunnerReport
+
+from wasabilb_agent.model_runner import RunnerState
+
+# Entry processes hear of an unchanged state at least this often.
+QUIET_REPORT_S = 0.5
+
+
+class RunnerReports:
+    """Sends a report when something has changed, and once in a while.
+
+    Parameters
+    ----------
+    links : LinkManager
+        Links to entry processes.
+    """
+
+    def __init__(self, *, links: LinkManager) -> None:
+        self._links = links
+        self._sent: RunnerReport | None = None
+        self._sent_at = float("-inf")
+
+    def send(self, listed: Runner, state: RunnerState | None, *, is_easing: bool) -> None:
+        """Report a runner's state, None for one that does not answer."""
+        report = _report(listed, state, is_easing=is_easing)
+        if report == self._sent and now() - self._sent_at < QUIET_REPORT_S:
+            return
+        self._sent, self._sent_at = report, now()
+        for peer in self._links.peers():
+            if peer.hello.role == "entry":
+                peer.send(report)
+
+
+def _report(listed: Runner, state: RunnerState | None, *, is_easing: bool) -> RunnerReport:
+    if state is None:
+        return RunnerReport(runner=listed.id, born_ms=listed.born_ms, is_reachable=False)
+    return RunnerReport(
+        runner=listed.id,
+        born_ms=state.born_ms,
+        model=state.model,
+        version=state.version,
+        layer_from=state.layer_from,
+        layer_to=state.layer_to,
+        is_busy=state.is_busy,
+        running=state.running,
+        waiting=state.waiting,
+        memory_used=state.memory_used,
+        memory_total=state.memory_total,
+        pace=state.pace,
+        is_easing=is_easing,
+    )
--- a/packages/wasabilb-agent/src/wasabilb_agent/staging.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/staging.py
@@ -74,10 +74,6 @@
             await asyncio.sleep(0)
         return Success(None)
 
-    def forget(self) -> None:
-        """Forget what is staged, as the runner has lost it."""
-        self._staged.clear()
-
     async def _check(self, assembly: ChunkAssembly, index: int) -> Result[None, Error]:
         manifest = assembly.manifest
         for _ in range(MAX_REPAIRS):
--- a/packages/wasabilb-agent/src/wasabilb_agent/transfer.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/transfer.py
@@ -153,15 +153,6 @@
         job = self._jobs.get(variant)
         return job.transfer.assembly if job is not None and job.transfer is not None else None
 
-    def repeat(self, variant: Variant) -> None:
-        """Hand a version over again, as the engine has lost it."""
-        job = self._jobs.get(variant)
-        if job is None or not job.is_handed:
-            return
-        job.is_handed = False
-        self.held.discard(variant)
-        job.task = asyncio.ensure_future(self._run(job))
-
     def on_tick(self) -> None:
         """Take note of live traffic; called once a heartbeat."""
         entries = [p for p in self._links.peers() if p.hello.role == HostRole.ENTRY.value]
--- a/packages/wasabilb-core/src/wasabilb_core/directory.py
+++ b/packages/wasabilb-core/src/wasabilb_core/directory.py
@@ -137,7 +137,3 @@
             for entry in self._entries.values()
             if entry.runner.service == service and not entry.runner.is_draining
         ]
-
-    def of_service(self, service: str) -> list[Runner]:
-        """Return all runners of a service, leaving ones included."""
-        return [e.runner for e in self._entries.values() if e.runner.service == service]
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -7,15 +7,15 @@
 import attrs
 from attrs import frozen
 from wasabilb_core.attempts import AttemptEnd
-from wasabilb_core.catalog import Catalog, EngineSpec, RequestKind, Route, WeightTarget
-from wasabilb_core.directory import Runner, RunnerDirectory
+from wasabilb_core.catalog import Catalog, EngineSpec, RequestKind, Route
+from wasabilb_core.directory import Runner
 from wasabilb_core.forwarding import AnswerFacts
-from wasabilb_core.named_versions import NamedVersions
 from wasabilb_core.overload import HeldLimit, prompt_s
 from wasabilb_core.retry_window import RetryWindow
 from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView, expected_wait_s
 from wasabilb_core.runner_book import LoadReport, RunnerBook, turn_s
 from wasabilb_node.clock import now
+from wasabilb_node.followed_state import FollowedState
 from wasabilb_node.http_client import ConnectionPool
 from wasabilb_wire.messages import RunnerReport
 
@@ -87,10 +87,12 @@
 
 
 class FleetView:
-    """Catalog, runners, their load, and the budget for repeated sends.
+    """Runners, their load, and the budget for repeated sends.
 
     Parameters
     ----------
+    published : FollowedState
+        Catalog, runners and versions of weights.
     failure_domain : str
         Where this process runs.
     regions : dict of str
@@ -110,6 +112,7 @@
     def __init__(
         self,
         *,
+        published: FollowedState,
         failure_domain: str,
         regions: dict[str, str],
         pool: ConnectionPool,
@@ -118,9 +121,8 @@
         processes: Callable[[], int],
         tell_sent: Callable[[str, int], None],
     ) -> None:
-        self.catalog: Catalog | None = None
-        self.revision = 0
-        self.directory = RunnerDirectory()
+        self.published = published
+        self.directory = published.directory
         self.book = RunnerBook()
         self.pool = pool
         self._failure_domain = failure_domain
@@ -131,7 +133,11 @@
         self._tell_sent = tell_sent
         self._routing = ROUTING.create("batch_backlog").unwrap()
         self._windows: dict[str, RetryWindow] = {}
-        self._named: dict[str, NamedVersions] = {}
+
+    @property
+    def catalog(self) -> Catalog | None:
+        """Return the catalog in force."""
+        return self.published.catalog
 
     def on_limits(self, limits: FleetLimits) -> None:
         """Put other bounds into force; budgets begin anew when theirs changed."""
@@ -139,11 +145,6 @@
             self._limits = limits
             self._windows.clear()
 
-    def on_target(self, target: WeightTarget, *, is_old: bool) -> None:
-        """Take a named version of a model's weights, an old one if it was there at the start."""
-        named = self._named.setdefault(target.model, NamedVersions())
-        named.on_named(target.version, now(), is_old=is_old)
-
     def on_report(self, report: RunnerReport) -> None:
         """Take the report of the agent beside a model runner."""
         runner = self.directory.get(report.runner)
@@ -238,7 +239,7 @@
             (r, attrs.evolve(self._view(r, engine, moment), is_for_long=r.id in long_ids))
             for r in usable
         ]
-        return [v for r, v in views if self._begins_in_time(r, v, engine, moment)]
+        return [v for r, v in views if self._begins_in_time(r, v, engine)]
 
     def _long_runners(self, service: str) -> set[str]:
         """Return every second runner at the usual pace, so that each failure domain has some."""
@@ -265,13 +266,21 @@
             wait_s=expected_wait_s(chosen),
         )
 
-    def held_limit(self, service: str) -> HeldLimit:
-        """Return how many requests of a service this process may hold."""
-        views = self.views(service, RouteRequest())
+    def held_limit(self, service: str, *, runners: int, lately: float) -> HeldLimit:
+        """Return how many requests of a service this process may hold.
+
+        Parameters
+        ----------
+        runners : int
+            Runners of the service that can be used now.
+        lately : float
+            Held requests a second that found a place, infinite while none gave up.
+        """
         return HeldLimit(
-            runners=len(views),
+            runners=runners,
             turn_s=turn_s(self.engine(service)),
             processes=self._processes(),
+            lately=lately,
         )
 
     def _view(self, runner: Runner, engine: EngineSpec | None, moment: float) -> RunnerView:
@@ -286,14 +295,9 @@
             return False
         return version is None or runner.version >= version
 
-    def _begins_in_time(
-        self, runner: Runner, view: RunnerView, engine: EngineSpec | None, moment: float
-    ) -> bool:
+    def _begins_in_time(self, runner: Runner, view: RunnerView, engine: EngineSpec | None) -> bool:
         """Return whether a request would begin before its runner's version is out of date."""
-        named = self._named.get(engine.model) if engine is not None else None
-        if named is None:
-            return True
-        outdated_s = named.named_for_s(runner.version, moment)
+        outdated_s = self._outdated_s(runner, engine)
         return outdated_s + expected_wait_s(view) < self._limits.version_s - VERSION_MARGIN_S
 
     def begin_by(self, runner: Runner) -> float:
@@ -301,17 +305,17 @@
 
         A request that still waits there then is taken back, as it would begin on an old version.
         """
-        engine = self.engine(runner.service)
-        named = self._named.get(engine.model) if engine is not None else None
-        if named is None:
-            return math.inf
-        moment = now()
-        outdated_s = named.named_for_s(runner.version, moment)
-        return moment + self._limits.version_s - BEGIN_MARGIN_S - outdated_s
+        outdated_s = self._outdated_s(runner, self.engine(runner.service))
+        return now() + self._limits.version_s - BEGIN_MARGIN_S - outdated_s
+
+    def _outdated_s(self, runner: Runner, engine: EngineSpec | None) -> float:
+        if engine is None:
+            return -math.inf
+        return self.published.outdated_s(engine.model, runner.version)
 
     def _demanded_version(self, engine: EngineSpec | None, moment: float) -> int | None:
         """Return the version that must answer, once its time has nearly come."""
-        named = self._named.get(engine.model) if engine is not None else None
+        named = self.published.named(engine.model) if engine is not None else None
         if named is None:
             return None
         return named.demanded(moment, self._limits.version_s - VERSION_MARGIN_S)
@@ -324,8 +328,7 @@
 
     def engine(self, service: str) -> EngineSpec | None:
         """Return how the engines of a service work, None for a plain one."""
-        found = self.catalog.services.get(service) if self.catalog is not None else None
-        return found.engine if found is not None else None
+        return self.published.engine(service)
 
     def _window(self, service: str) -> RetryWindow:
         window = self._windows.get(service)
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -314,7 +314,7 @@
             error=error.kind.value,
             detail=error.detail,
             catalog=self._fleet.catalog.version if self._fleet.catalog else None,
-            revision=self._fleet.revision,
+            revision=self._fleet.published.revision,
         )
 
     def _send_error(self, req: ReceivedRequest, facts: RequestFacts, error: Error) -> None:
@@ -360,5 +360,5 @@
             attempts=work.history.sent,
             unsent=work.history.unsent or None,
             catalog=self._fleet.catalog.version if self._fleet.catalog else None,
-            revision=self._fleet.revision,
+            revision=self._fleet.published.revision,
         )
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -9,10 +9,10 @@
 from attrs import frozen
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
-from wasabilb_core.catalog import Catalog, WeightTarget
-from wasabilb_core.directory import Runner
+from wasabilb_core.catalog import Catalog
 from wasabilb_core.published import Item, PublishedState
 from wasabilb_node.clock import now
+from wasabilb_node.followed_state import FollowedState
 from wasabilb_node.http_client import ConnectionPool
 from wasabilb_node.links import Identity, LinkManager, Peer
 from wasabilb_node.logs import EventLog
@@ -99,7 +99,6 @@
         salt: bytes,
     ) -> None:
         self._cfg = cfg
-        self._decoder = decoder
         seed = int.from_bytes(os.urandom(8))
         self._rng = random.Random(seed)
         self._metrics = GatewayMetrics()
@@ -125,22 +124,30 @@
         self._links.on(RunnerReport, self._on_report, from_role="agent")
         self._links.on(SendNotice, self._on_notice, from_role="entry")
         self._links.on_up.append(self._on_link)
-        self._state = PublishedState()
+        self._items = PublishedState()
+        self._published = FollowedState(
+            items=self._items,
+            decoder=decoder,
+            log=self.log,
+            on_catalog=self._on_catalog,
+            on_runner_gone=self._on_runner_gone,
+        )
         self._store_pool = ConnectionPool(max_idle=2)
         self._pool = ConnectionPool(
             max_idle=MAX_IDLE_CONNECTIONS, on_open=self._metrics.on_connection
         )
         self._sync = PublishedSync(
-            state=self._state,
+            state=self._items,
             source=source(self._store_pool),
             links=self._links,
             log=self.log,
             rng=self._rng,
             on_change=self._on_change,
-            on_platform=self._on_platform,
+            on_platform=self._published.on_platform,
             reads_first=True,
         )
         self._fleet = FleetView(
+            published=self._published,
             failure_domain=cfg.failure_domain,
             regions=cfg.regions,
             pool=self._pool,
@@ -209,7 +216,7 @@
     @property
     def is_ready(self) -> bool:
         """Return whether new connections should come here."""
-        return not self._is_draining and self._fleet.catalog is not None
+        return not self._is_draining and self._published.catalog is not None
 
     def _serve(self, address: str, answer: Callable[[HTTPServerRequest], None]) -> None:
         ip, _, port = address.rpartition(":")
@@ -220,7 +227,7 @@
 
     def _answer_metrics(self, req: HTTPServerRequest) -> None:
         text = self._metrics.text(
-            in_progress=self._forwarder.in_progress, revision=self._state.revision
+            in_progress=self._forwarder.in_progress, revision=self._published.revision
         )
         _answer(req, 200, text)
 
@@ -229,8 +236,7 @@
             self._links.set_targets(self._targets())
             self._links.tick()
             self._sync.beat(self._cfg.links_address)
-            for runner_id in self._fleet.directory.expire(now()):
-                self._on_runner_gone(runner_id, "its entry did not come back")
+            self._published.expire()
             self._pool.sweep()
             for callback in self.on_tick:
                 callback()
@@ -238,7 +244,7 @@
 
     def _targets(self) -> dict[str, str]:
         found = {address: address for address in {*self._cfg.seeds, *self._sync.known_entries}}
-        for runner in self._fleet.directory:
+        for runner in self._published.directory:
             ip = runner.address.rpartition(":")[0]
             if self._fleet.has_engine(runner.service):
                 found[f"{ip}:agent"] = f"{ip}:{self._cfg.agent_port}"
@@ -247,63 +253,16 @@
     def _entry_count(self) -> int:
         return max(1, len(self._sync.known_entries))
 
-    def _on_platform(self, is_up: bool) -> None:
-        if is_up:
-            self._fleet.directory.on_platform_regained(now())
-        else:
-            self._fleet.directory.on_platform_lost()
-
     def _on_change(self, items: list[Item]) -> None:
-        is_first = self._fleet.catalog is None
-        for item in items:
-            runner_id = self._decoder.runner_id(item.name)
-            value = self._decoder.decode(item) if item.body is not None else None
-            if isinstance(value, Catalog):
-                self._on_catalog(value, item.revision)
-            elif isinstance(value, WeightTarget):
-                self._fleet.on_target(value, is_old=is_first)
-                self.log.event(
-                    "weights_named",
-                    model=value.model,
-                    version=value.version,
-                    revision=item.revision,
-                )
-            elif isinstance(value, Runner):
-                self._fleet.directory.on_listed(value)
-                self.log.event(
-                    "runner_listed",
-                    runner=value.id,
-                    service=value.service,
-                    address=value.address,
-                    is_leaving=value.is_draining,
-                    revision=item.revision,
-                )
-            elif runner_id is not None:
-                if self._fleet.directory.on_removed(runner_id, now()):
-                    self._on_runner_gone(runner_id, f"revision {item.revision}")
-            elif item.body is not None:
-                self.log.event("published_unusable", name=item.name, revision=item.revision)
-        self._fleet.revision = self._state.revision
+        self._published.take(items)
         self._links.set_targets(self._targets())
         self._sync.beat(self._cfg.links_address)
 
-    def _on_catalog(self, catalog: Catalog, revision: int) -> None:
-        known = self._fleet.catalog
-        if known is not None and catalog.version <= known.version:
-            return
-        self._fleet.catalog = catalog
+    def _on_catalog(self, catalog: Catalog) -> None:
         self._callers.on_limits(catalog.limits)
-        self.log.event(
-            "catalog_accepted",
-            catalog=catalog.version,
-            revision=revision,
-            routes=len(catalog.routes),
-            accounts=len(catalog.accounts),
-        )
 
-    def _on_runner_gone(self, runner_id: str, reason: str) -> None:
+    def _on_runner_gone(self, runner_id: str) -> None:
         self._fleet.book.forget(runner_id)
-        self.log.event("runner_gone", runner=runner_id, reason=reason)
 
     def _on_link(self, peer: Peer) -> None:
         # A process that has just started learns of published state without waiting for a beat.
--- a/packages/wasabilb-entry/src/wasabilb_entry/held_places.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/held_places.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 from wasabilb_core.overload import Held, HeldRequests
+from wasabilb_core.routing import RunnerView
 from wasabilb_node.clock import now
 
 # Reports arrive every 0.1 s; between them the end of an own request frees a place.
@@ -19,13 +20,21 @@
     """Who waits, and what tells whether it may go on."""
 
     fut: "asyncio.Future[bool]"
-    has_room: Callable[[], bool]
+    has_room: Callable[[list[RunnerView]], bool]
 
 
 class HeldPlaces:
-    """The held requests of one service and who wakes them."""
+    """The held requests of one service and who wakes them.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    views : callable
+        Returns the runners that can be used now; they are the same for all held requests, as none
+        of those was sent anywhere yet.
+    """
+
+    def __init__(self, *, views: Callable[[], list[RunnerView]]) -> None:
+        self._views = views
         self._requests = HeldRequests()
         self._waiters: dict[int, _Waiter] = {}
         self._next = 0
@@ -44,7 +53,7 @@
         *,
         is_returned: bool,
         deadline: float,
-        has_room: Callable[[], bool],
+        has_room: Callable[[list[RunnerView]], bool],
         watch_gone: Callable[[Callable[[], None] | None], None],
     ) -> bool:
         """Wait for a free place; False when none came in time or the caller has left.
@@ -52,7 +61,7 @@
         Parameters
         ----------
         has_room : callable
-            Returns whether the request may be sent now.
+            Returns whether the request may be sent to one of some runners now.
         watch_gone : callable
             Sets what is called when the caller leaves.
         """
@@ -74,8 +83,9 @@
         """Send held requests while there is room, and give up those that waited too long."""
         for held in self._requests.expired(now()):
             self._wake(held, is_sent=False)
+        views = self._views()
         for held in self._requests.in_order()[:MOST_LOOKED_AT]:
-            if self._waiters[held.key].has_room():
+            if self._waiters[held.key].has_room(views):
                 # One request at a time, as its send changes what is known of the runners.
                 self._requests.on_sent(now())
                 self._wake(held, is_sent=True)
--- a/packages/wasabilb-entry/src/wasabilb_entry/placer.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/placer.py
@@ -2,7 +2,7 @@
 
 import math
 
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 from wasabilb_core.catalog import EngineSpec
 from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.overload import (
@@ -80,12 +80,17 @@
         """Return where a request is sent, or why it is refused."""
         engine = self.fleet.engine(demand.service)
         request = _to_route_request(demand, engine)
-        if engine is not None and demand.is_first:
-            refused = await self._admit(demand, request, engine, req)
-            if refused is not None:
-                return refused
         views = self.fleet.views(demand.service, request)
         chosen = self.fleet.choose(request, views)
+        if engine is not None and demand.is_first:
+            decision = self._decide(demand, request, engine, views, chosen)
+            if decision is Decision.REFUSE:
+                return self._overloaded(demand.service, len(views), "no runner begins it in time")
+            if decision is Decision.HOLD:
+                if not await self._hold(demand, request, req) and not req.is_gone:
+                    return self._overloaded(demand.service, len(views), "no place became free")
+                views = self.fleet.views(demand.service, request)
+                chosen = self.fleet.choose(request, views)
         placed = self.fleet.placement(demand.service, chosen) if chosen is not None else None
         if placed is not None:
             return placed
@@ -96,24 +101,21 @@
         """Return when a caller of a service should come back."""
         if self.fleet.engine(service) is None:
             return NO_RUNNER_RETURN_S
-        places = self._places(service)
-        return self._limit(service, places).return_after_s(len(places))
+        return self._return_after_s(service, len(self.fleet.views(service, RouteRequest())))
 
-    async def _admit(
+    def _decide(
         self,
         demand: Demand,
         request: RouteRequest,
         engine: EngineSpec,
-        req: ReceivedRequest,
-    ) -> Error | None:
-        """Wait until a request may be sent and return None, or why it is refused."""
+        views: list[RunnerView],
+        best: RunnerView | None,
+    ) -> Decision:
+        """Return what is done with a new request of a model, given the best runner now."""
         places = self._places(demand.service)
-        views = self.fleet.views(demand.service, request)
-        limit = self._limit(demand.service, places)
-        best = self.fleet.choose(request, views)
         wait_s = expected_wait_s(best) if best is not None else math.inf
         ends_s = ends_after_s(best, request) if best is not None else math.inf
-        decision = decide(
+        return decide(
             is_on_time=best is not None
             and begins_on_time(
                 wait_s=wait_s,
@@ -125,39 +127,45 @@
             wait_s=wait_s,
             is_returned=demand.is_returned,
             held=len(places),
-            limit=limit,
+            limit=self._limit(demand.service, len(views)),
         )
-        if decision is Decision.SEND:
-            return None
-        if decision is Decision.REFUSE:
-            return self._overloaded(limit, len(places), "no runner begins it in time")
-        is_sent = await places.wait(
+
+    async def _hold(self, demand: Demand, request: RouteRequest, req: ReceivedRequest) -> bool:
+        """Wait for a free place and return whether one was found."""
+
+        def has_room(views: list[RunnerView]) -> bool:
+            best = self.fleet.choose(request, views)
+            return best is not None and _has_room(best)
+
+        return await self._places(demand.service).wait(
             is_returned=demand.is_returned,
             deadline=demand.deadline,
-            has_room=lambda: self._finds_room(demand, request),
+            has_room=has_room,
             watch_gone=req.watch_gone,
         )
-        if is_sent or req.is_gone:
-            return None
-        limit = self._limit(demand.service, places)
-        return self._overloaded(limit, len(places), "no place became free")
 
-    def _finds_room(self, demand: Demand, request: RouteRequest) -> bool:
-        best = self.fleet.choose(request, self.fleet.views(demand.service, request))
-        return best is not None and _has_room(best)
+    def _limit(self, service: str, runners: int) -> HeldLimit:
+        lately = self._places(service).rate
+        return self.fleet.held_limit(service, runners=runners, lately=lately)
 
-    def _limit(self, service: str, places: HeldPlaces) -> HeldLimit:
-        return evolve(self.fleet.held_limit(service), lately=places.rate)
+    def _return_after_s(self, service: str, runners: int) -> float:
+        if not runners:
+            return NO_RUNNER_RETURN_S
+        return self._limit(service, runners).return_after_s(len(self._places(service)))
 
-    def _overloaded(self, limit: HeldLimit, held: int, reason: str) -> Error:
-        detail = f"{reason}: {limit.runners} runners, {held} held"
-        pause_s = limit.return_after_s(held) if limit.runners else NO_RUNNER_RETURN_S
-        return Error(kind=ErrorKind.OVERLOADED, detail=detail, retry_after_s=pause_s)
+    def _overloaded(self, service: str, runners: int, reason: str) -> Error:
+        return Error(
+            kind=ErrorKind.OVERLOADED,
+            detail=f"{reason}: {runners} runners, {len(self._places(service))} held",
+            retry_after_s=self._return_after_s(service, runners),
+        )
 
     def _places(self, service: str) -> HeldPlaces:
         places = self._held.get(service)
         if places is None:
-            places = self._held[service] = HeldPlaces()
+            places = self._held[service] = HeldPlaces(
+                views=lambda: self.fleet.views(service, RouteRequest())
+            )
         return places
 
 
--- /dev/null
+++ b/packages/wasabilb-node/src/wasabilb_node/_connection_pool.py
@@ -0,0 +1,118 @@
+"""Connections that are kept open between requests, by address."""
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Callable
+
+from tornado.iostream import StreamClosedError
+
+from wasabilb_node._kept_connection import Connection, KeptStream
+from wasabilb_node.clock import now
+
+# A round trip between the farthest hosts takes 12 ms; a lost opening packet is sent again after a
+# second, and the other runners are closer than that.
+CONNECT_TIMEOUT_S = 0.5
+# A peer whose host lost power acknowledges nothing. Unacknowledged data ends the connection after
+# this time, milliseconds; it is well above the sum of two retransmissions.
+USER_TIMEOUT_MS = 2_000
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+
+
+class ConnectError(OSError):
+    """No connection could be made, so nothing was sent."""
+
+
+class ConnectionPool:
+    """Kept connections by address.
+
+    Parameters
+    ----------
+    max_idle : int
+        Idle connections that are kept for one address.
+    on_open : callable or None
+        Called for each new connection.
+    """
+
+    def __init__(self, *, max_idle: int, on_open: Callable[[], None] | None = None) -> None:
+        self._max_idle = max_idle
+        self._idle: dict[str, deque[Connection]] = {}
+        self._on_open = on_open
+
+    async def acquire(self, address: str, *, timeout_s: float = CONNECT_TIMEOUT_S) -> Connection:
+        """Return a usable connection, a kept one when there is one.
+
+        Raises
+        ------
+        ConnectError
+            When no connection could be made in time.
+        """
+        conn = self._take(address)
+        return conn if conn is not None else await self._open(address, timeout_s)
+
+    def release(self, conn: Connection) -> None:
+        """Keep a connection whose answer was read to its end, or close it."""
+        idle = self._idle.setdefault(conn.address, deque())
+        if not conn.is_reusable or conn.stream.closed() or len(idle) >= self._max_idle:
+            conn.close()
+            return
+        conn.idle_since = now()
+        idle.append(conn)
+
+    def drop(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        for conn in self._idle.pop(address, ()):
+            conn.close()
+
+    def sweep(self) -> None:
+        """Close connections that were idle for too long; called once in a while."""
+        moment = now()
+        for address, idle in list(self._idle.items()):
+            while idle and moment - idle[0].idle_since > idle[0].idle_limit_s:
+                idle.popleft().close()
+            if not idle:
+                del self._idle[address]
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._idle):
+            self.drop(address)
+
+    def _take(self, address: str) -> Connection | None:
+        idle = self._idle.get(address)
+        moment = now()
+        while idle:
+            conn = idle.pop()
+            if moment - conn.idle_since <= conn.idle_limit_s and conn.stream.is_quiet:
+                return conn
+            conn.close()
+        return None
+
+    async def _open(self, address: str, timeout_s: float) -> Connection:
+        stream = KeptStream(_socket())
+        ip, _, port = address.rpartition(":")
+        try:
+            await asyncio.wait_for(stream.connect((ip, int(port))), timeout_s)
+        except (OSError, StreamClosedError, TimeoutError, ValueError) as exc:
+            stream.close()
+            raise ConnectError(f"{address}: {type(exc).__name__}") from exc
+        except asyncio.CancelledError:
+            stream.close()
+            raise
+        if self._on_open is not None:
+            self._on_open()
+        return Connection(address=address, stream=stream)
+
+
+def _socket() -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    return sock
--- /dev/null
+++ b/packages/wasabilb-node/src/wasabilb_node/_kept_connection.py
@@ -0,0 +1,211 @@
+"""One connection that stays open between requests, driven through tornado's own parser."""
+
+import asyncio
+import socket
+from collections.abc import Awaitable
+from enum import Enum, unique
+from typing import Protocol
+
+from attrs import define, field, frozen
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+
+# Servers of unknown idle timeout close after 10 s or more; the shortest announced one is 1 s.
+DEFAULT_IDLE_S = 5.0
+# Part of an announced idle timeout after which a connection is not used again, so that a request
+# does not cross the server's close.
+IDLE_SHARE = 0.7
+MAX_BODY_BYTES = 16 << 20
+MAX_HEADER_BYTES = 64 << 10
+READ_BYTES = 64 << 10
+
+
+class KeptStream(IOStream):
+    """A stream that may be idle between two requests."""
+
+    @property
+    def is_quiet(self) -> bool:
+        """Return whether the connection is open and the peer has sent nothing unasked.
+
+        The socket is looked at directly, because the event loop may not have read yet what
+        arrived a moment ago: the peer's close, or a second answer to an earlier request.
+        """
+        is_idle = not self.closed() and not self._read_buffer_size and not self.writing()
+        return is_idle and not has_input(self)
+
+
+def has_input(stream: IOStream) -> bool:
+    """Return whether the socket holds bytes, an error or the peer's close that wait to be read."""
+    if stream.closed():
+        return False
+    try:
+        stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
+class _ClientConnection(HTTP1Connection):
+    """Reads a body without a length piece by piece; the library reads it to its end at once."""
+
+    async def _read_body_until_close(self, delegate: HTTPMessageDelegate) -> None:
+        while True:
+            try:
+                chunk = await self.stream.read_bytes(READ_BYTES, partial=True)
+            except StreamClosedError:
+                return
+            taken = delegate.data_received(chunk)
+            if taken is not None:
+                await taken
+
+
+@frozen(kw_only=True)
+class Head:
+    """Status line and headers of an answer."""
+
+    status: int
+    reason: str
+    headers: HTTPHeaders
+
+
+class AnswerSink(Protocol):
+    """Takes one answer as it arrives."""
+
+    def is_expected(self, head: Head) -> bool:
+        """Return whether an answer belongs to the request; others are read and dropped."""
+
+    def on_head(self, head: Head) -> None:
+        """Take the status and the headers."""
+
+    def on_data(self, data: bytes) -> Awaitable[None] | None:
+        """Take a part of the body; an awaitable holds the next part back."""
+
+
+@unique
+class ReadEnd(Enum):
+    """How reading an answer ended."""
+
+    COMPLETE = "complete"
+    BROKEN = "broken"
+
+
+@define(kw_only=True, eq=False)
+class Connection:
+    """One kept connection."""
+
+    address: str
+    stream: KeptStream
+    idle_limit_s: float = DEFAULT_IDLE_S
+    idle_since: float = 0.0
+    is_reusable: bool = True
+    _http: HTTP1Connection | None = field(default=None)
+
+    def send(self, *, method: str, target: str, headers: HTTPHeaders, body: bytes) -> None:
+        """Write a request; the stream sends it in the background.
+
+        Raises
+        ------
+        StreamClosedError
+            When the connection is closed, so that nothing was written.
+        """
+        if self.stream.closed():
+            raise StreamClosedError
+        params = HTTP1ConnectionParameters(
+            max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_BODY_BYTES
+        )
+        http = _ClientConnection(self.stream, True, params)
+        self._http = http
+        written = http.write_headers(RequestStartLine(method, target, ""), headers, body or None)
+        written.add_done_callback(_retrieve)
+        http.finish()
+
+    async def read(self, sink: AnswerSink) -> ReadEnd:
+        """Read the answer to the request that was sent."""
+        if self._http is None:
+            raise RuntimeError("no request was sent on this connection")
+        while True:
+            delegate = _SinkDelegate(sink=sink)
+            try:
+                is_open = await self._http.read_response(delegate)
+            except StreamClosedError:
+                return self._broken()
+            if not delegate.is_finished:
+                return self._broken()
+            if delegate.is_foreign and is_open and not self.stream.closed():
+                # An extra answer to an earlier request; the awaited one follows it.
+                continue
+            if delegate.is_foreign:
+                return self._broken()
+            return self._end(delegate)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.is_reusable = False
+        self.stream.close()
+
+    def _end(self, delegate: "_SinkDelegate") -> ReadEnd:
+        headers = delegate.headers
+        is_framed = "Content-Length" in headers or "Transfer-Encoding" in headers
+        if not is_framed and delegate.has_body:
+            # The end of the connection ends such a body, and only a clean end makes it whole.
+            return ReadEnd.COMPLETE if self.stream.error is None else self._broken()
+        if headers.get("Connection", "").lower() == "close" or self.stream.closed():
+            self.is_reusable = False
+        self.idle_limit_s = _idle_limit_s(headers.get("Keep-Alive", ""))
+        return ReadEnd.COMPLETE
+
+    def _broken(self) -> ReadEnd:
+        self.close()
+        return ReadEnd.BROKEN
+
+
+def _retrieve(fut: "asyncio.Future[None]") -> None:
+    """Mark a failed write as seen; the reader of the answer finds the closed stream."""
+    if not fut.cancelled():
+        fut.exception()
+
+
+def _idle_limit_s(keep_alive: str) -> float:
+    for part in keep_alive.split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.strip().isdigit():
+            return int(value) * IDLE_SHARE
+    return DEFAULT_IDLE_S
+
+
+class _SinkDelegate(HTTPMessageDelegate):
+    """Passes one message from the library to a sink."""
+
+    def __init__(self, *, sink: AnswerSink) -> None:
+        self._sink = sink
+        self.headers = HTTPHeaders()
+        self.is_finished = False
+        self.is_foreign = False
+        self.has_body = False
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        assert isinstance(start_line, ResponseStartLine)
+        if start_line.code < 200:
+            return
+        self.headers = headers
+        head = Head(status=start_line.code, reason=start_line.reason, headers=headers)
+        self.has_body = start_line.code not in (204, 304)
+        self.is_foreign = not self._sink.is_expected(head)
+        if not self.is_foreign:
+            self._sink.on_head(head)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        return None if self.is_foreign else self._sink.on_data(chunk)
+
+    def finish(self) -> None:
+        self.is_finished = True
--- /dev/null
+++ b/packages/wasabilb-node/src/wasabilb_node/followed_state.py
@@ -0,0 +1,138 @@
+"""What a process knows from published items: catalog, runners and named versions of weights."""
+
+from collections.abc import Callable
+
+from wasabilb_core.catalog import Catalog, EngineSpec, WeightTarget
+from wasabilb_core.directory import Runner, RunnerDirectory
+from wasabilb_core.named_versions import NamedVersions
+from wasabilb_core.published import Item, PublishedState
+
+from wasabilb_node.clock import now
+from wasabilb_node.logs import EventLog
+from wasabilb_node.published_sync import PublishedDecoder
+
+
+class FollowedState:
+    """Turns published items into beliefs and logs each one that changes.
+
+    Parameters
+    ----------
+    items : PublishedState
+        The published items.
+    decoder : PublishedDecoder
+        Reads published items.
+    log : EventLog
+        One line for each changed belief.
+    on_catalog : callable or None
+        Called with each catalog that comes into force.
+    on_runner_gone : callable or None
+        Called with the id of each runner that is gone for good.
+    """
+
+    def __init__(
+        self,
+        *,
+        items: PublishedState,
+        decoder: PublishedDecoder,
+        log: EventLog,
+        on_catalog: Callable[[Catalog], None] | None = None,
+        on_runner_gone: Callable[[str], None] | None = None,
+    ) -> None:
+        self.catalog: Catalog | None = None
+        self.directory = RunnerDirectory()
+        self._items = items
+        self._decoder = decoder
+        self._log = log
+        self._on_new_catalog = on_catalog
+        self._on_runner_gone = on_runner_gone
+        self._named: dict[str, NamedVersions] = {}
+
+    @property
+    def revision(self) -> int:
+        """Return the revision up to which every item is known."""
+        return self._items.revision
+
+    def engine(self, service: str) -> EngineSpec | None:
+        """Return how the engines of a service work, None for a plain or unknown one."""
+        found = self.catalog.services.get(service) if self.catalog is not None else None
+        return found.engine if found is not None else None
+
+    def named(self, model: str) -> NamedVersions | None:
+        """Return the named versions of a model's weights, None before the first one."""
+        return self._named.get(model)
+
+    def outdated_s(self, model: str, version: int) -> float:
+        """Return for how long a newer version than this one has been named, seconds.
+
+        Returns minus infinity when there is none.
+        """
+        named = self._named.get(model)
+        return named.named_for_s(version, now()) if named is not None else float("-inf")
+
+    def take(self, items: list[Item]) -> None:
+        """Take changed items, in order of their revisions."""
+        # What a process finds at its start may have been named long before.
+        is_first = self.catalog is None
+        for item in items:
+            runner_id = self._decoder.runner_id(item.name)
+            value = self._decoder.decode(item) if item.body is not None else None
+            if isinstance(value, Catalog):
+                self._on_catalog(value, item.revision)
+            elif isinstance(value, WeightTarget):
+                self._on_target(value, item.revision, is_old=is_first)
+            elif isinstance(value, Runner):
+                self._on_runner(value, item.revision)
+            elif runner_id is not None:
+                if self.directory.on_removed(runner_id, now()):
+                    self._forget(runner_id, f"revision {item.revision}")
+            elif item.body is not None:
+                self._log.event("published_unusable", name=item.name, revision=item.revision)
+
+    def on_platform(self, is_up: bool) -> None:
+        """Note whether the platform answers; entries may expire while it does not."""
+        if is_up:
+            self.directory.on_platform_regained(now())
+        else:
+            self.directory.on_platform_lost()
+
+    def expire(self) -> None:
+        """Forget the runners whose entries did not come back; called once a heartbeat."""
+        for runner_id in self.directory.expire(now()):
+            self._forget(runner_id, "its entry did not come back")
+
+    def _on_catalog(self, catalog: Catalog, revision: int) -> None:
+        if self.catalog is not None and catalog.version <= self.catalog.version:
+            return
+        self.catalog = catalog
+        self._log.event(
+            "catalog_accepted",
+            catalog=catalog.version,
+            revision=revision,
+            routes=len(catalog.routes),
+            accounts=len(catalog.accounts),
+        )
+        if self._on_new_catalog is not None:
+            self._on_new_catalog(catalog)
+
+    def _on_target(self, target: WeightTarget, revision: int, *, is_old: bool) -> None:
+        named = self._named.setdefault(target.model, NamedVersions())
+        named.on_named(target.version, now(), is_old=is_old)
+        self._log.event(
+            "weights_named", model=target.model, version=target.version, revision=revision
+        )
+
+    def _on_runner(self, runner: Runner, revision: int) -> None:
+        self.directory.on_listed(runner)
+        self._log.event(
+            "runner_listed",
+            runner=runner.id,
+            service=runner.service,
+            address=runner.address,
+            is_leaving=runner.is_draining,
+            revision=revision,
+        )
+
+    def _forget(self, runner_id: str, reason: str) -> None:
+        self._log.event("runner_gone", runner=runner_id, reason=reason)
+        if self._on_runner_gone is not None:
+            self._on_runner_gone(runner_id)
