Finish a version that is mostly there before the next one is begun

Cause: a host dropped the version under way as soon as a newer one was named. Ruled out: the waves (all orders fell within 0.4 s once chunks were there), the platform's list. Change: version_steps decides what is fetched and what is loaded; one lock keeps staging and orders of two versions apart, and reading back what is staged marks whose chunks lie there. A model of one host gains the 3 s between the two namings less one load.

--- a/features/published_state.feature
+++ b/features/published_state.feature
@@ -75,3 +75,17 @@
     Then the agent still knows which runner it reports
     When an entry with a later start is listed at the same address
     Then the agent reports the later one
+
+  Scenario: A version is named while the one before it is on its way
+    Guards against a host that starts over with each newer version, so that its runner has none that
+    may answer while the store of the newest one is away.
+    Given a link that takes 4.2 s for a version and a runner whose versions are good for 8 s
+    When a version is named at 0 s, the next one at 3 s, and its store is away from 2.5 s to 8.5 s
+    Then the runner answers longer than one whose host fetches the newest alone, by 3 s less a load
+    And it answers nothing for at most 4 s
+
+  Scenario: A version is named right after another one
+    Guards against a host that fetches and loads a version that is out of date before it is of use.
+    Given a link that takes 4.2 s for a version and a runner whose versions are good for 8 s
+    When a version is named at 0 s, the next one at 0.5 s, and its store is never away
+    Then the runner loads the newer one only and answers all the time but for the load
--- a/features/steps/published_state_steps.py
+++ b/features/steps/published_state_steps.py
@@ -1,5 +1,6 @@
 """Steps about published state, the directory of runners, versions and reload waves."""
 
+import math
 import random
 
 from behave import given, then, when
@@ -8,7 +9,8 @@
 from wasabilb_core.directory import Runner, RunnerDirectory
 from wasabilb_core.named_versions import NamedVersions
 from wasabilb_core.published import Item, PublishedState
-from wasabilb_core.reload_waves import WaveMember, is_easing, may_reload
+from wasabilb_core.reload_waves import LATEST_ORDER, WaveMember, is_easing, may_reload
+from wasabilb_core.version_steps import NamedVersion, version_to_fetch, version_to_load
 from wasabilb_node.followed_state import FollowedState
 from wasabilb_node.logs import EventLog
 
@@ -239,3 +241,113 @@
 @then("the agent reports the later one")
 def step_own_is_later(context):
     assert context.model_fleet.own().born_ms == 2
+
+
+# A runner is not used any more so long before the bound, and takes so long to load.
+UNUSED_S, LOAD_S = 0.9, 0.5
+STEP_S = 0.1
+
+
+class OneHost:
+    """A host in the second wave whose link brings one version at a time."""
+
+    def __init__(self, *, link_s, bound_s, named, away, fetch):
+        self.link_s, self.bound_s, self.named, self.away = link_s, bound_s, named, away
+        self.fetch = fetch
+        self.share = dict.fromkeys(named, 0.0)
+        self.held, self.loads, self.answering_s, self.idle_s = 1, [], 0.0, 0.0
+        self.loading_until = 0.0
+
+    def outdated_s(self, version, now):
+        newer = [at for other, at in self.named.items() if other > version and at <= now]
+        return now - min(newer) if newer else -math.inf
+
+    def versions(self, now):
+        return [
+            NamedVersion(
+                number=number,
+                share=self.share[number],
+                is_ready=self.share[number] >= 1,
+                outdated_s=self.outdated_s(number, now),
+            )
+            for number, at in self.named.items()
+            if at <= now and number > self.held
+        ]
+
+    def play(self, seconds):
+        for step in range(round(seconds / STEP_S)):
+            self.step(step * STEP_S)
+        return self
+
+    def step(self, now):
+        versions = self.versions(now)
+        wanted = self.fetch(versions, bound_s=self.bound_s)
+        # Every chunk of the first version is with some peer before its store is gone.
+        is_there = wanted == min(self.named) or not self.away[0] <= now < self.away[1]
+        if wanted is not None and is_there:
+            self.share[wanted] += STEP_S / self.link_s
+        number = version_to_load(versions, bound_s=self.bound_s)
+        is_turn = self.outdated_s(self.held, now) >= LATEST_ORDER[1] * self.bound_s
+        if number is not None and is_turn and now >= self.loading_until:
+            self.held, self.loading_until = number, now + LOAD_S
+            self.loads.append(number)
+        is_usable = self.outdated_s(self.held, now) < self.bound_s - UNUSED_S
+        if is_usable and now >= self.loading_until:
+            self.answering_s += STEP_S
+        else:
+            self.idle_s += STEP_S
+
+
+def newest_only(versions, *, bound_s):
+    return max((version.number for version in versions), default=None)
+
+
+@given(
+    "a link that takes {link:g} s for a version and a runner whose versions are good for "
+    "{bound:g} s"
+)
+def step_link(context, link, bound):
+    context.link_s, context.bound_s = link, bound
+
+
+def play_both(context, second, away):
+    names = {"link_s": context.link_s, "bound_s": context.bound_s, "away": away}
+    named = {2: 0.0, 3: second}
+    context.stepwise, context.newest = (
+        OneHost(named=named, fetch=fetch, **names).play(20.0)
+        for fetch in (version_to_fetch, newest_only)
+    )
+
+
+@when(
+    "a version is named at 0 s, the next one at {second:g} s, and its store is away from {off:g} s "
+    "to {on:g} s"
+)
+def step_named_away(context, second, off, on):
+    play_both(context, second, (off, on))
+
+
+@when("a version is named at 0 s, the next one at {second:g} s, and its store is never away")
+def step_named_there(context, second):
+    play_both(context, second, (math.inf, math.inf))
+
+
+@then(
+    "the runner answers longer than one whose host fetches the newest alone, by {second:g} s "
+    "less a load"
+)
+def step_answers_more(context, second):
+    gained = context.stepwise.answering_s - context.newest.answering_s
+    least = second - LOAD_S - STEP_S / 2
+    assert gained >= least, (context.stepwise.answering_s, context.newest.answering_s)
+
+
+@then("it answers nothing for at most {most:g} s")
+def step_idle(context, most):
+    assert context.stepwise.idle_s <= most, context.stepwise.idle_s
+
+
+@then("the runner loads the newer one only and answers all the time but for the load")
+def step_newer_only(context):
+    assert context.stepwise.loads == [3], context.stepwise.loads
+    assert context.stepwise.idle_s <= LOAD_S + STEP_S, context.stepwise.idle_s
--- a/packages/wasabilb-agent/src/wasabilb_agent/_model_fleet.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_model_fleet.py
@@ -47,14 +47,21 @@
         self._links_port = links_port
         self._own: Runner | None = None
 
-    def wanted(self) -> Variant | None:
-        """Return the newest version of the model, None before the catalog is known."""
+    @property
+    def model(self) -> str:
+        """Return the model's name, empty before the catalog is known."""
         engine = self._published.engine(self._service)
-        if engine is None or not engine.model:
-            return None
-        named = self._published.named(engine.model)
-        version = max(FIRST_VERSION, named.newest if named is not None else 0)
-        return Variant(model=engine.model, adapter="", version=str(version))
+        return engine.model if engine is not None else ""
+
+    def variant(self, version: int) -> Variant:
+        """Return a version of the model."""
+        return Variant(model=self.model, adapter="", version=str(version))
+
+    def versions_above(self, held: int) -> list[int]:
+        """Return the versions that a runner may be brought to, in order, given what it holds."""
+        named = self._published.named(self.model)
+        known = [FIRST_VERSION, *(named.newer_than(FIRST_VERSION) if named is not None else [])]
+        return [version for version in known if version > held]
 
     @property
     def layers(self) -> int:
--- a/packages/wasabilb-agent/src/wasabilb_agent/_version_loads.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_version_loads.py
@@ -1,10 +1,14 @@
-"""Orders a runner to load the wanted version, when its weights are staged and its turn has come."""
+"""Brings the runner on a host to the newest version: fetch, stage, order, one step at a time."""
 
+import asyncio
 from typing import Any
 
-from returns.result import Failure
+from returns.result import Failure, Result
+from wasabilb_core.assembly import ChunkAssembly
+from wasabilb_core.errors import Error
 from wasabilb_core.reload_waves import is_easing, may_reload
 from wasabilb_core.tickets import Variant
+from wasabilb_core.version_steps import NamedVersion, version_to_fetch, version_to_load
 from wasabilb_node.clock import now
 from wasabilb_node.followed_state import FollowedState
 from wasabilb_node.logs import EventLog
@@ -19,7 +23,7 @@
 
 
 class VersionLoads:
-    """Brings the runner on this host to the wanted version.
+    """Decides which version is fetched and orders loads when their turn has come.
 
     Parameters
     ----------
@@ -31,8 +35,6 @@
         The runner on this host.
     staging : Staging
         Chunks that lie beside it.
-    transfers : ChunkTransfers
-        Versions that are whole on this host.
     version_s : float
         Time within which a named version must be in force.
     log : EventLog
@@ -46,7 +48,6 @@
         published: FollowedState,
         runner: ModelRunner,
         staging: Staging,
-        transfers: ChunkTransfers,
         version_s: float,
         log: EventLog,
     ) -> None:
@@ -54,71 +55,102 @@
         self._published = published
         self._runner = runner
         self._staging = staging
-        self._transfers = transfers
         self._version_s = version_s
         self._log = log
+        self._held = 0
         self._ordered: Variant | None = None
         self._ordered_at = float("-inf")
+        # One version of the model can be staged at a time, and an order takes what is staged.
+        self._stage = asyncio.Lock()
 
     def on_restart(self) -> None:
         """Order at once, as the runner has lost what it was told."""
         self._ordered_at = float("-inf")
 
-    async def reconcile(self, state: RunnerState) -> None:
-        """Order the load of the wanted version if nothing stands against it."""
-        wanted = self._fleet.wanted()
-        if wanted is None:
-            return
-        if state.holds_all(self._fleet.layers) and state.version >= int(wanted.version):
-            self._confirm(wanted)
+    async def hand_over(self, assembly: ChunkAssembly) -> Result[None, Error]:
+        """Stage a whole version, once no order reads what is staged."""
+        async with self._stage:
+            return await self._staging.hand_over(assembly)
+
+    def fetch(self, transfers: ChunkTransfers) -> None:
+        """Fetch the next version, and keep the newest whole one while peers may need it.
+
+        A host whose runner holds the newest version serves it to peers all the same.
+        """
+        if not self._fleet.model:
             return
-        is_recent = self._ordered == wanted and now() - self._ordered_at < ORDER_RETRY_S
-        if state.is_busy or is_recent or wanted not in self._transfers.held:
+        bound_s = self._version_s
+        versions = self._versions(transfers, above=0)
+        newer = [version for version in versions if version.number > self._held]
+        wanted = {
+            version_to_fetch(newer, bound_s=bound_s) or versions[-1].number,
+            version_to_load(versions, bound_s=bound_s),
+        }
+        transfers.set_wanted({self._fleet.variant(n): n for n in wanted if n is not None})
+
+    async def reconcile(self, state: RunnerState, transfers: ChunkTransfers) -> None:
+        """Order the load of the next version if nothing stands against it."""
+        self._held = state.version if state.holds_all(self._fleet.layers) else 0
+        self._confirm()
+        versions = self._versions(transfers, above=self._held)
+        number = version_to_load(versions, bound_s=self._version_s)
+        if number is None or state.is_busy or self._stage.locked():
             return
-        if self._may_reload(wanted, state):
-            await self._load(wanted, state)
+        target = self._fleet.variant(number)
+        is_recent = self._ordered == target and now() - self._ordered_at < ORDER_RETRY_S
+        assembly = transfers.assembly(target)
+        if assembly is not None and not is_recent and self._may_reload(number, state):
+            async with self._stage:
+                await self._load(target, assembly, state)
 
     def is_easing(self, state: RunnerState) -> bool:
         """Return whether the runner should get less to do, as it is soon ordered to load."""
-        wanted, own = self._fleet.wanted(), self._fleet.own()
-        if wanted is None or own is None or not 0 < state.version < int(wanted.version):
+        own = self._fleet.own()
+        if own is None or not state.version or not self._fleet.versions_above(state.version):
             return False
         return is_easing(
             name=own.id,
             members=self._fleet.members(),
-            named_s=self._published.outdated_s(wanted.model, state.version),
+            named_s=self._published.outdated_s(self._fleet.model, state.version),
             bound_s=self._version_s,
         )
 
-    def _may_reload(self, wanted: Variant, state: RunnerState) -> bool:
+    def _versions(self, transfers: ChunkTransfers, *, above: int) -> list[NamedVersion]:
+        model = self._fleet.model
+        return [
+            NamedVersion(
+                number=number,
+                share=transfers.share(self._fleet.variant(number)),
+                is_ready=self._fleet.variant(number) in transfers.held,
+                outdated_s=self._published.outdated_s(model, number),
+            )
+            for number in self._fleet.versions_above(above)
+        ]
+
+    def _may_reload(self, number: int, state: RunnerState) -> bool:
         own = self._fleet.own()
-        is_named = self._published.named(wanted.model) is not None
+        is_named = self._published.named(self._fleet.model) is not None
         if own is None or state.version == 0 or not is_named:
             return True
         return may_reload(
             name=own.id,
             members=self._fleet.members(),
-            version=int(wanted.version),
-            named_s=self._published.outdated_s(wanted.model, state.version),
+            version=number,
+            named_s=self._published.outdated_s(self._fleet.model, state.version),
             bound_s=self._version_s,
         )
 
-    async def _load(self, wanted: Variant, state: RunnerState) -> None:
-        assembly = self._transfers.assembly(wanted)
-        if assembly is None:
-            return
-        names: dict[str, Any] = {"model": wanted.model, "version": wanted.version, "order": "load"}
-        self._ordered, self._ordered_at = wanted, now()
+    async def _load(self, target: Variant, assembly: ChunkAssembly, state: RunnerState) -> None:
+        names: dict[str, Any] = {"model": target.model, "version": target.version, "order": "load"}
+        self._ordered, self._ordered_at = target, now()
         intact = await self._staging.is_intact(assembly)
         if isinstance(intact, Failure):
             self._log.event("order_refused", **names, detail=intact.failure().detail)
             return
-        if self._fleet.wanted() != wanted:
-            return
         self._ordered_at = now()
         answer = await self._runner.load(
-            wanted.model,
-            int(wanted.version),
+            target.model,
+            int(target.version),
             fence=self._published.revision,
             orders=state.orders,
         )
@@ -129,7 +161,9 @@
         else:
             self._log.event("order_refused", **names, detail=answer.unwrap().value)
 
-    def _confirm(self, wanted: Variant) -> None:
-        if self._ordered == wanted:
+    def _confirm(self) -> None:
+        if self._ordered is not None and self._held >= int(self._ordered.version):
+            self._log.event(
+                "version_ready", model=self._ordered.model, version=self._ordered.version
+            )
             self._ordered = None
-            self._log.event("version_ready", model=wanted.model, version=wanted.version)
--- a/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
@@ -150,6 +150,14 @@
             on_platform=self._published.on_platform,
             reads_first=False,
         )
+        self._loads = VersionLoads(
+            fleet=self._fleet,
+            published=self._published,
+            runner=self._runner,
+            staging=staging,
+            version_s=cfg.version_s,
+            log=self.log,
+        )
         spec = HostSpec(
             name=own.host,
             role=HostRole.BACKEND.value,
@@ -162,22 +170,13 @@
             participants=ListedParticipants(own=spec, listed=self._fleet.hosts, links=self._links),
             links=self._links,
             store=weights(self._pool, lambda: self._fleet.origin_address),
-            hand_over=staging.hand_over,
+            hand_over=self._loads.hand_over,
             log=self.log,
             metrics=Metrics(address="", role="agent", host=own.host, log=self.log),
             rng=rng,
             preload=staging.preload,
             limits=TRANSFER_LIMITS,
         )
-        self._loads = VersionLoads(
-            fleet=self._fleet,
-            published=self._published,
-            runner=self._runner,
-            staging=staging,
-            transfers=self._transfers,
-            version_s=cfg.version_s,
-            log=self.log,
-        )
         self._reports = RunnerReports(links=self._links)
         self._state: RunnerState | None = None
         self._is_reachable: bool | None = None
@@ -222,10 +221,8 @@
             await asyncio.sleep(max(0.0, REPORT_S - (now() - started)))
 
     async def _step(self) -> None:
-        wanted = self._fleet.wanted()
-        if wanted is not None:
-            # Before the runner answers, too: a new host fetches while its engine starts.
-            self._transfers.set_wanted({wanted: int(wanted.version)})
+        # Before the runner answers, too: a new host fetches while its engine starts.
+        self._loads.fetch(self._transfers)
         found = await self._runner.state()
         if isinstance(found, Failure):
             self._set_reachable(False, found.failure().detail)
@@ -238,7 +235,7 @@
             self._loads.on_restart()
         self._state = state
         self._report(state)
-        await self._loads.reconcile(state)
+        await self._loads.reconcile(state, self._transfers)
 
     def _set_reachable(self, is_up: bool, detail: str = "") -> None:
         if self._is_reachable is is_up:
--- a/packages/wasabilb-agent/src/wasabilb_agent/staging.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/staging.py
@@ -67,6 +67,7 @@
         before each order.
         """
         manifest = assembly.manifest
+        self._follow(manifest)
         for index in range(len(manifest.chunks)):
             checked = await self._check(assembly, index)
             if isinstance(checked, Failure):
--- a/packages/wasabilb-agent/src/wasabilb_agent/transfer.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/transfer.py
@@ -153,6 +153,13 @@
         job = self._jobs.get(variant)
         return job.transfer.assembly if job is not None and job.transfer is not None else None
 
+    def share(self, variant: Variant) -> float:
+        """Return the share of a variant's chunks that are verified on this host."""
+        assembly = self.assembly(variant)
+        if assembly is None:
+            return 0.0
+        return assembly.planner.have.bit_count() / len(assembly.manifest.chunks)
+
     def on_tick(self) -> None:
         """Take note of live traffic; called once a heartbeat."""
         entries = [p for p in self._links.peers() if p.hello.role == HostRole.ENTRY.value]
--- a/packages/wasabilb-core/src/wasabilb_core/named_versions.py
+++ b/packages/wasabilb-core/src/wasabilb_core/named_versions.py
@@ -18,6 +18,10 @@
         """Return the newest named version, 0 for none."""
         return max(self._heard, default=0)
 
+    def newer_than(self, held: int) -> list[int]:
+        """Return the named versions above a held one, in order."""
+        return sorted(version for version in self._heard if version > held)
+
     def on_named(self, version: int, now: float, *, is_old: bool) -> None:
         """Take a named version.
 
