Close half-sent and idle connections before callers are refused

Cause: the header's time of the settings was read by nobody, and at the bound a connection was closed without an answer or a log line; 3,000 half-sent headers kept an entry process from serving anyone. Change: GuardedServer, used by both entry processes: a header has its time, at the bound half-sent and idle connections give way, the oldest first, and a caller for whom none can gets 503 and a log line. Ruled out: the library's own time-out, which starts with the end of the last answer. Figures: 60 half-sent headers at 20 places: 40 of 40 requests served, none of the 60 open after the time.

--- a/features/direct_forwarding.feature
+++ b/features/direct_forwarding.feature
@@ -93,3 +93,19 @@
     And runners that answer and then answer
     When five callers send a request each and close their connections
     Then the entry process counts no open connection
+
+  Scenario: Half-sent and idle connections give way
+    # Guards against callers that are shut out by connections on which nothing happens.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that answer and then answer
+    When 60 connections send half a header each to an entry process with places for 20
+    And 40 callers send a short request each
+    Then all 40 are answered
+    And no half-sent connection is open after the header's time
+
+  Scenario: A caller for whom no connection gives way
+    # Guards against a connection that is closed without an answer or a log line.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that wait without an answer and then answer
+    When an entry process with places for 1 has a request under way there
+    Then another connection gets 503 with the time to come back
--- a/features/steps/direct_forwarding_steps.py
+++ b/features/steps/direct_forwarding_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 from forwarding_stage import KEY, PATHS, Stage, request
 from scripted_runner import BODY, EVENTS
+from wasabilb_core.catalog import CallerLimits
 from wasabilb_node.clock import now
 
 
@@ -32,9 +33,9 @@
         body += data[:-2]
 
 
-def play(context, coroutine_of):
+def play(context, coroutine_of, **changes):
     async def run():
-        async with Stage(context.behaviours) as stage:
+        async with Stage(context.behaviours, **changes) as stage:
             context.stage = stage
             return await asyncio.wait_for(coroutine_of(stage), 10)
 
@@ -246,3 +247,70 @@
 @then("the entry process counts no open connection")
 def none_open(context):
     assert context.result == 0, context.result
+
+
+HEADER_TIMEOUT_S = 0.4
+
+
+@when(
+    "{count:d} connections send half a header each to an entry process with places for {places:d}"
+)
+def half_headers(context, count, places):
+    context.half_sent, context.places = count, places
+
+
+@when("{count:d} callers send a short request each")
+def short_requests(context, count):
+    async def send(stage):
+        stage.server.on_limits(CallerLimits(header_timeout_s=HEADER_TIMEOUT_S))
+        half = [await stage.connect() for _ in range(context.half_sent)]
+        for _, writer in half:
+            writer.write(request(PATHS["idempotent"])[:30])
+        await asyncio.sleep(0.1)
+        numbers = range(count)
+        statuses = [
+            (await ask(stage, request(PATHS["idempotent"], request_id=f"q-{number}")))[0]
+            for number in numbers
+        ]
+        for _ in range(10):
+            await asyncio.sleep(HEADER_TIMEOUT_S / 5)
+            stage.server.sweep()
+        await asyncio.sleep(0.1)
+        left = stage.server.connections
+        for _, writer in half:
+            writer.close()
+        return statuses, left
+
+    play(context, send, connections=context.places)
+
+
+@then("all {count:d} are answered")
+def all_answered(context, count):
+    assert context.result[0] == [200] * count, context.result[0]
+
+
+@then("no half-sent connection is open after the header's time")
+def none_half_sent(context):
+    assert context.result[1] == 0, context.result[1]
+
+
+@when("an entry process with places for {places:d} has a request under way there")
+def places_taken(context, places):
+    async def send(stage):
+        taken = [await stage.connect() for _ in range(places)]
+        for number, (_, writer) in enumerate(taken):
+            writer.write(request(PATHS["at-most-once"], request_id=f"q-{number}"))
+        await asyncio.sleep(0.1)
+        reader, writer = await stage.connect()
+        found = await read_answer(reader)
+        for _, other in [*taken, (reader, writer)]:
+            other.close()
+        return found
+
+    play(context, send, connections=places)
+
+
+@then("another connection gets 503 with the time to come back")
+def other_refused(context):
+    status, head, _, is_whole = context.result
+    assert status == 503 and is_whole and "Retry-After" in head, head
--- a/features/steps/forwarding_stage.py
+++ b/features/steps/forwarding_stage.py
@@ -106,7 +106,8 @@
 class Stage:
     """A forwarder in front of scripted runners, on loopback."""
 
-    def __init__(self, behaviours):
+    def __init__(self, behaviours, *, connections=100):
+        self.connections = connections
         # One script for all runners: the first send plays the first behaviour wherever it goes.
         self.runners = [ScriptedRunner(behaviours) for _ in range(2 if behaviours else 0)]
         for other in self.runners[1:]:
@@ -149,7 +150,9 @@
             rng=rng,
             salt=SALT,
         )
-        self.server = CallerServer(on_request=forwarder.on_request)
+        self.server = CallerServer(
+            on_request=forwarder.on_request, log=log, connections=self.connections
+        )
         sockets = self.server.listen("127.0.0.1:0")
         self.port = sockets[0].getsockname()[1]
         return self
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -117,6 +117,7 @@
     "order_refused": _spec("The engine refused an order.", "ticket order model version detail"),
     "version_ready": _spec("The engine confirmed the version.", "ticket model version"),
     # Requests
+    "connection_refused": _spec("A caller's connection found no place and got 503.", "connections"),
     "request_done": _spec(
         "The last byte of an answer was sent, or the answer ended early.",
         "request account kind model version service host status outcome error tokens "
--- a/packages/wasabilb-entry/src/wasabilb_entry/caller_connection.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/caller_connection.py
@@ -6,7 +6,6 @@
 from http.client import responses
 
 from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -20,8 +19,14 @@
 from wasabilb_core.catalog import CallerLimits
 from wasabilb_node.clock import now
 from wasabilb_node.http_client import has_input
+from wasabilb_node.logs import EventLog
+
+from wasabilb_entry.guarded_server import ConnectionLimits, GuardedServer
 
 LISTEN_BACKLOG = 1024
+# Connections of callers on one entry host: three quarters of the smallest known bound on open
+# files, 4,100; the rest is for runners and peers.
+MAX_CONNECTIONS = 3_000
 
 
 class ReceivedRequest:
@@ -151,19 +156,6 @@
         )
 
 
-class _Server(HTTPServer):
-    """Tells of closed connections, which the library keeps to itself."""
-
-    # Set after the construction, whose arguments are the library's.
-    on_closed: Callable[[object], None] | None = None
-
-    def on_close(self, server_conn: object) -> None:
-        """Forget a closed connection and pass the news on."""
-        super().on_close(server_conn)
-        if self.on_closed is not None:
-            self.on_closed(server_conn)
-
-
 class CallerServer(HTTPServerConnectionDelegate):
     """Accepts callers' connections.
 
@@ -171,13 +163,28 @@
     ----------
     on_request : callable
         Called with each whole request; it sees to the answer.
+    log : EventLog
+        One line for each connection that finds no place.
+    connections : int
+        Bound on open connections.
     """
 
-    def __init__(self, *, on_request: Callable[[ReceivedRequest], None]) -> None:
+    def __init__(
+        self,
+        *,
+        on_request: Callable[[ReceivedRequest], None],
+        log: EventLog,
+        connections: int = MAX_CONNECTIONS,
+    ) -> None:
         self._on_request = on_request
+        self._connections = connections
         self._open: dict[object, _RequestDelegate] = {}
-        self._server = _Server(self)
-        self._server.on_closed = self.on_close
+        self._server = GuardedServer(self)
+        self._server.guard(
+            self._guard_limits(CallerLimits()),
+            on_refused=lambda count: log.event("connection_refused", connections=count),
+            on_closed=self.on_close,
+        )
         self.on_limits(CallerLimits())
 
     @property
@@ -199,6 +206,17 @@
         params.max_body_size = limits.body_bytes
         # The library waits for a header from the end of the last answer on, idle time included.
         params.header_timeout = limits.idle_timeout_s
+        params.body_timeout = limits.idle_timeout_s
+        self._server.on_limits(self._guard_limits(limits))
+
+    def _guard_limits(self, limits: CallerLimits) -> ConnectionLimits:
+        return ConnectionLimits(
+            connections=self._connections, header_timeout_s=limits.header_timeout_s
+        )
+
+    def sweep(self) -> None:
+        """Close connections whose header takes too long; called about once a second."""
+        self._server.sweep()
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -164,7 +164,7 @@
             rng=self._rng,
             salt=salt,
         )
-        self._callers = CallerServer(on_request=self._forwarder.on_request)
+        self._callers = CallerServer(on_request=self._forwarder.on_request, log=self.log)
         self._is_draining = False
         # Called once a heartbeat, for what may change without a signal.
         self.on_tick: list[Callable[[], None]] = []
@@ -238,6 +238,7 @@
             self._sync.beat(self._cfg.links_address)
             self._published.expire()
             self._pool.sweep()
+            self._callers.sweep()
             for callback in self.on_tick:
                 callback()
             await asyncio.sleep(HEARTBEAT_S)
--- a/packages/wasabilb-entry/src/wasabilb_entry/process.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/process.py
@@ -10,7 +10,6 @@
 import tornado.web
 from returns.result import Failure, Result
 from tornado.httpserver import HTTPServer
-from tornado.iostream import IOStream
 from tornado.routing import Rule
 from wasabilb_core.accounts import KeyCheck
 from wasabilb_core.admission import Admission, AdmissionOptions
@@ -35,6 +34,7 @@
 from wasabilb_entry.attempt_watch import AttemptWatch
 from wasabilb_entry.attempts import AttemptTable
 from wasabilb_entry.entry import Entry
+from wasabilb_entry.guarded_server import ConnectionLimits, GuardedServer
 from wasabilb_entry.model_requests import ModelRouter
 from wasabilb_entry.service_requests import ServiceRouter
 from wasabilb_entry.usage import UsageExchange
@@ -50,26 +50,6 @@
 SERVICE_ROUTING = "least_in_flight"
 
 
-class CallerServer(HTTPServer):
-    """HTTP server with a bound on its open connections."""
-
-    max_connections = 0
-    open_connections = 0
-
-    def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
-        """Serve a connection, or close it when too many are open."""
-        if self.open_connections >= self.max_connections:
-            stream.close()
-            return
-        self.open_connections += 1
-        super().handle_stream(stream, address)
-
-    def on_close(self, server_conn: object) -> None:
-        """Count a closed connection."""
-        self.open_connections -= 1
-        super().on_close(server_conn)
-
-
 class EntryProcess:
     """One entry process.
 
@@ -194,9 +174,9 @@
             max_header_bytes=cfg.limits.header_bytes,
         )
 
-    def _build_server(self) -> CallerServer:
+    def _build_server(self) -> GuardedServer:
         limits = self._cfg.limits
-        server = CallerServer(
+        server = GuardedServer(
             _application(self._caller_routes()),
             ssl_options=self._tls.context if self._tls else None,
             max_header_size=limits.header_bytes * SERVER_BOUND_FACTOR,
@@ -204,7 +184,12 @@
             idle_connection_timeout=limits.idle_timeout_s,
             body_timeout=limits.idle_timeout_s,
         )
-        server.max_connections = limits.connections
+        server.guard(
+            ConnectionLimits(
+                connections=limits.connections, header_timeout_s=limits.header_timeout_s
+            ),
+            on_refused=lambda count: self.log.event("connection_refused", connections=count),
+        )
         return server
 
     def _caller_routes(self) -> list[Rule]:
@@ -269,6 +254,7 @@
         self._usage.on_tick()
         self.node.metrics.gauge(Metric.IN_FLIGHT, self.entry.in_flight)
         self.node.metrics.gauge(Metric.CONNECTIONS, self._server.open_connections)
+        self._server.sweep()
         waits = [
             report.wait_s
             for host in self.node.fleet.hosts()
