Refuse settings that no code reads

Cause: limits.ticket_bytes stood in the settings and their page without effect. Change: tools/check_settings.py, part of make checks; the setting is gone. Open: limits.chunk_bytes and limits.frame_bytes are only checked against each other.

--- a/Makefile
+++ b/Makefile
@@ -60,6 +60,7 @@
 	$(BIN)/python tools/check_imports.py
 	$(BIN)/python tools/check_platform.py
 	$(BIN)/python tools/check_events.py
+	$(BIN)/python tools/check_settings.py
 	$(BIN)/python tools/check_docs.py
 	$(BIN)/python tools/check_matrix.py
 
--- a/packages/wasabilb-core/src/wasabilb_core/_settings_sections.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_settings_sections.py
@@ -142,9 +142,6 @@
     chunk_bytes: int = field(
         default=1 << 20, metadata=about("Size of a chunk of weights.", check=_POSITIVE)
     )
-    ticket_bytes: int = field(
-        default=1 << 20, metadata=about("Size of a ticket's text.", check=between(0, (1 << 20) + 1))
-    )
     queue_jobs: int = field(
         default=256, metadata=about("Calls that wait in one agent's run queue.", check=_POSITIVE)
     )
--- /dev/null
+++ b/tools/check_settings.py
@@ -0,0 +1,46 @@
+"""Refuses a setting that no code reads, and lists it."""
+
+import re
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import attrs
+from wasabilb_core.settings import AgentSettings, EntrySettings
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def fields_of(kind: type, prefix: str = "") -> Iterator[tuple[str, str]]:
+    """Return the full name and the last name of each setting of a class and its sections."""
+    for field in attrs.fields(attrs.resolve_types(kind)):
+        name = f"{prefix}{field.name}"
+        if isinstance(field.type, type) and attrs.has(field.type):
+            yield from fields_of(field.type, f"{name}.")
+        else:
+            yield name, field.name
+
+
+def main() -> int:
+    """Print the settings that nothing reads and return how many there are."""
+    files = [
+        path
+        for path in (ROOT / "packages").glob("wasabilb-*/src/**/*.py")
+        if "standins" not in str(path)
+    ]
+    text = "\n".join(path.read_text() for path in files)
+    known = {
+        name: last for kind in (EntrySettings, AgentSettings) for name, last in fields_of(kind)
+    }
+    unread = [
+        name for name, last in known.items() if not re.search(rf"\.{last}\b|\"{last}\"", text)
+    ]
+    for name in sorted(unread):
+        print(f"setting {name}: no code reads it")
+    if not unread:
+        print(f"settings: {len(known)} are read")
+    return len(unread)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
