Work out a region's part of the store for the regions that take part now

Cause: near_first kept the part that its region reads from the first look at it. Ruled out: takeovers of late chunks, spoilt chunks, the restart at 43 s, which read nothing. Change: both orders are kept by the regions they were made for.

--- a/features/distribution.feature
+++ b/features/distribution.feature
@@ -36,6 +36,13 @@
     When another fetcher waits until the takeover time has passed
     Then it requests its share of the dead fetcher's chunks from the store, and no other's before
 
+  Scenario: Regions that join after the start read their part of the store
+    Guards against a host that started alone and reads for all regions until the end, which made a
+    fleet's cold start read the store more than three times.
+    Given 3 hosts of 3 regions that each begin a transfer of 48 chunks with "near_first" alone
+    When they meet after 0.3 s
+    Then they read at most 1.2 copies from the store, besides what each read alone
+
   Scenario: Requests to a store that pauses time out together
     Guards against a time-out that doubles once for each request under way, so that a pause of a
     second kept a region away from the store for two minutes.
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -264,6 +264,54 @@
     assert 1 < max(most for _, most in context.runs) <= MAX_IN_FLIGHT
 
 
+@given(
+    "{count:d} hosts of 3 regions that each begin a transfer of {chunks:d} chunks with "
+    '"{policy}" alone'
+)
+def step_begun_alone(context, count, chunks, policy):
+    context.hosts, context.chunks = make_hosts(count, regions=3), chunks
+    context.planners = {
+        host.name: ChunkPlanner(
+            overlay=Overlay(key="t", hosts=[host], store_region="r0"),
+            host=host.name,
+            count=chunks,
+            policy=CHUNK_POLICIES.create(policy).unwrap(),
+            rng=random.Random(host.name),
+            now=0.0,
+            limits=LIMITS,
+        )
+        for host in context.hosts
+    }
+
+
+@when("they meet after {seconds:g} s")
+def step_meet(context, seconds):
+    """Play in steps of 0.1 s, in each of which every request is answered."""
+    context.read = {"alone": 0, "together": 0}
+    meet = Overlay(key="t", hosts=context.hosts, store_region="r0")
+    for step in range(1, 100):
+        now = step * 0.1
+        phase = "alone" if now <= seconds else "together"
+        for name, planner in context.planners.items():
+            if phase == "together":
+                planner.on_hosts(meet)
+                for peer, other in context.planners.items():
+                    if peer != name:
+                        planner.on_peer_state(peer, other.have, now)
+        for planner in context.planners.values():
+            for request in planner.next_requests(now):
+                context.read[phase] += request.source == ORIGIN
+                planner.on_chunk(request.index, request.source, now)
+    assert all(planner.is_complete for planner in context.planners.values())
+
+
+@then("they read at most {copies:g} copies from the store, besides what each read alone")
+def step_read_once(context, copies):
+    assert (
+        context.read["alone"] and context.read["together"] <= copies * context.chunks
+    ), context.read
+
+
 @given("a lone host whose store answers each chunk after {answer:g} s")
 def step_lone_host(context, answer):
     overlay = Overlay(key="t", hosts=make_hosts(1), store_region="r0")
--- a/packages/wasabilb-core/src/wasabilb_core/_near_first.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_near_first.py
@@ -26,9 +26,10 @@
     """
 
     def __init__(self) -> None:
-        self._order: list[int] = []
+        # By the regions that take part, which may become more after the start.
+        self._orders: dict[tuple[str, ...], list[int]] = {}
+        self._region_owned: dict[tuple[str, ...], int] = {}
         self._owned: dict[tuple[str, ...], int] = {}
-        self._region_owned: dict[str, int] = {}
 
     def neighbours(self, view: TransferView, now: float) -> tuple[str, ...]:
         """Return the near hosts of the overlay and a few far ones."""
@@ -93,16 +94,14 @@
 
     def _of_region(self, view: TransferView) -> int:
         """Return the chunks that this host's region reads from the origin."""
-        region = view.host.region
-        found = self._region_owned.get(region)
+        regions = tuple(sorted(view.overlay.standing))
+        found = self._region_owned.get(regions)
         if found is None:
-            regions = sorted(view.overlay.standing)
-            found = sum(
+            found = self._region_owned[regions] = sum(
                 1 << index
                 for place, index in enumerate(self._common_order(view))
-                if regions[place % len(regions)] == region
+                if regions[place % len(regions)] == view.host.region
             )
-            self._region_owned[region] = found
         return found
 
     def _own_chunks(self, view: TransferView, now: float) -> int:
@@ -127,12 +126,13 @@
         return found
 
     def _chunk_order(self, view: TransferView) -> list[int]:
-        if not self._order:
-            regions = sorted(view.overlay.standing)
+        regions = tuple(sorted(view.overlay.standing))
+        found = self._orders.get(regions)
+        if found is None:
             start = view.count * regions.index(view.host.region) // len(regions)
             order = self._common_order(view)
-            self._order = order[start:] + order[:start]
-        return self._order
+            found = self._orders[regions] = order[start:] + order[:start]
+        return found
 
     @staticmethod
     def _common_order(view: TransferView) -> list[int]:
