Give up dials under way when links are closed; end the steps' event loops as asyncio.run does

Cause of 'Task was destroyed but it is pending' in make test: a dial that was under way when the links closed went on and opened a link afterwards, and the steps closed their loops with tasks left. Change: LinkManager.close cancels its dials; the steps take their loops from asyncio.Runner.

--- a/features/steps/cold_start_steps.py
+++ b/features/steps/cold_start_steps.py
@@ -11,8 +11,9 @@
 @given("a configuration service with {tickets:d} tickets of a failure domain with 12 entry hosts")
 def step_service(context, tickets):
     shape = FleetShape(regions=("Dublin",), entry_hosts=12, runners=1, services={})
-    context.loop = asyncio.new_event_loop()
-    context.add_cleanup(context.loop.close)
+    context.loop_runner = asyncio.Runner()
+    context.loop = context.loop_runner.get_loop()
+    context.add_cleanup(context.loop_runner.close)
     context.fleet = LocalFleet(shape=shape, folder=Path(tempfile.mkdtemp()))
     context.fleet.publish(context.fleet.ticket(1, version="v1"))
     for number in range(2, tickets + 1):
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -27,7 +27,8 @@
 
 @given("a fleet of two failure domains with relays before all hosts")
 def step_fleet(context):
-    context.loop = asyncio.new_event_loop()
+    context.loop_runner = asyncio.Runner()
+    context.loop = context.loop_runner.get_loop()
     folder = tempfile.TemporaryDirectory()
     shape = FleetShape(
         regions=REGIONS,
@@ -43,7 +44,7 @@
 
     async def make():
         context.fleet = LocalFleet(shape=shape, folder=Path(folder.name))
-        context.add_cleanup(context.loop.close)
+        context.add_cleanup(context.loop_runner.close)
         context.add_cleanup(folder.cleanup)
         context.add_cleanup(lambda: run(context, context.fleet.stop()))
         await context.fleet.start()
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -52,7 +52,8 @@
 
 @given("{count:d} runners and a store of 2 MiB versions")
 def step_runners(context, count):
-    context.loop = asyncio.new_event_loop()
+    context.loop_runner = asyncio.Runner()
+    context.loop = context.loop_runner.get_loop()
     folder = tempfile.TemporaryDirectory()
     shape = FleetShape(
         entry_hosts=1,
@@ -66,7 +67,7 @@
         return LocalFleet(shape=shape, folder=Path(folder.name))
 
     context.fleet = run(context, make())
-    context.add_cleanup(context.loop.close)
+    context.add_cleanup(context.loop_runner.close)
     context.add_cleanup(folder.cleanup)
     context.add_cleanup(lambda: run(context, context.fleet.stop()))
     run(context, context.fleet.start())
--- a/features/steps/security_steps.py
+++ b/features/steps/security_steps.py
@@ -65,7 +65,8 @@
 
 @given("a fleet of 2 entry hosts and 1 runner with certificates")
 def step_tls_fleet(context):
-    context.loop = asyncio.new_event_loop()
+    context.loop_runner = asyncio.Runner()
+    context.loop = context.loop_runner.get_loop()
     folder = Path(tempfile.mkdtemp())
     context.folder, context.authority = folder, Authority("fleet")
     cert, key, ca = context.files = context.authority.write(folder, "host")
@@ -80,7 +81,7 @@
         callers={"tls_cert": cert, "tls_key": key},
     )
     context.fleet = LocalFleet(shape=shape, folder=folder / "fleet")
-    context.add_cleanup(context.loop.close)
+    context.add_cleanup(context.loop_runner.close)
     context.add_cleanup(lambda: context.loop.run_until_complete(context.fleet.stop()))
 
     async def start():
@@ -248,7 +249,8 @@
 
 @given("a link manager that takes calls from entry hosts only")
 def step_manager(context):
-    context.loop = asyncio.new_event_loop()
+    context.loop_runner = asyncio.Runner()
+    context.loop = context.loop_runner.get_loop()
     context.log, context.calls = Recorder(), []
 
     async def start():
@@ -261,7 +263,7 @@
         )
 
     context.loop.run_until_complete(start())
-    context.add_cleanup(context.loop.close)
+    context.add_cleanup(context.loop_runner.close)
 
 
 @when('a peer of role "{role}" sends a call')
--- a/features/steps/stage.py
+++ b/features/steps/stage.py
@@ -32,7 +32,8 @@
     """The fleet, and what the current scenario sends and sees."""
 
     def __init__(self):
-        self.loop = asyncio.new_event_loop()
+        self._loop_runner = asyncio.Runner()
+        self.loop = self._loop_runner.get_loop()
         self._folder = tempfile.TemporaryDirectory()
         self.fleet = LocalFleet(shape=SHAPE, folder=Path(self._folder.name))
         engine = self.fleet.hosts[UNFENCED].engine
@@ -48,7 +49,7 @@
     def close(self):
         """End everything."""
         self.loop.run_until_complete(self.fleet.stop())
-        self.loop.close()
+        self._loop_runner.close()
         self._folder.cleanup()
 
     async def begin(self):
--- a/features/steps/standin_steps.py
+++ b/features/steps/standin_steps.py
@@ -30,8 +30,9 @@
 def run(context, awaitable):
     """Run in the scenario's event loop, in which the stand-ins live on between steps."""
     if not hasattr(context, "loop"):
-        context.loop = asyncio.new_event_loop()
-        context.add_cleanup(context.loop.close)
+        context.loop_runner = asyncio.Runner()
+        context.loop = context.loop_runner.get_loop()
+        context.add_cleanup(context.loop_runner.close)
     return context.loop.run_until_complete(awaitable)
 
 
--- a/features/steps/transfer_steps.py
+++ b/features/steps/transfer_steps.py
@@ -18,7 +18,8 @@
 
 @given("a fleet of {count:d} runners whose store corrupts every {every:d}th chunk")
 def step_fleet(context, count, every):
-    context.loop = asyncio.new_event_loop()
+    context.loop_runner = asyncio.Runner()
+    context.loop = context.loop_runner.get_loop()
     folder = tempfile.TemporaryDirectory()
     shape = FleetShape(
         entry_hosts=1,
@@ -32,7 +33,7 @@
         return LocalFleet(shape=shape, folder=Path(folder.name))
 
     context.fleet = run(context, make())
-    context.add_cleanup(context.loop.close)
+    context.add_cleanup(context.loop_runner.close)
     context.add_cleanup(folder.cleanup)
     context.add_cleanup(lambda: run(context, context.fleet.stop()))
     run(context, context.fleet.start())
--- a/packages/wasabilb-core/src/wasabilb_core/_batch_backlog.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_batch_backlog.py
@@ -11,6 +11,11 @@
 READING_SHARE = 0.7
 # Wait that is accepted for a runner that is preferred for the size of the answer, seconds.
 OTHER_SIZE_S = 0.06
+# Wait elsewhere that is preferred to a runner that is to load a version soon, seconds. Half a
+# latency objective for short answers, which still go there when the others would answer late, and
+# more for long ones, whose end the load would wait for.
+EASING_S = 0.2
+EASING_LONG_S = 0.8
 # Cost of a runner that is not expected to end the answer by its deadline, seconds; more than any
 # wait at the others, as an answer that is cut off has used a runner for nothing.
 UNFINISHED_S = 3.0
@@ -53,6 +58,10 @@
             other_s = OTHER_SIZE_S if is_other_size else 0.0
             late_s = ends_after_s(runner, request) - request.left_s
             unfinished_s = UNFINISHED_S + late_s if late_s > 0 else 0.0
-            return expected_wait_s(runner) + runner.distance_s + other_s + unfinished_s
+            easing_s = (
+                (EASING_S if request.is_short else EASING_LONG_S) if runner.is_easing else 0.0
+            )
+            waits_s = expected_wait_s(runner) + runner.distance_s
+            return waits_s + other_s + easing_s + unfinished_s
 
         return min(runners, key=lambda r: (cost_s(r), rng.random()))
--- a/packages/wasabilb-core/src/wasabilb_core/_routing_base.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_routing_base.py
@@ -35,6 +35,8 @@
         Time in seconds to read the prompts that were sent there and are not read yet.
     is_for_long : bool
         Whether long answers are preferred there.
+    is_easing : bool
+        Whether it is to load a version soon and should get less to do.
     token_s : float
         Time in seconds between two tokens of an answer in a full batch at the usual pace.
     """
@@ -50,6 +52,7 @@
     turn_s: float = 0.0
     prompts_s: float = 0.0
     is_for_long: bool = False
+    is_easing: bool = False
     token_s: float = 0.0
 
 
--- a/packages/wasabilb-core/src/wasabilb_core/runner_book.py
+++ b/packages/wasabilb-core/src/wasabilb_core/runner_book.py
@@ -13,9 +13,6 @@
 # A report says nothing of requests that were sent after it was taken; with the time that the
 # report itself was under way, sends of this age are not yet in it, seconds.
 REPORT_DELAY_S = 0.05
-# Wait elsewhere that is preferred to a runner that is to load a version, seconds. Half a latency
-# objective: requests still go there when the others would answer late.
-EASING_S = 0.2
 # A neighbour slows a host for moments and some hosts all the time; an answer takes 1 to 5 s, so
 # that the mean over about a second tells more of it than the newest report.
 PACE_SMOOTHING_S = 1.0
@@ -198,6 +195,7 @@
         known = self._of(runner)
         report = known.report
         running = waiting = 0
+        is_easing = False
         age, slots = math.inf, runner.slots
         if report is not None and now - report.at <= REPORT_MAX_AGE_S:
             age = now - report.at
@@ -207,7 +205,7 @@
             unseen = len(known.sent)
             running, waiting = report.running, report.waiting + unseen
             slots = report.slots or slots
-            distance_s += EASING_S if report.is_easing else 0.0
+            is_easing = report.is_easing
         return RunnerView(
             host=runner.id,
             in_flight=known.in_flight,
@@ -220,6 +218,7 @@
             turn_s=turn_s(engine),
             token_s=token_s(engine),
             prompts_s=known.prompts_left_s(now),
+            is_easing=is_easing,
         )
 
     def _of(self, runner: Runner) -> _Known:
--- a/packages/wasabilb-node/src/wasabilb_node/links.py
+++ b/packages/wasabilb-node/src/wasabilb_node/links.py
@@ -137,6 +137,7 @@
         self._handlers: dict[type[Message], Callable[[Peer, Message], None]] = {}
         self._roles: dict[type[Message], str] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._dialing: set[asyncio.Task[None]] = set()
         self._bytes_of_closed = 0
         self._rng = random.Random(identity.incarnation)
         self.on_up: list[PeerCallback] = []
@@ -211,10 +212,12 @@
         self._dial_missing()
 
     def close(self) -> None:
-        """Stop accepting and close all links."""
+        """Stop accepting, give up dials under way and close all links."""
         if self._server is not None:
             self._server.stop()
         self._targets = {}
+        for task in self._dialing:
+            task.cancel()
         for link in [*self._peers, *self._pending]:
             link.close()
 
@@ -227,7 +230,9 @@
             if is_open or address in known or dial.is_running or now() < dial.next_at:
                 continue
             dial.is_running = True
-            self._spawn(self._dial(address, dial))
+            task = self._spawn(self._dial(address, dial))
+            self._dialing.add(task)
+            task.add_done_callback(self._dialing.discard)
 
     async def _dial(self, address: str, dial: _Dial) -> None:
         ip, _, port = address.rpartition(":")
@@ -302,7 +307,8 @@
         for callback in self.on_up:
             callback(peer)
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+    def _spawn(self, work: Coroutine[None, None, None]) -> "asyncio.Task[None]":
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
