--- a/features/overload.feature
+++ b/features/overload.feature
@@ -39,3 +39,16 @@
     # Guards against requests that wait although no runner is expected.
     When a late request is placed while there is no runner
     Then the request is refused
+
+  Scenario Outline: A runner that loads a version soon gets short answers only
+    # Guards against loads that wait for long answers, while which a runner answers nobody else.
+    Given a runner that loads a version soon and one at which a request waits <wait> s
+    When a request with a <size> answer is placed
+    Then it goes to the runner that loads <choice>
+
+    Examples:
+      | wait | size  | choice |
+      | 0.1  | short | later  |
+      | 0.4  | short | soon   |
+      | 0.4  | long  | later  |
+      | 1.2  | long  | soon   |
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -4,7 +4,8 @@
 import random
 
 import attrs
-from behave import then, when
+from behave import given, then, when
+from wasabilb_core._batch_backlog import READING_SHARE
 from wasabilb_core.catalog import EngineSpec
 from wasabilb_core.directory import Runner
 from wasabilb_core.overload import (
@@ -17,7 +18,13 @@
     decide,
     prompt_s,
 )
-from wasabilb_core.routing import ROUTING, RouteRequest, ends_after_s, expected_wait_s
+from wasabilb_core.routing import (
+    ROUTING,
+    RouteRequest,
+    RunnerView,
+    ends_after_s,
+    expected_wait_s,
+)
 from wasabilb_core.runner_book import LoadReport, RunnerBook, turn_s
 
 ENGINE = EngineSpec(
@@ -319,3 +326,34 @@
 def decided(context, decision):
     expected = {"sent": Decision.SEND, "held": Decision.HOLD, "refused": Decision.REFUSE}
     assert context.decision is expected[decision], context.decision
+
+
+@given("a runner that loads a version soon and one at which a request waits {wait:g} s")
+def easing_runner(context, wait):
+    def view(host, **changes):
+        return RunnerView(
+            host=host,
+            in_flight=0,
+            reported_running=0,
+            reported_queued=0,
+            slots=16,
+            report_age_s=0.1,
+            **changes,
+        )
+
+    context.views = [
+        view("soon", is_easing=True),
+        view("later", prompts_s=wait * READING_SHARE),
+    ]
+
+
+@when("a request with a {size} answer is placed")
+def place_by_size(context, size):
+    request = RouteRequest(is_short=size == "short", left_s=6.0)
+    policy = ROUTING.create("batch_backlog").unwrap()
+    context.chosen = policy.choose(request, context.views, 0.0, random.Random(1)).host
+
+
+@then("it goes to the runner that loads {choice}")
+def placed_at(context, choice):
+    assert context.chosen == choice, context.chosen
