--- a/packages/wasabilb-core/src/wasabilb_core/published.py
+++ b/packages/wasabilb-core/src/wasabilb_core/published.py
@@ -5,7 +5,7 @@
 more than once. A process that knows everything up to revision R asks for what changed after R.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 
 from attrs import frozen
 
@@ -29,22 +29,6 @@
     body: bytes | None
 
 
-def first_of_each(domains: Mapping[str, str], count: int) -> set[str]:
-    """Return the first hosts of each failure domain by name, which read for the others.
-
-    Parameters
-    ----------
-    domains : mapping
-        Failure domain of each host.
-    count : int
-        Hosts of one failure domain that read.
-    """
-    found: dict[str, list[str]] = {}
-    for host in sorted(domains):
-        found.setdefault(domains[host], []).append(host)
-    return {host for hosts in found.values() for host in hosts[:count]}
-
-
 class PublishedState:
     """The newest known revision of each item, removed ones included."""
 
--- a/packages/wasabilb-core/src/wasabilb_core/spread.py
+++ b/packages/wasabilb-core/src/wasabilb_core/spread.py
@@ -33,6 +33,23 @@
     want: list[int]
 
 
+def in_reading_order(failure_domain: str, hosts: Collection[str]) -> list[str]:
+    """Return the hosts of a failure domain, those that read the platform for the others first."""
+    return rank(f"reader:{failure_domain}", hosts)
+
+
+def readers_of(domains: Mapping[str, str], per_domain: int) -> set[str]:
+    """Return the hosts that read the platform, given the failure domain of each host."""
+    found: dict[str, list[str]] = {}
+    for host, domain in domains.items():
+        found.setdefault(domain, []).append(host)
+    return {
+        host
+        for domain, hosts in found.items()
+        for host in in_reading_order(domain, hosts)[:per_domain]
+    }
+
+
 class TicketSpread:
     """Decides on reading, accepting and passing on tickets.
 
@@ -71,7 +88,7 @@
             for host in self._fleet.hosts()
             if host.is_entry and host.takes_work and host.failure_domain == self._failure_domain
         ]
-        return rank(f"reader:{self._failure_domain}", entry_hosts)
+        return in_reading_order(self._failure_domain, entry_hosts)
 
     def wanted_readers(self) -> list[str]:
         """Return the readers and standby readers that every entry host keeps links to."""
--- a/packages/wasabilb-node/src/wasabilb_node/published_sync.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_sync.py
@@ -10,7 +10,8 @@
 from wasabilb_core.catalog import Catalog, WeightTarget
 from wasabilb_core.directory import Runner
 from wasabilb_core.errors import Error
-from wasabilb_core.published import Item, PublishedState, first_of_each
+from wasabilb_core.published import Item, PublishedState
+from wasabilb_core.spread import readers_of
 from wasabilb_wire.messages import NodeBeat, Published, PublishedItem, PublishedWant
 
 from wasabilb_node.clock import now
@@ -187,7 +188,7 @@
         domains = {peer.host: peer.hello.failure_domain for peer in peers}
         if self._may_read:
             domains[own] = self._links.identity.failure_domain
-        readers = first_of_each(domains, READERS_PER_DOMAIN)
+        readers = readers_of(domains, READERS_PER_DOMAIN)
         return own not in readers and any(
             peer in self._reading_peers and (peer.host in readers or peer.host < own)
             for peer in peers
