--- a/features/distribution.feature
+++ b/features/distribution.feature
@@ -43,6 +43,13 @@
     When they meet after 0.3 s
     Then they read at most 1.2 copies from the store, besides what each read alone
 
+  Scenario: Hosts wait for other regions as long as a slow store needs
+    Guards against a store that sends three copies because hosts read for other regions too early.
+    Given 3 hosts of 3 regions that each begin a transfer of 48 chunks with "near_first" alone
+    And their limits say that other regions may take 4.2 s
+    When two of them read nothing after they have met
+    Then the other one reads 16 chunks before 4.2 s and all of them later
+
   Scenario: Requests to a store that pauses time out together
     Guards against a time-out that doubles once for each request under way, so that a pause of a
     second kept a region away from the store for two minutes.
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -5,6 +5,7 @@
 import random
 from collections import deque
 
+from attrs import evolve
 from behave import given, then, when
 from hypothesis import given as property_given
 from hypothesis import settings
@@ -305,6 +306,38 @@
     assert all(planner.is_complete for planner in context.planners.values())
 
 
+@given("their limits say that other regions may take {seconds:g} s")
+def step_far_wait(context, seconds):
+    meet = Overlay(key="t", hosts=context.hosts, store_region="r0")
+    context.planner = ChunkPlanner(
+        overlay=meet,
+        host="h0",
+        count=context.chunks,
+        policy=CHUNK_POLICIES.create("near_first").unwrap(),
+        rng=random.Random(1),
+        now=0.0,
+        limits=evolve(LIMITS, far_wait_s=seconds),
+    )
+
+
+@when("two of them read nothing after they have met")
+def step_idle_regions(context):
+    for peer in ("h1", "h2"):
+        context.planner.on_peer_state(peer, 0, 0.0)
+    context.reads = []
+    for step in range(100):
+        now = step * 0.1
+        for request in context.planner.next_requests(now):
+            context.reads.append(now)
+            context.planner.on_chunk(request.index, request.source, now)
+
+
+@then("the other one reads {share:d} chunks before {seconds:g} s and all of them later")
+def step_reads_late(context, share, seconds):
+    early = [at for at in context.reads if at < seconds]
+    assert len(early) == share and len(context.reads) == context.chunks, context.reads
+
+
 @then("they read at most {copies:g} copies from the store, besides what each read alone")
 def step_read_once(context, copies):
     assert (
--- a/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
@@ -5,9 +5,11 @@
 import random
 from collections.abc import Callable
 
+import attrs
 from attrs import frozen
 from returns.result import Failure
 from wasabilb_core.distribution import PlannerLimits
+from wasabilb_core.manifest import Manifest
 from wasabilb_core.published import PublishedState
 from wasabilb_core.settings import AgentSettings
 from wasabilb_core.tickets import HostRole, HostSpec
@@ -33,6 +35,9 @@
 # Interval of the runner's report; reports of this age change the choice of a runner little, as a
 # place in a full batch becomes free about every 0.08 s.
 REPORT_S = 0.1
+# Times in which one copy leaves the origin before a host reads what other regions were to read: the
+# second one is for reads that overlap and for the way through other hosts.
+FAR_WAIT_COPIES = 2.0
 # A chunk takes 0.1 s over this host's link alone and 0.3 s when all hosts read the origin at once.
 # One read of the origin at a time from each of them keeps its link busy without a queue in which
 # new connections would time out; the other requests across regions go to peers.
@@ -175,7 +180,7 @@
             metrics=Metrics(address="", role="agent", host=own.host, log=self.log),
             rng=rng,
             preload=staging.preload,
-            limits=TRANSFER_LIMITS,
+            limits=self._transfer_limits,
         )
         self._reports = RunnerReports(links=self._links)
         self._state: RunnerState | None = None
@@ -237,6 +242,13 @@
         self._report(state)
         await self._loads.reconcile(state, self._transfers)
 
+    def _transfer_limits(self, manifest: Manifest) -> PlannerLimits:
+        catalog = self._published.catalog
+        if catalog is None or catalog.origin is None or catalog.origin.bytes_per_s <= 0:
+            return TRANSFER_LIMITS
+        copy_s = manifest.size / catalog.origin.bytes_per_s
+        return attrs.evolve(TRANSFER_LIMITS, far_wait_s=FAR_WAIT_COPIES * copy_s)
+
     def _set_reachable(self, is_up: bool, detail: str = "") -> None:
         if self._is_reachable is is_up:
             return
--- a/packages/wasabilb-agent/src/wasabilb_agent/transfer.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/transfer.py
@@ -69,8 +69,8 @@
         Gives a whole verified version to the engine.
     preload : callable or None
         Adds to a new transfer the chunks that lie on this host already.
-    limits : PlannerLimits or None
-        Bounds of this host's part in a transfer.
+    limits : callable or None
+        Returns the bounds of this host's part in the transfer of a manifest.
     rng : random.Random
         Source of randomness.
     """
@@ -87,7 +87,7 @@
         metrics: Metrics,
         rng: random.Random,
         preload: Preload | None = None,
-        limits: PlannerLimits | None = None,
+        limits: Callable[[Manifest], PlannerLimits] | None = None,
     ) -> None:
         self._cfg = cfg
         self._participants = participants
@@ -275,7 +275,7 @@
             policy=policy,
             rng=self._rng,
             now=now(),
-            limits=self._limits,
+            limits=self._limits(manifest) if self._limits is not None else None,
         )
 
         def on_manifest_gone() -> None:
--- a/packages/wasabilb-core/src/wasabilb_core/_chunk_view.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_chunk_view.py
@@ -73,6 +73,9 @@
         Chunks that a fetcher has brought in and no linked peer of its region has yet.
     min_takeover_s, max_takeover_s : float
         Bounds of the time after which the next host takes over an assigned chunk.
+    far_wait_s : float
+        Time after the start from which a chunk that another region was to read, and that no far
+        host offers, is read from the origin.
     """
 
     peer_requests: int = 4
@@ -91,6 +94,8 @@
     first_timeout_s: float = 20.0
     min_takeover_s: float = 2.0
     max_takeover_s: float = 30.0
+    # Twice the time in which one copy of 2.4 MB leaves an origin of 15 Mbit/s.
+    far_wait_s: float = 2.5
 
 
 @define(kw_only=True)
--- a/packages/wasabilb-core/src/wasabilb_core/_near_first.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_near_first.py
@@ -8,9 +8,6 @@
 
 # Hosts of each other region that a host is linked with.
 FAR_LINKS = 2
-# A chunk that another region was to read is read from the origin when no far host has offered it
-# for this time after the start, seconds. One copy leaves an origin of 15 Mbit/s in 1.3 s.
-FAR_WAIT_S = 2.5
 # Time in which the hosts of a region hear of a version and greet each other, seconds.
 MEETING_S = 0.8
 
@@ -64,7 +61,7 @@
         request = _rarest(view, own, now, is_near=False)
         if request is not None or not is_origin_free:
             return request or _rarest(view, wanted, now, is_near=False)
-        is_late = now - view.started_at >= FAR_WAIT_S
+        is_late = now - view.started_at >= view.limits.far_wait_s
         if own and (is_late or not self._has_far(view)):
             return self._from_origin(view, own)
         # What is left last is likely in flight to its owners.
