--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -182,12 +182,9 @@
         limit = HeldLimit(
             runners=len(views), turn_s=turn_s(ENGINE), processes=PROCESSES, lately=held.rate(now)
         )
-        is_on_time = begins_on_time(
-            wait_s=expected_wait_s(best),
-            own_s=best.pace * prompt_s(ENGINE, job.prompt),
-            left_s=job.arrived + OBJECTIVE_S - now,
-        )
-        if not is_on_time and not is_returned:
+        need_s, left_s = best.pace * prompt_s(ENGINE, job.prompt), job.arrived + OBJECTIVE_S - now
+        is_on_time = begins_on_time(wait_s=expected_wait_s(best), own_s=need_s, left_s=left_s)
+        if not is_on_time and begins_on_time(wait_s=0.0, own_s=need_s, left_s=left_s):
             held.on_missed(now)
         decision = decide(
             is_on_time=is_on_time,
--- a/packages/wasabilb-entry/src/wasabilb_entry/placer.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/placer.py
@@ -115,12 +115,13 @@
         places = self._places(demand.service)
         wait_s = expected_wait_s(best) if best is not None else math.inf
         ends_s = ends_after_s(best, request) if best is not None else math.inf
-        is_on_time = best is not None and begins_on_time(
-            wait_s=wait_s,
-            own_s=best.pace * prompt_s(engine, demand.prompt_tokens),
-            left_s=demand.objective_at - now(),
-        )
-        if not is_on_time and not demand.is_returned:
+        own_s = (best.pace if best is not None else 1.0) * prompt_s(engine, demand.prompt_tokens)
+        left_s = demand.objective_at - now()
+        is_on_time = begins_on_time(wait_s=wait_s, own_s=own_s, left_s=left_s)
+        # A prompt that no idle runner reads in time says nothing of the load, and the answer to a
+        # caller who came back is late already.
+        is_possible = begins_on_time(wait_s=0.0, own_s=own_s, left_s=left_s)
+        if is_possible and not is_on_time and not demand.is_returned:
             places.on_missed()
         return decide(
             is_on_time=is_on_time,
