--- /dev/null
+++ b/features/steps/overload_model.py
@@ -0,0 +1,243 @@
+"""A model of runners that batch requests and of the entry processes before them, without a network.
+
+The decisions are those of the product.
+"""
+
+import heapq
+import random
+
+import attrs
+from wasabilb_core.catalog import EngineSpec
+from wasabilb_core.directory import Runner
+from wasabilb_core.overload import (
+    HOLD_S,
+    SPARE_PLACES,
+    Decision,
+    HeldLimit,
+    HeldRequests,
+    begins_on_time,
+    decide,
+    prompt_s,
+)
+from wasabilb_core.routing import ROUTING, RouteRequest, ends_after_s, expected_wait_s
+from wasabilb_core.runner_book import LoadReport, RunnerBook, turn_s
+
+ENGINE = EngineSpec(
+    model="m",
+    slots=16,
+    step_s=0.00887,
+    step_per_sequence_s=0.0000388,
+    step_per_token_s=0.0000000227,
+    prefill_tokens_per_s=19100.0,
+    prefill_pair_s=0.00000000147,
+    usual_prompt_tokens=977.0,
+    usual_answer_tokens=94.0,
+)
+STRIDE, PREFILL_CHUNK = 5, 2048
+OBJECTIVE_S, DEADLINE_S = 0.4, 6.0
+LATE_WORTH = 0.25
+REPORT_S, NOTICE_S, LOOK_S = 0.1, 0.012, 0.05
+PROCESSES = 7
+
+
+class Job:
+    """One request and what became of it."""
+
+    def __init__(self, arrived, rng):
+        self.arrived = arrived
+        self.prompt = min(3880, int(rng.lognormvariate(6.4, 0.8)) + 40)
+        self.tokens = min(260, 5 * max(1, int(rng.lognormvariate(2.6, 0.9))))
+        self.hint = self.tokens * rng.lognormvariate(0.0, 0.5)
+        self.left = self.prompt
+        self.made = 0
+        self.first = self.ended = None
+        self.refused = self.back_after = None
+        self.ran = False
+
+
+class Engine:
+    """Batches requests: a pass reads prompts and makes five tokens for each answer."""
+
+    def __init__(self, pace):
+        self.pace = pace
+        self.running, self.waiting = [], []
+        self.busy_until = 0.0
+
+    def load(self):
+        return len(self.running), len(self.waiting)
+
+    def step(self, now):
+        """Run one pass and return when it ends."""
+        while self.waiting and len(self.running) < ENGINE.slots:
+            self.running.append(self.waiting.pop(0))
+        writers = [job for job in self.running if job.left <= 0]
+        took, room = 0.0, PREFILL_CHUNK
+        for job in self.running:
+            if job.left > 0 and room > 0:
+                read = min(job.left, room)
+                took += prompt_s(ENGINE, read)
+                job.left -= read
+                room -= read
+                job.ran = True
+        if writers:
+            took += STRIDE * (ENGINE.step_s + len(writers) * ENGINE.step_per_sequence_s)
+        end = now + max(0.005, took * self.pace)
+        for job in writers:
+            job.first = job.first or end
+            job.made += STRIDE
+            if job.made >= job.tokens:
+                job.ended = end
+        self.running = [
+            job for job in self.running if job.ended is None and end < job.arrived + DEADLINE_S
+        ]
+        return end
+
+
+class Fleet:
+    """Runners and entry processes; decisions are those of the product."""
+
+    def __init__(self, *, paces, seed, policy, tells=True, reloads=()):
+        self.rng = random.Random(seed)
+        # Which runners accept nothing from one time to another one.
+        self.reloads = reloads
+        self.engines = {f"r-{n}": Engine(pace) for n, pace in enumerate(paces)}
+        self.runners = {
+            name: Runner(
+                id=name, born_ms=1, service="s", address="x:1", failure_domain="a", slots=16
+            )
+            for name in self.engines
+        }
+        self.books = [RunnerBook() for _ in range(PROCESSES)]
+        self.held = [HeldRequests() for _ in range(PROCESSES)]
+        self.waiting = [{} for _ in range(PROCESSES)]
+        self.routing = ROUTING.create("batch_backlog").unwrap()
+        self.policy, self.tells = policy, tells
+        self.events, self.order, self.jobs = [], 0, []
+
+    def at(self, when, call, *args):
+        self.order += 1
+        heapq.heappush(self.events, (when, self.order, call, args))
+
+    def play(self, rate, seconds, stop):
+        now = 0.0
+        while now < seconds:
+            now += self.rng.expovariate(rate)
+            self.at(now, self.arrive, Job(now, self.rng), self.rng.randrange(PROCESSES))
+        for n in range(int(stop / REPORT_S)):
+            self.at(n * REPORT_S, self.report)
+        for n in range(int(stop / LOOK_S)):
+            self.at(n * LOOK_S, self.look)
+        for name in self.engines:
+            self.at(0.0, self.step, name)
+        while self.events and self.events[0][0] < stop:
+            now, _, call, args = heapq.heappop(self.events)
+            call(now, *args)
+        return self.jobs
+
+    def step(self, now, name):
+        self.at(self.engines[name].step(now), self.step, name)
+
+    def report(self, now):
+        for name, engine in self.engines.items():
+            running, waiting = engine.load()
+            # The report lags; it is told as it was and arrives a network delay later.
+            for book in self.books:
+                load = LoadReport(
+                    running=running, waiting=waiting, at=now, slots=16, pace=engine.pace
+                )
+                self.at(now + 0.004, self.take_report, book, name, load)
+
+    def take_report(self, now, book, name, load):
+        book.on_report(self.runners[name], attrs.evolve(load, at=now))
+
+    def views(self, process, now):
+        return [
+            self.books[process].view(runner, now=now, engine=ENGINE, distance_s=0.0)
+            for runner in self.runners.values()
+            if not any(runner.id in ids and at <= now < to for ids, at, to in self.reloads)
+        ]
+
+    def request(self, job, now):
+        by_end = self.policy != "wait"
+        return RouteRequest(
+            predicted_tokens=job.hint if by_end else 0.0,
+            is_short=job.hint < 1.3 * ENGINE.usual_answer_tokens,
+            left_s=job.arrived + DEADLINE_S - now,
+        )
+
+    def arrive(self, now, job, process, is_returned=False):
+        if not is_returned:
+            self.jobs.append(job)
+        request, views = self.request(job, now), self.views(process, now)
+        best = self.routing.choose(request, views, now, self.rng)
+        if self.policy == "send all":
+            self.send(now, job, process, best.host)
+            return
+        held = self.held[process]
+        limit = HeldLimit(
+            runners=len(views), turn_s=turn_s(ENGINE), processes=PROCESSES, lately=held.rate(now)
+        )
+        need_s, left_s = best.pace * prompt_s(ENGINE, job.prompt), job.arrived + OBJECTIVE_S - now
+        is_on_time = begins_on_time(wait_s=expected_wait_s(best), own_s=need_s, left_s=left_s)
+        if not is_on_time and begins_on_time(wait_s=0.0, own_s=need_s, left_s=left_s):
+            held.on_missed(now)
+        decision = decide(
+            is_on_time=is_on_time,
+            has_room=self.has_room(best),
+            has_slack=HOLD_S + ends_after_s(best, request) < request.left_s,
+            wait_s=expected_wait_s(best),
+            is_returned=is_returned,
+            held=len(held),
+            limit=limit,
+        )
+        if decision is Decision.SEND:
+            self.send(now, job, process, best.host)
+        elif decision is Decision.REFUSE:
+            self.refuse(now, job, limit.return_after_s(len(held)), is_returned)
+        else:
+            self.order += 1
+            held.hold(
+                self.order, is_returned=is_returned, now=now, deadline=job.arrived + DEADLINE_S
+            )
+            self.waiting[process][self.order] = job
+
+    def refuse(self, now, job, after_s, is_returned):
+        job.refused, job.back_after = now, after_s
+        if self.reloads and not is_returned:
+            after_s = min(after_s * self.rng.uniform(0.8, 1.2), DEADLINE_S / 3)
+            self.at(now + after_s, self.come_back, job, self.rng.randrange(PROCESSES))
+
+    def come_back(self, now, job, process):
+        job.refused = None
+        self.arrive(now, job, process, is_returned=True)
+
+    def has_room(self, view):
+        return view.reported_running + view.reported_queued + SPARE_PLACES < view.slots
+
+    def look(self, now):
+        for process, held in enumerate(self.held):
+            for late in held.expired(now):
+                held.remove(late.key)
+                self.refuse(now, self.waiting[process].pop(late.key), 1.0, late.is_returned)
+            in_order = self.policy == "in order"
+            for first in held.in_order() if in_order else held.sendable(now):
+                job = self.waiting[process][first.key]
+                views = self.views(process, now)
+                best = self.routing.choose(self.request(job, now), views, now, self.rng)
+                if self.has_room(best):
+                    held.remove(first.key)
+                    held.on_sent(now)
+                    self.send(now, self.waiting[process].pop(first.key), process, best.host)
+                    break
+
+    def send(self, now, job, process, name):
+        runner, need_s = self.runners[name], prompt_s(ENGINE, job.prompt)
+        self.books[process].on_sent(runner, now, need_s)
+        if self.tells:
+            for book in self.books:
+                if book is not self.books[process]:
+                    self.at(now + NOTICE_S, self.tell, book, runner, need_s)
+        self.engines[name].waiting.append(job)
+
+    def tell(self, now, book, runner, need_s):
+        book.on_told(runner, now, need_s)
--- /dev/null
+++ b/features/steps/planner_steps.py
@@ -0,0 +1,126 @@
+"""Steps about one planner or a few, step by step."""
+
+import random
+
+from attrs import evolve
+from behave import given, then, when
+from distribution_steps import LIMITS, make_hosts, make_planner
+from wasabilb_core.distribution import (
+    CHUNK_POLICIES,
+    ORIGIN,
+    ChunkFailure,
+    ChunkPlanner,
+    Overlay,
+)
+
+
+@given(
+    "{count:d} hosts of 3 regions that each begin a transfer of {chunks:d} chunks with "
+    '"{policy}" alone'
+)
+def step_begun_alone(context, count, chunks, policy):
+    context.hosts, context.chunks = make_hosts(count, regions=3), chunks
+    context.planners = {
+        host.name: ChunkPlanner(
+            overlay=Overlay(key="t", hosts=[host], store_region="r0"),
+            host=host.name,
+            count=chunks,
+            policy=CHUNK_POLICIES.create(policy).unwrap(),
+            rng=random.Random(host.name),
+            now=0.0,
+            limits=LIMITS,
+        )
+        for host in context.hosts
+    }
+
+
+@when("they meet after {seconds:g} s")
+def step_meet(context, seconds):
+    """Play in steps of 0.1 s, in each of which every request is answered."""
+    context.read = {"alone": 0, "together": 0}
+    meet = Overlay(key="t", hosts=context.hosts, store_region="r0")
+    for step in range(1, 100):
+        now = step * 0.1
+        phase = "alone" if now <= seconds else "together"
+        for name, planner in context.planners.items():
+            if phase == "together":
+                planner.on_hosts(meet)
+                for peer, other in context.planners.items():
+                    if peer != name:
+                        planner.on_peer_state(peer, other.have, now)
+        for planner in context.planners.values():
+            for request in planner.next_requests(now):
+                context.read[phase] += request.source == ORIGIN
+                planner.on_chunk(request.index, request.source, now)
+    assert all(planner.is_complete for planner in context.planners.values())
+
+
+@given("their limits say that other regions may take {seconds:g} s")
+def step_far_wait(context, seconds):
+    meet = Overlay(key="t", hosts=context.hosts, store_region="r0")
+    context.planner = ChunkPlanner(
+        overlay=meet,
+        host="h0",
+        count=context.chunks,
+        policy=CHUNK_POLICIES.create("near_first").unwrap(),
+        rng=random.Random(1),
+        now=0.0,
+        limits=evolve(LIMITS, far_wait_s=seconds),
+    )
+
+
+@when("two of them read nothing after they have met")
+def step_idle_regions(context):
+    for peer in ("h1", "h2"):
+        context.planner.on_peer_state(peer, 0, 0.0)
+    context.reads = []
+    for step in range(100):
+        now = step * 0.1
+        for request in context.planner.next_requests(now):
+            context.reads.append(now)
+            context.planner.on_chunk(request.index, request.source, now)
+
+
+@then("the other one reads {share:d} chunks before {seconds:g} s and all of them later")
+def step_reads_late(context, share, seconds):
+    early = [at for at in context.reads if at < seconds]
+    assert len(early) == share and len(context.reads) == context.chunks, context.reads
+
+
+@then("they read at most {copies:g} copies from the store, besides what each read alone")
+def step_read_once(context, copies):
+    assert (
+        context.read["alone"] and context.read["together"] <= copies * context.chunks
+    ), context.read
+
+
+@given("a lone host whose store answers each chunk after {answer:g} s")
+def step_lone_host(context, answer):
+    overlay = Overlay(key="t", hosts=make_hosts(1), store_region="r0")
+    context.planner = make_planner(overlay, "h0", 64, 1)
+    context.now = 0.0
+    for _ in range(4):
+        requests = context.planner.next_requests(context.now)
+        context.now += answer
+        for request in requests:
+            context.planner.on_chunk(request.index, ORIGIN, context.now)
+
+
+@when("the store pauses for {pause:g} s with several requests under way")
+def step_store_pauses(context, pause):
+    assert len(context.planner.next_requests(context.now)) > 1
+    context.resumed = context.now + pause
+    while context.now < context.resumed:
+        context.now += 0.05
+        context.planner.on_tick(context.now)
+        context.planner.next_requests(context.now)
+
+
+@then("the host asks the store again within two time-outs of {timeout:g} s after the pause")
+def step_asks_again(context, timeout):
+    for request in context.planner.in_flight:
+        context.planner.on_chunk_failed(request.index, ORIGIN, ChunkFailure.STALLED, context.now)
+    while not context.planner.next_requests(context.now):
+        context.now += 0.05
+        context.planner.on_tick(context.now)
+        assert context.now <= context.resumed + 2 * timeout, "the store is still avoided"
