One type for the layers that a runner holds

Cause: Runner (the platform's list) and RunnerState (the runner's own report) each had version, layers and holds_all. Ruled out: putting a field of that type into both, which changes every use for no gain. Change: both are HeldWeights.

--- a/packages/wasabilb-agent/src/wasabilb_agent/model_runner.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/model_runner.py
@@ -5,12 +5,13 @@
 
 from attrs import frozen
 from returns.result import Result
+from wasabilb_core.directory import HeldWeights
 from wasabilb_core.errors import Error
 
 
 @frozen(kw_only=True)
-class RunnerState:
-    """What a model runner reports of itself.
+class RunnerState(HeldWeights):
+    """What a model runner reports of itself, with the weights that are loaded.
 
     Parameters
     ----------
@@ -18,10 +19,6 @@
         Wall time of its start in milliseconds, which names the incarnation.
     model : str
         Model that it holds; empty for none.
-    version : int
-        Version of the loaded layers; 0 for none.
-    layer_from, layer_to : int
-        Layers that are loaded, the last one not included.
     is_busy : bool
         Whether an order is in progress.
     orders : int
@@ -36,9 +33,6 @@
 
     born_ms: int
     model: str
-    version: int
-    layer_from: int
-    layer_to: int
     is_busy: bool
     orders: int
     running: int = 0
@@ -47,10 +41,6 @@
     memory_total: int = 0
     pace: float = 1.0
 
-    def holds_all(self, layers: int) -> bool:
-        """Return whether every layer of a model of so many layers is loaded."""
-        return self.version > 0 and self.layer_from == 0 and self.layer_to >= layers
-
 
 @unique
 class OrderAnswer(Enum):
--- a/packages/wasabilb-core/src/wasabilb_core/directory.py
+++ b/packages/wasabilb-core/src/wasabilb_core/directory.py
@@ -10,8 +10,29 @@
 
 
 @frozen(kw_only=True)
-class Runner:
-    """One backend server in one incarnation.
+class HeldWeights:
+    """What a model runner holds of its model.
+
+    Parameters
+    ----------
+    version : int
+        Version of the weights; 0 for none.
+    layer_from, layer_to : int
+        Layers of that version, the last one not included.
+    """
+
+    version: int = 0
+    layer_from: int = 0
+    layer_to: int = 0
+
+    def holds_all(self, layers: int) -> bool:
+        """Return whether every layer of a model of so many layers is held."""
+        return self.version > 0 and self.layer_from == 0 and self.layer_to >= layers
+
+
+@frozen(kw_only=True)
+class Runner(HeldWeights):
+    """One backend server in one incarnation, with the weights that it held when it was listed.
 
     Parameters
     ----------
@@ -31,10 +52,6 @@
         Whether it is leaving.
     cold_s : float
         How long it stays slow after its start, seconds.
-    version : int
-        Version of the weights that it held when the entry was written; 0 for none.
-    layer_from, layer_to : int
-        Layers of that version that it held, the last one not included.
     """
 
     id: str
@@ -45,13 +62,6 @@
     slots: int = 1
     is_draining: bool = False
     cold_s: float = 0.0
-    version: int = 0
-    layer_from: int = 0
-    layer_to: int = 0
-
-    def holds_all(self, layers: int) -> bool:
-        """Return whether it holds every layer of a model of so many layers."""
-        return self.version > 0 and self.layer_from == 0 and self.layer_to >= layers
 
 
 @define(kw_only=True)
