Work out an engine's times once, in the engine's own type

Cause: the time to read a prompt stood in overload and, as a copy, in runner_book; the times of a full batch were worked out twice for each runner in each look, and every look copied each view to add a field. Ruled out: a cache around the functions, which hashes all fields of the engine each time. Change: EngineSpec has prompt_s, turn_s and token_s, the latter two cached; the view is built whole.

--- a/features/steps/overload_model.py
+++ b/features/steps/overload_model.py
@@ -17,10 +17,9 @@
     HeldRequests,
     begins_on_time,
     decide,
-    prompt_s,
 )
 from wasabilb_core.routing import ROUTING, RouteRequest, ends_after_s, expected_wait_s
-from wasabilb_core.runner_book import LoadReport, RunnerBook, turn_s
+from wasabilb_core.runner_book import LoadReport, RunnerBook
 
 ENGINE = EngineSpec(
     model="m",
@@ -75,7 +74,7 @@
         for job in self.running:
             if job.left > 0 and room > 0:
                 read = min(job.left, room)
-                took += prompt_s(ENGINE, read)
+                took += ENGINE.prompt_s(read)
                 job.left -= read
                 room -= read
                 job.ran = True
@@ -175,9 +174,9 @@
             return
         held = self.held[process]
         limit = HeldLimit(
-            runners=len(views), turn_s=turn_s(ENGINE), processes=PROCESSES, lately=held.rate(now)
+            runners=len(views), turn_s=ENGINE.turn_s, processes=PROCESSES, lately=held.rate(now)
         )
-        need_s, left_s = best.pace * prompt_s(ENGINE, job.prompt), job.arrived + OBJECTIVE_S - now
+        need_s, left_s = best.pace * ENGINE.prompt_s(job.prompt), job.arrived + OBJECTIVE_S - now
         is_on_time = begins_on_time(wait_s=expected_wait_s(best), own_s=need_s, left_s=left_s)
         if not is_on_time and begins_on_time(wait_s=0.0, own_s=need_s, left_s=left_s):
             held.on_missed(now)
@@ -231,7 +230,7 @@
                     break
 
     def send(self, now, job, process, name):
-        runner, need_s = self.runners[name], prompt_s(ENGINE, job.prompt)
+        runner, need_s = self.runners[name], ENGINE.prompt_s(job.prompt)
         self.books[process].on_sent(runner, now, need_s)
         if self.tells:
             for book in self.books:
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -15,7 +15,6 @@
     RouteRequest,
     RunnerView,
 )
-from wasabilb_core.runner_book import turn_s
 
 
 def worth(jobs):
@@ -27,7 +26,7 @@
 
 @when("the load is played with everything sent and with requests held and refused")
 def play_overload(context):
-    rate = 1.3 * 5 / turn_s(ENGINE)
+    rate = 1.3 * 5 / ENGINE.turn_s
     context.all_sent = Fleet(paces=[1.0] * 5, seed=3, policy="send all").play(rate, 12, 20)
     context.managed = Fleet(paces=[1.0] * 5, seed=3, policy="manage").play(rate, 12, 20)
 
@@ -59,7 +58,7 @@
     jobs = []
     for seed in (1, 2):
         fleet = Fleet(paces=[1.0] * 10, seed=seed, policy=policy, reloads=reloads)
-        jobs += fleet.play(0.9 * 10 / turn_s(ENGINE), 14, 22)
+        jobs += fleet.play(0.9 * 10 / ENGINE.turn_s, 14, 22)
     return jobs
 
 
@@ -97,7 +96,7 @@
     context.firsts = {}
     for tells in (True, False):
         fleet = Fleet(paces=[1.0] * 9, seed=5, policy="send all", tells=tells)
-        jobs = fleet.play(0.7 * 9 / turn_s(ENGINE), 15, 22)
+        jobs = fleet.play(0.7 * 9 / ENGINE.turn_s, 15, 22)
         waits = sorted(job.first - job.arrived for job in jobs if job.first)
         context.firsts[tells] = waits[int(len(waits) * 0.95)]
 
@@ -110,7 +109,7 @@
 @when("the load is played by expected wait alone and by the end of the answer, too")
 def play_slowed(context):
     paces = [1.0] * 5 + [2.5]
-    rate = 1.0 * (5 + 1 / 2.5) / turn_s(ENGINE)
+    rate = 1.0 * (5 + 1 / 2.5) / ENGINE.turn_s
     context.cut = {}
     for policy in ("wait", "end"):
         jobs = Fleet(paces=paces, seed=4, policy=policy).play(rate, 15, 25)
--- a/packages/wasabilb-core/src/wasabilb_core/catalog.py
+++ b/packages/wasabilb-core/src/wasabilb_core/catalog.py
@@ -7,6 +7,9 @@
 
 from attrs import field, frozen
 
+# Part of the time of a batch that goes into reading the prompts of others that join it.
+PREFILL_OVERLAP = 1.0
+
 
 @unique
 class RequestKind(Enum):
@@ -132,6 +135,30 @@
     chunk_bytes: int = 0
     fences_orders: bool = False
 
+    def prompt_s(self, tokens: float) -> float:
+        """Return the time to read a prompt, seconds."""
+        return tokens / self.prefill_tokens_per_s + tokens**2 / 2 * self.prefill_pair_s
+
+    @cached_property
+    def turn_s(self) -> float:
+        """Return the mean time after which a full engine ends one of its requests, seconds.
+
+        A batch of `slots` requests makes a token for each in one step, and reads the prompts of the
+        requests that take the places of ended ones.
+        """
+        context = self.slots * (self.usual_prompt_tokens + self.usual_answer_tokens / 2)
+        step = self.step_s + self.slots * self.step_per_sequence_s + context * self.step_per_token_s
+        prefill = self.prompt_s(self.usual_prompt_tokens)
+        return step * self.usual_answer_tokens / self.slots + PREFILL_OVERLAP * prefill
+
+    @cached_property
+    def token_s(self) -> float:
+        """Return the time between two tokens of an answer in a full batch, seconds.
+
+        Each token waits for a step of the batch and for a part of the prompts that join it.
+        """
+        return self.turn_s * self.slots / max(1.0, self.usual_answer_tokens)
+
 
 @frozen(kw_only=True)
 class OriginSpec:
--- a/packages/wasabilb-core/src/wasabilb_core/overload.py
+++ b/packages/wasabilb-core/src/wasabilb_core/overload.py
@@ -14,8 +14,6 @@
 
 from attrs import define, frozen
 
-from wasabilb_core.catalog import EngineSpec
-
 # The expected wait leaves out what other entry processes have sent since the last report.
 WAIT_FACTOR = 1.3
 # Delay to the runner and back and the first step of an answer, seconds.
@@ -56,11 +54,6 @@
     REFUSE = "refuse"
 
 
-def prompt_s(engine: EngineSpec, tokens: int) -> float:
-    """Return the time that an engine takes to read a prompt, seconds."""
-    return tokens / engine.prefill_tokens_per_s + tokens**2 / 2 * engine.prefill_pair_s
-
-
 def begins_on_time(*, wait_s: float, own_s: float, left_s: float) -> bool:
     """Return whether an answer is expected to begin within its latency objective.
 
--- a/packages/wasabilb-core/src/wasabilb_core/runner_book.py
+++ b/packages/wasabilb-core/src/wasabilb_core/runner_book.py
@@ -28,8 +28,6 @@
 MAX_UNSEEN = 64
 # Mean time of one plain request; only the order of runners depends on it, seconds.
 PLAIN_TURN_S = 0.05
-# Part of the time of a batch that goes into reading the prompts of others that join it.
-PREFILL_OVERLAP = 1.0
 
 
 @frozen(kw_only=True)
@@ -88,32 +86,8 @@
 
 
 def turn_s(engine: EngineSpec | None) -> float:
-    """Return the mean time after which a full engine ends one of its requests, seconds.
-
-    A batch of `slots` requests makes a token for each in one step, and reads the prompts of the
-    requests that take the places of ended ones.
-    """
-    if engine is None:
-        return PLAIN_TURN_S
-    context = engine.slots * (engine.usual_prompt_tokens + engine.usual_answer_tokens / 2)
-    step = (
-        engine.step_s
-        + engine.slots * engine.step_per_sequence_s
-        + context * engine.step_per_token_s
-    )
-    prompt = engine.usual_prompt_tokens
-    prefill = prompt / engine.prefill_tokens_per_s + prompt**2 / 2 * engine.prefill_pair_s
-    return step * engine.usual_answer_tokens / engine.slots + PREFILL_OVERLAP * prefill
-
-
-def token_s(engine: EngineSpec | None) -> float:
-    """Return the time between two tokens of an answer in a full batch, seconds.
-
-    Each token waits for a step of the batch and for a part of the prompts that join it.
-    """
-    if engine is None:
-        return 0.0
-    return turn_s(engine) * engine.slots / max(1.0, engine.usual_answer_tokens)
+    """Return the mean time after which a full runner ends a request, a usual one if it is plain."""
+    return engine.turn_s if engine is not None else PLAIN_TURN_S
 
 
 class RunnerBook:
@@ -189,7 +163,13 @@
         return now >= known.avoid_until
 
     def view(
-        self, runner: Runner, *, now: float, engine: EngineSpec | None, distance_s: float
+        self,
+        runner: Runner,
+        *,
+        now: float,
+        engine: EngineSpec | None,
+        distance_s: float,
+        is_for_long: bool = False,
     ) -> RunnerView:
         """Return what routing is told of a runner."""
         known = self._of(runner)
@@ -216,7 +196,8 @@
             pace=known.pace,
             distance_s=distance_s,
             turn_s=turn_s(engine),
-            token_s=token_s(engine),
+            token_s=engine.token_s if engine is not None else 0.0,
+            is_for_long=is_for_long,
             prompts_s=known.prompts_left_s(now),
             is_easing=is_easing,
         )
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -4,13 +4,12 @@
 import random
 from collections.abc import Callable
 
-import attrs
 from attrs import frozen
 from wasabilb_core.attempts import AttemptEnd
 from wasabilb_core.catalog import Catalog, EngineSpec, RequestKind, Route
 from wasabilb_core.directory import Runner
 from wasabilb_core.forwarding import AnswerFacts
-from wasabilb_core.overload import HeldLimit, prompt_s
+from wasabilb_core.overload import HeldLimit
 from wasabilb_core.retry_window import RetryWindow
 from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView, expected_wait_s
 from wasabilb_core.runner_book import LoadReport, RunnerBook, turn_s
@@ -185,7 +184,7 @@
         if engine is None:
             self.book.on_sent(runner, now())
             return
-        self.book.on_sent(runner, now(), prompt_s(engine, prompt_tokens))
+        self.book.on_sent(runner, now(), engine.prompt_s(prompt_tokens))
         self._tell_sent(runner.id, prompt_tokens)
 
     def on_told(self, runner_id: str, prompt_tokens: int) -> None:
@@ -193,7 +192,7 @@
         runner = self.directory.get(runner_id)
         engine = self.engine(runner.service) if runner is not None else None
         if runner is not None and engine is not None:
-            self.book.on_told(runner, now(), prompt_s(engine, prompt_tokens))
+            self.book.on_told(runner, now(), engine.prompt_s(prompt_tokens))
 
     def on_ended(self, runner: Runner) -> None:
         """Count its end."""
@@ -235,10 +234,7 @@
         if engine is None:
             return [self._view(runner, engine, moment) for runner in usable or able]
         long_ids = self._long_runners(service)
-        views = [
-            (r, attrs.evolve(self._view(r, engine, moment), is_for_long=r.id in long_ids))
-            for r in usable
-        ]
+        views = [(r, self._view(r, engine, moment, is_for_long=r.id in long_ids)) for r in usable]
         return [v for r, v in views if self._begins_in_time(r, v, engine)]
 
     def _long_runners(self, service: str) -> set[str]:
@@ -283,9 +279,20 @@
             lately=lately,
         )
 
-    def _view(self, runner: Runner, engine: EngineSpec | None, moment: float) -> RunnerView:
+    def _view(
+        self,
+        runner: Runner,
+        engine: EngineSpec | None,
+        moment: float,
+        *,
+        is_for_long: bool = False,
+    ) -> RunnerView:
         return self.book.view(
-            runner, now=moment, engine=engine, distance_s=self._distance_s(runner.failure_domain)
+            runner,
+            now=moment,
+            engine=engine,
+            distance_s=self._distance_s(runner.failure_domain),
+            is_for_long=is_for_long,
         )
 
     def _can_serve(self, runner: Runner, engine: EngineSpec | None, version: int | None) -> bool:
--- a/packages/wasabilb-entry/src/wasabilb_entry/placer.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/placer.py
@@ -12,7 +12,6 @@
     HeldLimit,
     begins_on_time,
     decide,
-    prompt_s,
 )
 from wasabilb_core.routing import RouteRequest, RunnerView, ends_after_s, expected_wait_s
 from wasabilb_node.clock import now
@@ -115,7 +114,7 @@
         places = self._places(demand.service)
         wait_s = expected_wait_s(best) if best is not None else math.inf
         ends_s = ends_after_s(best, request) if best is not None else math.inf
-        own_s = (best.pace if best is not None else 1.0) * prompt_s(engine, demand.prompt_tokens)
+        own_s = (best.pace if best is not None else 1.0) * engine.prompt_s(demand.prompt_tokens)
         left_s = demand.objective_at - now()
         is_on_time = begins_on_time(wait_s=wait_s, own_s=own_s, left_s=left_s)
         # A prompt that no idle runner reads in time says nothing of the load, and the answer to a
