One class for what both programs on the platform set up

Cause: the gateway and the runner agent each built an incarnation, a log, links, followed state and its exchange, had the same heartbeat constant and the same four lines in each tick; the own address was passed to every beat, two places built the beat, and five picked the entry processes out of all peers. Ruled out: using Node, which is built on tickets. Change: PublishedNode (node) holds these for both; PublishedSync knows its own address; LinkManager.peers takes a role. Behaviour as before; the steps only call beat without an address.

--- a/features/steps/memory_links.py
+++ b/features/steps/memory_links.py
@@ -97,8 +97,12 @@
     def on(self, kind, handler, *, from_role=""):
         self.handlers[kind] = handler
 
-    def peers(self):
-        return [peer for peer in self.by_link.values() if not peer.link.is_closed]
+    def peers(self, *, role=""):
+        return [
+            peer
+            for peer in self.by_link.values()
+            if not peer.link.is_closed and role in ("", peer.hello.role)
+        ]
 
     def peer(self, host):
         found = next((peer for peer in reversed(self.peers()) if peer.host == host), None)
--- a/features/steps/readers_steps.py
+++ b/features/steps/readers_steps.py
@@ -91,11 +91,11 @@
 
     def on_change(self, items):
         self.followed.take(items)
-        self.sync.beat("")
+        self.sync.beat()
 
     def on_platform(self, is_up):
         self.followed.on_platform(is_up)
-        self.sync.beat("")
+        self.sync.beat()
 
     async def run(self):
         reading = asyncio.ensure_future(self.sync.run())
@@ -103,7 +103,7 @@
         await asyncio.sleep(random.Random(self.host).uniform(0, BEAT_S))
         try:
             while True:
-                self.sync.beat("")
+                self.sync.beat()
                 self.followed.expire()
                 await asyncio.sleep(BEAT_S)
         finally:
--- a/packages/wasabilb-agent/src/wasabilb_agent/_model_fleet.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_model_fleet.py
@@ -115,8 +115,7 @@
                 region=peer.hello.region,
                 failure_domain=peer.hello.failure_domain,
             )
-            for peer in self._links.peers()
-            if peer.hello.role == "agent"
+            for peer in self._links.peers(role="agent")
         }
         for runner in self._published.directory:
             if runner.service != self._service:
--- a/packages/wasabilb-agent/src/wasabilb_agent/_runner_reports.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_runner_reports.py
@@ -35,7 +35,7 @@
         report = _report(listed, state, is_easing=is_easing)
         if report == self._sent and now() - self._sent_at < QUIET_REPORT_S:
             return
-        entries = [peer for peer in self._links.peers() if peer.hello.role == "entry"]
+        entries = self._links.peers(role="entry")
         self._number += 1
         is_for_all = len(entries) <= MOST_AT_ONCE or self._number % FAR_REPORTS == 0
         if not is_for_all and not _is_urgent(report, self._sent):
--- a/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
@@ -1,8 +1,6 @@
 """The agent beside a model runner whose requests do not pass through the agent."""
 
 import asyncio
-import os
-import random
 from collections.abc import Callable
 
 import attrs
@@ -10,16 +8,13 @@
 from returns.result import Failure
 from wasabilb_core.distribution import PlannerLimits
 from wasabilb_core.manifest import Manifest
-from wasabilb_core.published import PublishedState
 from wasabilb_core.settings import AgentSettings
 from wasabilb_core.tickets import HostRole, HostSpec
 from wasabilb_node.clock import now
-from wasabilb_node.followed_state import FollowedState
 from wasabilb_node.http_client import ConnectionPool
-from wasabilb_node.links import Identity, LinkManager
-from wasabilb_node.logs import EventLog
 from wasabilb_node.metrics import Metrics
-from wasabilb_node.published_sync import PublishedDecoder, PublishedSource, PublishedSync
+from wasabilb_node.published_node import HEARTBEAT_S, NodePlace, PublishedNode
+from wasabilb_node.published_sync import PublishedDecoder, PublishedSource
 
 from wasabilb_agent._model_fleet import ModelFleet
 from wasabilb_agent._participants import ListedParticipants
@@ -30,8 +25,6 @@
 from wasabilb_agent.staging import Staging
 from wasabilb_agent.transfer import ChunkTransfers
 
-# A third of the time after which a silent link is replaced, seconds.
-HEARTBEAT_S = 0.8
 # Interval of the runner's report; reports of this age change the choice of a runner little, as a
 # place in a full batch becomes free about every 0.08 s.
 REPORT_S = 0.1
@@ -111,29 +104,22 @@
     ) -> None:
         self._cfg = cfg
         own = cfg.process
-        seed = int.from_bytes(os.urandom(8))
-        rng = random.Random(seed)
-        self.log = EventLog(
-            process=cfg.node,
-            role="agent",
-            host=cfg.node,
-            failure_domain=own.failure_domain,
-            incarnation=f"{seed:016x}",
-        )
-        self._links = LinkManager(
-            identity=Identity(
+        self._pool = ConnectionPool(max_idle=4)
+        self._node = PublishedNode(
+            place=NodePlace(
+                name=cfg.node,
                 host=own.host,
                 role="agent",
                 region=own.region,
                 failure_domain=own.failure_domain,
-                incarnation=seed,
                 address=own.listen,
             ),
-            log=self.log,
-            heartbeat_s=HEARTBEAT_S,
+            decoder=decoder,
+            source=source,
+            pool=self._pool,
         )
-        items = PublishedState()
-        self._published = FollowedState(items=items, decoder=decoder, log=self.log)
+        self.log, self._links = self._node.log, self._node.links
+        self._published = self._node.published
         self._fleet = ModelFleet(
             published=self._published,
             links=self._links,
@@ -142,19 +128,8 @@
             regions=cfg.regions,
             links_port=cfg.links_port,
         )
-        self._pool = ConnectionPool(max_idle=4)
         self._runner = runner(self._pool)
         staging = Staging(runner=self._runner, log=self.log)
-        self._sync = PublishedSync(
-            state=items,
-            source=source(self._pool),
-            links=self._links,
-            log=self.log,
-            rng=rng,
-            on_change=self._published.take,
-            on_platform=self._published.on_platform,
-            may_read=False,
-        )
         self._loads = VersionLoads(
             fleet=self._fleet,
             published=self._published,
@@ -178,7 +153,7 @@
             hand_over=self._loads.hand_over,
             log=self.log,
             metrics=Metrics(address="", role="agent", host=own.host, log=self.log),
-            rng=rng,
+            rng=self._node.rng,
             preload=staging.preload,
             limits=self._transfer_limits,
         )
@@ -192,7 +167,7 @@
         self.log.event("process_started", listen=self._cfg.process.listen)
         self._links.listen()
         self._tasks = [
-            asyncio.ensure_future(self._sync.run()),
+            asyncio.ensure_future(self._node.sync.run()),
             asyncio.ensure_future(self._tick()),
             asyncio.ensure_future(self._follow_runner()),
         ]
@@ -207,10 +182,7 @@
 
     async def _tick(self) -> None:
         while True:
-            self._links.set_targets(self._transfers.targets())
-            self._links.tick()
-            self._sync.beat("")
-            self._published.expire()
+            self._node.tick(self._transfers.targets())
             self._transfers.on_tick()
             self._pool.sweep()
             await asyncio.sleep(HEARTBEAT_S)
--- a/packages/wasabilb-agent/src/wasabilb_agent/transfer.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/transfer.py
@@ -162,7 +162,7 @@
 
     def on_tick(self) -> None:
         """Take note of live traffic; called once a heartbeat."""
-        entries = [p for p in self._links.peers() if p.hello.role == HostRole.ENTRY.value]
+        entries = self._links.peers(role=HostRole.ENTRY.value)
         self._uploads.on_live_total(sum(peer.link.bytes_sent for peer in entries))
 
     def close(self) -> None:
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -1,8 +1,6 @@
 """The entry process of a deployment whose runners are called directly."""
 
 import asyncio
-import os
-import random
 from collections.abc import Callable
 
 import attrs
@@ -10,13 +8,11 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 from wasabilb_core.catalog import Catalog
-from wasabilb_core.published import Item, PublishedState
 from wasabilb_node.clock import now
-from wasabilb_node.followed_state import FollowedState
 from wasabilb_node.http_client import ConnectionPool
-from wasabilb_node.links import Identity, LinkManager, Peer
-from wasabilb_node.logs import EventLog
-from wasabilb_node.published_sync import PublishedDecoder, PublishedSource, PublishedSync
+from wasabilb_node.links import Peer
+from wasabilb_node.published_node import HEARTBEAT_S, NodePlace, PublishedNode
+from wasabilb_node.published_sync import PublishedDecoder, PublishedSource
 from wasabilb_wire.messages import RunnerReport, SendNotice
 
 from wasabilb_entry.caller_connection import CallerServer
@@ -26,8 +22,6 @@
 from wasabilb_entry.gateway_metrics import GatewayMetrics
 from wasabilb_entry.send_notices import SendNotices
 
-# A third of the time after which a silent link is replaced, seconds. Changes are told at once.
-HEARTBEAT_S = 0.8
 # Idle connections to one runner. Each of 7 entry processes keeps less than its part of the
 # connections that a runner accepts.
 MAX_IDLE_CONNECTIONS = 8
@@ -99,69 +93,45 @@
         salt: bytes,
     ) -> None:
         self._cfg = cfg
-        seed = int.from_bytes(os.urandom(8))
-        self._rng = random.Random(seed)
         self._metrics = GatewayMetrics()
-        self.log = EventLog(
-            process=cfg.host,
-            role="entry",
-            host=cfg.host,
-            failure_domain=cfg.failure_domain,
-            incarnation=f"{seed:016x}",
-        )
-        self._links = LinkManager(
-            identity=Identity(
+        self._node = PublishedNode(
+            place=NodePlace(
+                name=cfg.host,
                 host=cfg.host,
                 role="entry",
                 region=cfg.region,
                 failure_domain=cfg.failure_domain,
-                incarnation=seed,
                 address=cfg.links_address,
             ),
-            log=self.log,
-            heartbeat_s=HEARTBEAT_S,
-        )
-        self._links.on(RunnerReport, self._on_report, from_role="agent")
-        self._links.on(SendNotice, self._on_notice, from_role="entry")
-        self._links.on_up.append(self._on_link)
-        self._items = PublishedState()
-        self._published = FollowedState(
-            items=self._items,
             decoder=decoder,
-            log=self.log,
+            source=source,
+            pool=ConnectionPool(max_idle=2),
             on_catalog=self._on_catalog,
             on_runner_gone=self._on_runner_gone,
         )
-        self._store_pool = ConnectionPool(max_idle=2)
+        self.log, self._published = self._node.log, self._node.published
+        self._node.links.on(RunnerReport, self._on_report, from_role="agent")
+        self._node.links.on(SendNotice, self._on_notice, from_role="entry")
+        self._node.on_changed.append(self._follow_targets)
         self._pool = ConnectionPool(
             max_idle=MAX_IDLE_CONNECTIONS, on_open=self._metrics.on_connection
         )
-        self._sync = PublishedSync(
-            state=self._items,
-            source=source(self._store_pool),
-            links=self._links,
-            log=self.log,
-            rng=self._rng,
-            on_change=self._on_change,
-            on_platform=self._on_platform,
-            may_read=True,
-        )
         self._fleet = FleetView(
             published=self._published,
             failure_domain=cfg.failure_domain,
             regions=cfg.regions,
             pool=self._pool,
             limits=cfg.limits,
-            rng=self._rng,
+            rng=self._node.rng,
             processes=self._entry_count,
-            tell_sent=SendNotices(links=self._links).add,
+            tell_sent=SendNotices(links=self._node.links).add,
         )
         self._forwarder = Forwarder(
             fleet=self._fleet,
             protocol=protocol,
             log=self.log,
             metrics=self._metrics,
-            rng=self._rng,
+            rng=self._node.rng,
             salt=salt,
         )
         self._callers = CallerServer(on_request=self._forwarder.on_request, log=self.log)
@@ -173,13 +143,13 @@
     async def start(self) -> None:
         """Listen and begin to follow published state."""
         self.log.event("process_started", listen=self._cfg.callers_address)
-        self._links.listen()
+        self._node.links.listen()
         self._callers.listen(self._cfg.callers_address)
         self._serve(self._cfg.ready_address, self._answer_ready)
         if self._cfg.metrics_address:
             self._serve(self._cfg.metrics_address, self._answer_metrics)
         self._tasks = [
-            asyncio.ensure_future(self._sync.run()),
+            asyncio.ensure_future(self._node.sync.run()),
             asyncio.ensure_future(self._tick()),
         ]
 
@@ -203,7 +173,7 @@
         self.log.event("drain_done", cut_off=self._forwarder.in_progress, after_s=now() - started)
         for task in self._tasks:
             task.cancel()
-        self._links.close()
+        self._node.links.close()
 
     def on_settings(self, cfg: GatewaySettings) -> None:
         """Put changed settings into force, except for the addresses that are listened on."""
@@ -233,10 +203,7 @@
 
     async def _tick(self) -> None:
         while True:
-            self._links.set_targets(self._targets())
-            self._links.tick()
-            self._sync.beat(self._cfg.links_address)
-            self._published.expire()
+            self._node.tick(self._targets())
             self._pool.sweep()
             self._callers.sweep()
             for callback in self.on_tick:
@@ -244,7 +211,7 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     def _targets(self) -> dict[str, str]:
-        found = {address: address for address in {*self._cfg.seeds, *self._sync.known_entries}}
+        found = {address: address for address in {*self._cfg.seeds, *self._node.sync.known_entries}}
         for runner in self._published.directory:
             ip = runner.address.rpartition(":")[0]
             if self._fleet.has_engine(runner.service):
@@ -252,17 +219,10 @@
         return found
 
     def _entry_count(self) -> int:
-        return max(1, len(self._sync.known_entries))
+        return max(1, len(self._node.sync.known_entries))
 
-    def _on_platform(self, is_up: bool) -> None:
-        self._published.on_platform(is_up)
-        # Peers that do not read the platform must know before they hear of expired entries.
-        self._sync.beat(self._cfg.links_address)
-
-    def _on_change(self, items: list[Item]) -> None:
-        self._published.take(items)
-        self._links.set_targets(self._targets())
-        self._sync.beat(self._cfg.links_address)
+    def _follow_targets(self) -> None:
+        self._node.links.set_targets(self._targets())
 
     def _on_catalog(self, catalog: Catalog) -> None:
         self._callers.on_limits(catalog.limits)
@@ -270,10 +230,6 @@
     def _on_runner_gone(self, runner_id: str) -> None:
         self._fleet.book.forget(runner_id)
 
-    def _on_link(self, peer: Peer) -> None:
-        # A process that has just started learns of published state without waiting for a beat.
-        self._sync.greet(peer, self._cfg.links_address)
-
     def _on_notice(self, peer: Peer, notice: SendNotice) -> None:
         for runner_id, tokens in zip(notice.runners, notice.prompt_tokens, strict=False):
             self._fleet.on_told(runner_id, tokens)
--- a/packages/wasabilb-entry/src/wasabilb_entry/send_notices.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/send_notices.py
@@ -40,7 +40,7 @@
 
     def _nearest(self) -> list[Peer]:
         """Return the entry processes to tell: all of a few, of many those that share runners."""
-        peers = [peer for peer in self._links.peers() if peer.hello.role == "entry"]
+        peers = self._links.peers(role="entry")
         if len(peers) <= MOST_TOLD:
             return peers
         own = self._links.identity.failure_domain
--- a/packages/wasabilb-node/src/wasabilb_node/links.py
+++ b/packages/wasabilb-node/src/wasabilb_node/links.py
@@ -173,9 +173,13 @@
         """Keep a link to one more host."""
         self.set_targets({**self._targets, name: address})
 
-    def peers(self) -> list[Peer]:
-        """Return all peers with an open link."""
-        return [peer for peer in self._peers.values() if not peer.link.is_closed]
+    def peers(self, *, role: str = "") -> list[Peer]:
+        """Return the peers with an open link, of one role if it is given."""
+        return [
+            peer
+            for peer in self._peers.values()
+            if not peer.link.is_closed and role in ("", peer.hello.role)
+        ]
 
     def peer(self, host: str) -> Peer | None:
         """Return the newest open link to a host."""
--- a/packages/wasabilb-node/src/wasabilb_node/node.py
+++ b/packages/wasabilb-node/src/wasabilb_node/node.py
@@ -195,7 +195,7 @@
                 subset_size=self.cfg.links.subset_size,
                 peer_count=self.cfg.links.peer_count,
             )
-        elif not any(peer.hello.role == HostRole.ENTRY.value for peer in self.links.peers()):
+        elif not self.links.peers(role=HostRole.ENTRY.value):
             targets |= agent_targets(
                 host=self.own_spec, fleet=self.fleet, peer_count=self.cfg.links.peer_count
             )
--- /dev/null
+++ b/packages/wasabilb-node/src/wasabilb_node/published_node.py
@@ -0,0 +1,159 @@
+"""What all processes share that follow published state: identity, log, links and that state."""
+
+import os
+import random
+from collections.abc import Callable
+
+from attrs import frozen
+from wasabilb_core.catalog import Catalog
+from wasabilb_core.published import Item, PublishedState
+
+from wasabilb_node.followed_state import FollowedState
+from wasabilb_node.http_client import ConnectionPool
+from wasabilb_node.links import Identity, LinkManager, Peer
+from wasabilb_node.logs import EventLog
+from wasabilb_node.published_sync import PublishedDecoder, PublishedSource, PublishedSync
+
+# A third of the time after which a silent link is replaced, seconds.
+HEARTBEAT_S = 0.8
+
+
+@frozen(kw_only=True)
+class NodePlace:
+    """Who and where a process is.
+
+    Parameters
+    ----------
+    name : str
+        Name of the host in the log.
+    host : str
+        Name under which peers know the host.
+    role : str
+        `entry` or `agent`.
+    region, failure_domain : str
+        Where it runs.
+    address : str
+        `IP:PORT` on which it accepts links.
+    """
+
+    name: str
+    host: str
+    role: str
+    region: str
+    failure_domain: str
+    address: str
+
+    @property
+    def is_entry(self) -> bool:
+        """Return whether it is an entry process, which others are told of."""
+        return self.role == "entry"
+
+
+class PublishedNode:
+    """Links to peers and the published state that they keep alike.
+
+    Entry processes may read the platform, and tell peers of each change at once.
+
+    Parameters
+    ----------
+    place : NodePlace
+        This process.
+    decoder : PublishedDecoder
+        Reads published items.
+    source : callable
+        Returns the reading calls of the platform on a connection pool.
+    pool : ConnectionPool
+        Connections to the platform.
+    on_catalog : callable or None
+        Called with each catalog that comes into force.
+    on_runner_gone : callable or None
+        Called with the id of each runner that is gone for good.
+    """
+
+    def __init__(
+        self,
+        *,
+        place: NodePlace,
+        decoder: PublishedDecoder,
+        source: Callable[[ConnectionPool], PublishedSource],
+        pool: ConnectionPool,
+        on_catalog: Callable[[Catalog], None] | None = None,
+        on_runner_gone: Callable[[str], None] | None = None,
+    ) -> None:
+        self._place = place
+        incarnation = int.from_bytes(os.urandom(8))
+        self.rng = random.Random(incarnation)
+        self.log = EventLog(
+            process=place.name,
+            role=place.role,
+            host=place.name,
+            failure_domain=place.failure_domain,
+            incarnation=f"{incarnation:016x}",
+        )
+        self.links = LinkManager(
+            identity=Identity(
+                host=place.host,
+                role=place.role,
+                region=place.region,
+                failure_domain=place.failure_domain,
+                incarnation=incarnation,
+                address=place.address,
+            ),
+            log=self.log,
+            heartbeat_s=HEARTBEAT_S,
+        )
+        items = PublishedState()
+        self.published = FollowedState(
+            items=items,
+            decoder=decoder,
+            log=self.log,
+            on_catalog=on_catalog,
+            on_runner_gone=on_runner_gone,
+        )
+        self.sync = PublishedSync(
+            state=items,
+            source=source(pool),
+            links=self.links,
+            log=self.log,
+            rng=self.rng,
+            on_change=self._on_change,
+            on_platform=self._on_platform,
+            may_read=place.is_entry,
+            own_entry=place.address if place.is_entry else "",
+        )
+        # Called after each change, before peers are told of it.
+        self.on_changed: list[Callable[[], None]] = []
+        if place.is_entry:
+            self.links.on_up.append(self._greet)
+
+    def tick(self, targets: dict[str, str]) -> None:
+        """Keep links to peers and tell them what is known here; called once a heartbeat.
+
+        Parameters
+        ----------
+        targets : dict of str
+            Names and addresses of the peers.
+        """
+        self.links.set_targets(targets)
+        self.links.tick()
+        self.sync.beat()
+        self.published.expire()
+
+    def _on_change(self, items: list[Item]) -> None:
+        self.published.take(items)
+        for callback in self.on_changed:
+            callback()
+        self._tell()
+
+    def _on_platform(self, is_up: bool) -> None:
+        self.published.on_platform(is_up)
+        # Peers that do not read the platform must know before they hear of expired entries.
+        self._tell()
+
+    def _tell(self) -> None:
+        if self._place.is_entry:
+            self.sync.beat()
+
+    def _greet(self, peer: Peer) -> None:
+        # A process that has just started learns of published state without waiting for a beat.
+        self.sync.greet(peer)
--- a/packages/wasabilb-node/src/wasabilb_node/published_sync.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_sync.py
@@ -96,6 +96,8 @@
     may_read : bool
         Whether this process is one of those that read the platform. The others read it once at
         their start, and then only while no linked process can read it.
+    own_entry : str
+        Link address of this entry process, which peers tell each other; empty for others.
     """
 
     def __init__(
@@ -109,6 +111,7 @@
         on_change: Callable[[list[Item]], None],
         on_platform: Callable[[bool], None],
         may_read: bool,
+        own_entry: str = "",
     ) -> None:
         self._state = state
         self._source = source
@@ -118,6 +121,7 @@
         self._on_change = on_change
         self._on_platform = on_platform
         self._may_read = may_read
+        self._own_entry = own_entry
         self._is_up: bool | None = None
         self._is_heard: bool | None = None
         # Whether the newest call succeeded and this process has not left reading to others since.
@@ -152,32 +156,26 @@
             await asyncio.sleep(retry_s * self._rng.uniform(0.5, 1.0))
             retry_s = min(MAX_RETRY_S, retry_s * 2)
 
-    def beat(self, own_address: str) -> None:
+    def beat(self) -> None:
         """Tell all peers what is known here; called once a heartbeat and after each change.
 
         The addresses of entry processes are sent again only when one was added.
         """
-        entries = sorted({*self.known_entries, own_address} - {""})
+        entries = self._entries()
         is_news = entries != self._told_entries
         self._told_entries = entries
-        revision = self._state.revision
-        self._links.broadcast(
-            NodeBeat(
-                revision=revision,
-                entries=entries if is_news else [],
-                reads_platform=self._is_reading,
-            )
-        )
+        self._links.broadcast(self._beat(entries if is_news else []))
 
-    def greet(self, peer: Peer, own_address: str) -> None:
+    def greet(self, peer: Peer) -> None:
         """Tell a new peer everything that beats say."""
-        entries = sorted({*self.known_entries, own_address} - {""})
-        peer.send(
-            NodeBeat(
-                revision=self._state.revision,
-                entries=entries,
-                reads_platform=self._is_reading,
-            )
+        peer.send(self._beat(self._entries()))
+
+    def _entries(self) -> list[str]:
+        return sorted({*self.known_entries, self._own_entry} - {""})
+
+    def _beat(self, entries: list[str]) -> NodeBeat:
+        return NodeBeat(
+            revision=self._state.revision, entries=entries, reads_platform=self._is_reading
         )
 
     def _leaves_reading(self) -> bool:
@@ -186,7 +184,7 @@
         Of two that stand in for readers that cannot, the first one by name goes on.
         """
         own = self._links.identity.host
-        peers = [peer for peer in self._links.peers() if peer.hello.role == "entry"]
+        peers = self._links.peers(role="entry")
         domains = {peer.host: peer.hello.failure_domain for peer in peers}
         if self._may_read:
             domains[own] = self._links.identity.failure_domain
@@ -244,8 +242,7 @@
         self._tell_platform()
 
     def _apply(self, changed: list[Item]) -> None:
-        if self._behind_since is not None:
-            self._behind_since = None
+        self._behind_since = None
         if changed:
             self._on_change(changed)
 
