Sort a model's runners once in each look at their waves; list hosts only when a link is missing

Cause: may_reload sorted all runners anew for each of them, ten times a second on each host whose weights are staged; 20 times a second each transfer listed all hosts to dial those that were linked already. Ruled out: keeping the waves between two looks, as the list may change in between. Change: waves_of returns the waves of all; _link_up asks for addresses only of hosts without a link.

--- a/packages/wasabilb-agent/src/wasabilb_agent/_participants.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_participants.py
@@ -75,7 +75,8 @@
 
 def _link_up(hosts: TransferHosts, links: LinkManager, names: Iterable[str]) -> None:
     """Dial the hosts to which no link is open."""
-    for name, address in hosts.addresses(set(names) - links.linked_hosts()).items():
+    missing = set(names) - links.linked_hosts()
+    for name, address in hosts.addresses(missing).items() if missing else ():
         links.add_target(name, address)
 
 
--- a/packages/wasabilb-core/src/wasabilb_core/reload_waves.py
+++ b/packages/wasabilb-core/src/wasabilb_core/reload_waves.py
@@ -6,7 +6,7 @@
 force. Each agent computes the same waves from the platform's list.
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Mapping
 
 from attrs import frozen
 
@@ -40,10 +40,10 @@
     is_reloading: bool = False
 
 
-def wave_of(name: str, members: Mapping[str, WaveMember]) -> int:
-    """Return the wave of a runner; those of one failure domain are spread over the waves."""
-    ordered = sorted(members, key=lambda other: (members[other].failure_domain, other))
-    return ordered.index(name) % WAVES if name in members else 0
+def waves_of(members: Mapping[str, WaveMember]) -> dict[str, int]:
+    """Return the wave of each runner; those of one failure domain are spread over the waves."""
+    ordered = sorted(members, key=lambda name: (members[name].failure_domain, name))
+    return {name: place % WAVES for place, name in enumerate(ordered)}
 
 
 def may_reload(
@@ -73,22 +73,18 @@
     if own is None or own.version == 0:
         # A runner without weights answers nobody, so that its load costs nothing.
         return True
-    wave = wave_of(name, members)
-    if named_s >= LATEST_ORDER[wave] * bound_s:
+    waves = waves_of(members)
+    if named_s >= LATEST_ORDER[waves[name]] * bound_s:
         return True
-    return _is_loaded(members, version, range(wave))
+    return all(
+        member.version >= version or (member.version == 0 and not member.is_reloading)
+        for other, member in members.items()
+        if waves[other] < waves[name]
+    )
 
 
 def is_easing(
     *, name: str, members: Mapping[str, WaveMember], named_s: float, bound_s: float
 ) -> bool:
     """Return whether a runner that still holds an older version should get less to do."""
-    return named_s >= EASE_FROM[wave_of(name, members)] * bound_s
-
-
-def _is_loaded(members: Mapping[str, WaveMember], version: int, waves: Collection[int]) -> bool:
-    return all(
-        member.version >= version or (member.version == 0 and not member.is_reloading)
-        for other, member in members.items()
-        if wave_of(other, members) in waves
-    )
+    return named_s >= EASE_FROM[waves_of(members).get(name, 0)] * bound_s
