--- a/packages/wasabilb-core/src/wasabilb_core/errors.py
+++ b/packages/wasabilb-core/src/wasabilb_core/errors.py
@@ -3,6 +3,7 @@
 from enum import Enum, unique
 
 from attrs import frozen
+from returns.result import Failure
 
 
 @unique
@@ -149,3 +150,8 @@
     def told_outcome(self) -> Outcome:
         """Return the outcome that the caller is told."""
         return self.outcome if self.outcome is not None else self.answer.outcome
+
+
+def unavailable(detail: str) -> Failure[Error]:
+    """Return the failure of a call to a service of the platform that gave no usable answer."""
+    return Failure(Error(kind=ErrorKind.PLATFORM_UNAVAILABLE, detail=detail))
--- a/packages/wasabilb-entry/src/wasabilb_entry/relay.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/relay.py
@@ -70,20 +70,18 @@
         """Return whether the caller has received a part of an answer."""
         return self.req.has_started
 
-    def is_expected(self, head: Head) -> bool:
-        """Return whether an answer belongs to this request and not to an earlier one."""
-        answered = self.protocol.read_answer(head, now()).request_id
-        return answered in ("", self.request_id)
-
-    def on_head(self, head: Head) -> None:
-        """Take the head of an answer."""
-        self.head = head
-        self.facts = self.protocol.read_answer(head, now())
+    def on_head(self, head: Head) -> bool:
+        """Take the head of an answer; False for one that answers an earlier request."""
+        facts = self.protocol.read_answer(head, now())
+        if facts.request_id not in ("", self.request_id):
+            return False
+        self.head, self.facts = head, facts
         is_plain_body = "Content-Encoding" not in head.headers
         self._is_streaming = (
             self.is_stream and head.status == OK and self.facts.is_sealed and is_plain_body
         )
         self.progress_at = now()
+        return True
 
     def on_data(self, data: bytes) -> Awaitable[None] | None:
         """Take a part of the body; events go to the caller at once."""
--- a/packages/wasabilb-node/src/wasabilb_node/_kept_connection.py
+++ b/packages/wasabilb-node/src/wasabilb_node/_kept_connection.py
@@ -79,11 +79,11 @@
 class AnswerSink(Protocol):
     """Takes one answer as it arrives."""
 
-    def is_expected(self, head: Head) -> bool:
-        """Return whether an answer belongs to the request; others are read and dropped."""
+    def on_head(self, head: Head) -> bool:
+        """Take the status and the headers, unless the answer belongs to another request.
 
-    def on_head(self, head: Head) -> None:
-        """Take the status and the headers."""
+        Returns whether it was taken; other answers are read and dropped.
+        """
 
     def on_data(self, data: bytes) -> Awaitable[None] | None:
         """Take a part of the body; an awaitable holds the next part back."""
@@ -200,9 +200,7 @@
         self.headers = headers
         head = Head(status=start_line.code, reason=start_line.reason, headers=headers)
         self.has_body = start_line.code not in (204, 304)
-        self.is_foreign = not self._sink.is_expected(head)
-        if not self.is_foreign:
-            self._sink.on_head(head)
+        self.is_foreign = not self._sink.on_head(head)
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         return None if self.is_foreign else self._sink.on_data(chunk)
--- a/packages/wasabilb-node/src/wasabilb_node/http_client.py
+++ b/packages/wasabilb-node/src/wasabilb_node/http_client.py
@@ -7,10 +7,10 @@
 import asyncio
 
 from attrs import define, field, frozen
-from returns.result import Failure, Result, Success
+from returns.result import Result, Success
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
-from wasabilb_core.errors import Error, ErrorKind
+from wasabilb_core.errors import Error, unavailable
 
 from wasabilb_node._connection_pool import CONNECT_TIMEOUT_S, ConnectError, ConnectionPool
 from wasabilb_node._kept_connection import AnswerSink, Connection, Head, ReadEnd, has_input
@@ -38,11 +38,9 @@
     head: Head | None = None
     parts: list[bytes] = field(factory=list)
 
-    def is_expected(self, head: Head) -> bool:
-        return True
-
-    def on_head(self, head: Head) -> None:
+    def on_head(self, head: Head) -> bool:
         self.head = head
+        return True
 
     def on_data(self, data: bytes) -> None:
         self.parts.append(data)
@@ -79,9 +77,9 @@
             timeout_s,
         )
     except TimeoutError:
-        return _unavailable(f"{method} {target.partition('?')[0]}: no answer in {timeout_s} s")
+        return unavailable(f"{method} {target.partition('?')[0]}: no answer in {timeout_s} s")
     except (ConnectError, StreamClosedError) as exc:
-        return _unavailable(f"{method} {target.partition('?')[0]}: {exc or type(exc).__name__}")
+        return unavailable(f"{method} {target.partition('?')[0]}: {exc or type(exc).__name__}")
 
 
 async def _call(
@@ -105,11 +103,7 @@
         conn.close()
         raise
     if end is not ReadEnd.COMPLETE or sink.head is None:
-        return _unavailable(f"{method} {target.partition('?')[0]}: the connection broke")
+        return unavailable(f"{method} {target.partition('?')[0]}: the connection broke")
     pool.release(conn)
     head = sink.head
     return Success(WholeAnswer(status=head.status, headers=head.headers, body=b"".join(sink.parts)))
-
-
-def _unavailable(detail: str) -> Result[WholeAnswer, Error]:
-    return Failure(Error(kind=ErrorKind.PLATFORM_UNAVAILABLE, detail=detail))
--- a/packages/wasabilb-node/src/wasabilb_node/platform.py
+++ b/packages/wasabilb-node/src/wasabilb_node/platform.py
@@ -6,7 +6,7 @@
 from attrs import frozen
 from returns.result import Failure, Result, Success
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
-from wasabilb_core.errors import Error, ErrorKind
+from wasabilb_core.errors import Error, unavailable
 from wasabilb_core.metric_names import Metric
 from wasabilb_core.tickets import MAX_TICKET_BYTES
 
@@ -67,11 +67,11 @@
             return body
         raw = body.unwrap()
         if len(raw) > MAX_TICKET_BYTES:
-            return _unavailable(f"ticket {number} has {len(raw)} bytes")
+            return unavailable(f"ticket {number} has {len(raw)} bytes")
         try:
             return Success(raw.decode())
         except UnicodeDecodeError as exc:
-            return _unavailable(f"ticket {number} is not UTF-8: {exc.reason}")
+            return unavailable(f"ticket {number} is not UTF-8: {exc.reason}")
 
     async def hosts(self) -> Result[ListedHosts, Error]:
         """Return the host list."""
@@ -83,7 +83,7 @@
             leaving = tuple(str(h["name"]) for h in data["hosts"] if h["state"] != "live")
             return Success(ListedHosts(as_of=int(data["as_of"]), leaving=leaving))
         except (ValueError, KeyError, TypeError, RecursionError) as exc:
-            return _unavailable(f"host list is malformed: {type(exc).__name__}")
+            return unavailable(f"host list is malformed: {type(exc).__name__}")
 
     def close(self) -> None:
         """Release the client."""
@@ -97,9 +97,9 @@
                 url, connect_timeout=CALL_TIMEOUT_S, request_timeout=timeout_s
             )
         except (HTTPClientError, OSError) as exc:
-            return _unavailable(f"{url}: {exc}")
+            return unavailable(f"{url}: {exc}")
         if len(response.body) > MAX_INDEX_BYTES:
-            return _unavailable(f"{url}: {len(response.body)} bytes, at most {MAX_INDEX_BYTES}")
+            return unavailable(f"{url}: {len(response.body)} bytes, at most {MAX_INDEX_BYTES}")
         return Success(response.body)
 
 
@@ -111,8 +111,4 @@
         digests = {int(ticket["number"]): int(ticket["digest"], 16) for ticket in data["tickets"]}
         return Success(TicketIndex(digests=digests))
     except (ValueError, KeyError, TypeError, RecursionError) as exc:
-        return _unavailable(f"index is malformed: {type(exc).__name__}")
-
-
-def _unavailable(detail: str) -> Failure[Error]:
-    return Failure(Error(kind=ErrorKind.PLATFORM_UNAVAILABLE, detail=detail))
+        return unavailable(f"index is malformed: {type(exc).__name__}")
