Remove what nothing reads; count the runners when a held request is refused

Cause: the adapter decoded a session for each request, an urgency that is never sent, a health path and whether orders are fenced, and no code read them; NamedVersions.newest lost its last caller; two modules had the same bound of an event. When placing was changed to look at the runners once, a request that had been held was refused with the runners of 1.2 s before in its detail and its Retry-After.

--- a/packages/wasabilb-agent/src/wasabilb_agent/events.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/events.py
@@ -3,8 +3,7 @@
 Source: HTML Living Standard, section 9.2 "Server-sent events". Engines send only `data` fields.
 """
 
-# A line that never ends must not fill the agent's memory.
-MAX_EVENT_BYTES = 1 << 20
+from wasabilb_core.event_stream import MAX_EVENT_BYTES
 
 
 class EventStream:
--- a/packages/wasabilb-core/src/wasabilb_core/catalog.py
+++ b/packages/wasabilb-core/src/wasabilb_core/catalog.py
@@ -117,8 +117,6 @@
         Chunks of one version of the weights.
     chunk_bytes : int
         Size of a chunk.
-    fences_orders : bool
-        Whether the engine refuses an order with an old fencing token.
     """
 
     model: str
@@ -133,7 +131,6 @@
     layers: int = 1
     chunks: int = 0
     chunk_bytes: int = 0
-    fences_orders: bool = False
 
     def prompt_s(self, tokens: float) -> float:
         """Return the time to read a prompt, seconds."""
@@ -187,8 +184,6 @@
     ----------
     max_connections : int
         Connections that one of its runners accepts from all callers together.
-    health_path : str
-        Path of its health check.
     engine : EngineSpec or None
         How its model engines work; None for a plain service.
     origin : OriginSpec or None
@@ -197,7 +192,6 @@
 
     name: str
     max_connections: int = 0
-    health_path: str = ""
     engine: EngineSpec | None = None
     origin: OriginSpec | None = None
 
--- a/packages/wasabilb-core/src/wasabilb_core/event_stream.py
+++ b/packages/wasabilb-core/src/wasabilb_core/event_stream.py
@@ -4,7 +4,8 @@
 
 _BOUNDARY = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _ID = re.compile(rb"(?:^|\n|\r)id: ?([^\r\n]*)")
-# An event of the known services is below 1 KiB; a longer one than this is not an event.
+# An event of the known services is below 1 KiB; a longer one than this is not an event, and a line
+# that never ends must not fill the memory.
 MAX_EVENT_BYTES = 1 << 20
 
 
--- a/packages/wasabilb-core/src/wasabilb_core/forwarding.py
+++ b/packages/wasabilb-core/src/wasabilb_core/forwarding.py
@@ -21,8 +21,6 @@
         Size of a model request; 0 for others.
     hinted_answer_tokens : float or None
         The caller's estimate of the answer's size.
-    session : str
-        Last shared part of the prompt, which names the session; empty for none.
     last_event_id : str
         Event after which a stream is to go on; empty for a new one.
     """
@@ -33,7 +31,6 @@
     prompt_tokens: int = 0
     max_answer_tokens: int = 0
     hinted_answer_tokens: float | None = None
-    session: str = ""
     last_event_id: str = ""
 
 
@@ -51,8 +48,6 @@
         The caller's account.
     version : int or None
         Version of the weights that must answer.
-    urgency : int or None
-        Rank in the runner's queue, 0 first.
     last_event_id : str
         Event after which a stream goes on.
     """
@@ -61,7 +56,6 @@
     timeout_s: float | None = None
     account: str | None = None
     version: int | None = None
-    urgency: int | None = None
     last_event_id: str = ""
 
 
--- a/packages/wasabilb-core/src/wasabilb_core/named_versions.py
+++ b/packages/wasabilb-core/src/wasabilb_core/named_versions.py
@@ -13,11 +13,6 @@
     def __init__(self) -> None:
         self._heard: dict[int, float] = {}
 
-    @property
-    def newest(self) -> int:
-        """Return the newest named version, 0 for none."""
-        return max(self._heard, default=0)
-
     def newer_than(self, held: int) -> list[int]:
         """Return the named versions above a held one, in order."""
         return sorted(version for version in self._heard if version > held)
--- a/packages/wasabilb-entry/src/wasabilb_entry/placer.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/placer.py
@@ -86,9 +86,10 @@
             if decision is Decision.REFUSE:
                 return self._overloaded(demand.service, len(views), "no runner begins it in time")
             if decision is Decision.HOLD:
-                if not await self._hold(demand, request, req) and not req.is_gone:
-                    return self._overloaded(demand.service, len(views), "no place became free")
+                is_sent = await self._hold(demand, request, req)
                 views = self.fleet.views(demand.service, request)
+                if not is_sent and not req.is_gone:
+                    return self._overloaded(demand.service, len(views), "no place became free")
                 chosen = self.fleet.choose(request, views)
         placed = self.fleet.placement(demand.service, chosen) if chosen is not None else None
         if placed is not None:
