--- a/features/overload.feature
+++ b/features/overload.feature
@@ -61,3 +61,10 @@
       | 0.4  | short | soon   |
       | 0.4  | long  | later  |
       | 1.2  | long  | soon   |
+
+  Scenario: A held request is refused by the runners of that moment
+    # Guards against a time to come back that is reckoned with runners that have left meanwhile.
+    Given a full runner that leaves while a request is held for it
+    When no place becomes free in time
+    Then the refusal names 0 runners and the time in which one comes back
+
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -1,20 +1,24 @@
 """Steps that play loads on a model of runners that batch requests, without a network."""
 
+import asyncio
 import random
+from types import SimpleNamespace
 
 from behave import given, then, when
-from overload_model import ENGINE, LATE_WORTH, OBJECTIVE_S, Fleet
+from forwarding_stage import StoredValues
+from overload_model import DEADLINE_S, ENGINE, LATE_WORTH, OBJECTIVE_S, Fleet
 from wasabilb_core._batch_backlog import READING_SHARE
-from wasabilb_core.overload import (
-    Decision,
-    HeldLimit,
-    decide,
-)
-from wasabilb_core.routing import (
-    ROUTING,
-    RouteRequest,
-    RunnerView,
-)
+from wasabilb_core.catalog import Catalog, Service
+from wasabilb_core.directory import Runner
+from wasabilb_core.overload import Decision, HeldLimit, decide
+from wasabilb_core.published import PublishedState
+from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView
+from wasabilb_core.runner_book import LoadReport
+from wasabilb_entry.fleet_view import FleetLimits, FleetView
+from wasabilb_entry.placer import NO_RUNNER_RETURN_S, Demand, Placer
+from wasabilb_node.clock import now
+from wasabilb_node.followed_state import FollowedState
+from wasabilb_node.logs import EventLog
 
 
 def worth(jobs):
@@ -182,3 +186,63 @@
 @then("it goes to the runner that loads {choice}")
 def placed_at(context, choice):
     assert context.chosen == choice, context.chosen
+
+
+@given("a full runner that leaves while a request is held for it")
+def runner_that_leaves(context):
+    log = EventLog(process="t", role="entry", host="t", failure_domain="a", incarnation="1")
+    published = FollowedState(items=PublishedState(), decoder=StoredValues({}), log=log)
+    published.catalog = Catalog(
+        version=1, routes=(), services={"s": Service(name="s", engine=ENGINE)}
+    )
+    runner = Runner(
+        id="r",
+        born_ms=1,
+        service="s",
+        address="x:1",
+        failure_domain="a",
+        slots=16,
+        version=1,
+        layer_to=1,
+    )
+    published.directory.on_listed(runner)
+    context.fleet = FleetView(
+        published=published,
+        failure_domain="a",
+        regions={"a": "r"},
+        pool=None,
+        limits=FleetLimits(retry_ratio=0.2, retry_slack=1, retry_window_s=10, version_s=8),
+        rng=random.Random(1),
+        processes=lambda: 1,
+        tell_sent=lambda runner_id, tokens: None,
+    )
+    context.fleet.book.on_report(runner, LoadReport(running=16, waiting=4, at=now(), slots=16))
+
+
+@when("no place becomes free in time")
+def no_place(context):
+    async def play():
+        demand = Demand(
+            service="s",
+            prompt_tokens=100,
+            answer_tokens=50,
+            objective_at=now() + OBJECTIVE_S,
+            deadline=now() + DEADLINE_S,
+            is_returned=False,
+            is_first=True,
+            tried=frozenset(),
+        )
+        req = SimpleNamespace(is_gone=False, watch_gone=lambda callback: None)
+        waiting = asyncio.ensure_future(Placer(fleet=context.fleet).place(demand, req))
+        await asyncio.sleep(0.2)
+        assert not waiting.done()
+        context.fleet.directory.on_removed("r", now())
+        return await waiting
+
+    context.refusal = asyncio.run(play())
+
+
+@then("the refusal names 0 runners and the time in which one comes back")
+def refusal_by_now(context):
+    assert "0 runners" in context.refusal.detail, context.refusal
+    assert context.refusal.retry_after_s == NO_RUNNER_RETURN_S, context.refusal
