--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -4,7 +4,7 @@
 
 from attrs import evolve
 from behave import given, then, when
-from distribution_steps import LIMITS, make_hosts, make_planner
+from swarm_model import LIMITS, make_hosts, make_planner
 from wasabilb_core.distribution import (
     CHUNK_POLICIES,
     ORIGIN,
