--- a/features/steps/memory_links.py
+++ b/features/steps/memory_links.py
@@ -70,11 +70,13 @@
     def __init__(self, *, network, owner, far):
         self.network, self.owner, self.far = network, owner, far
         self.is_closed, self.is_cut, self.other, self.last_at = False, False, None, 0.0
-        self.held_until = 0.0
+        self.held_until, self.bytes_sent = 0.0, 0
 
     def send(self, message):
         if self.is_closed:
             return False
+        # Only that it grows with each message matters to the parts.
+        self.bytes_sent += 1
         self.network.carry(self, message)
         return True
 
--- a/features/steps/readers_steps.py
+++ b/features/steps/readers_steps.py
@@ -11,6 +11,8 @@
 from wasabilb_core.directory import Runner
 from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.published import Item, PublishedState
+from wasabilb_core.roster import EntryPlace, Roster
+from wasabilb_node import clock
 from wasabilb_node.followed_state import FollowedState
 from wasabilb_node.logs import EventLog
 from wasabilb_node.published_sync import Changes, PublishedSource, PublishedSync, Snapshot
@@ -74,6 +76,8 @@
         log = EventLog(
             process=host, role=role, host=host, failure_domain=failure_domain, incarnation="1"
         )
+        own = EntryPlace(address=host, failure_domain=failure_domain)
+        roster = Roster(own=own if role == "entry" else None, now=clock.now())
         items = PublishedState()
         self.followed = FollowedState(
             items=items, decoder=StoredValues({b"runner": RUNNER}), log=log
@@ -82,20 +86,24 @@
             state=items,
             source=platform.source(host),
             links=links,
+            roster=roster,
             log=log,
             rng=random.Random(host),
             on_change=self.on_change,
             on_platform=self.on_platform,
-            may_read=role == "entry",
+            on_distrust=self.followed.on_distrust,
+            distrust_s=self.followed.distrust_s,
         )
 
     def on_change(self, items):
         self.followed.take(items)
-        self.sync.beat()
+        if self.role == "entry":
+            self.sync.tell()
 
     def on_platform(self, is_up):
         self.followed.on_platform(is_up)
-        self.sync.beat()
+        if self.role == "entry":
+            self.sync.tell()
 
     async def run(self):
         reading = asyncio.ensure_future(self.sync.run())
--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 from wasabilb_core.errors import ErrorKind
+from wasabilb_core.roster import EntryPlace
 from wasabilb_wire.codec import (
     LENGTH,
     MAX_EXPANDED_WORDS,
@@ -77,6 +78,10 @@
         ),
         max_size=3,
     ),
+    list[EntryPlace]: st.lists(
+        st.builds(EntryPlace, address=TEXT, failure_domain=TEXT, count=st.integers(0, 2**48)),
+        max_size=3,
+    ),
 }
 
 
--- a/packages/wasabilb-agent/src/wasabilb_agent/_runner_reports.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_runner_reports.py
@@ -9,10 +9,12 @@
 
 # Entry processes hear of an unchanged state at least this often.
 QUIET_REPORT_S = 0.5
-# Entry processes that all hear each report. Of more, those of other regions hear each third one:
-# they send there when their own runners are full, and each message costs its receiver 0.15 ms.
+# Entry processes that all hear each report. Of more, those of the own region hear each second and
+# the others each fourth one: the latter send there when their own runners are full, and each
+# message costs its receiver 0.15 ms.
 MOST_AT_ONCE = 16
-FAR_REPORTS = 3
+NEAR_REPORTS = 2
+FAR_REPORTS = 4
 
 
 class RunnerReports:
@@ -37,10 +39,12 @@
             return
         entries = self._links.peers(role="entry")
         self._number += 1
-        is_for_all = len(entries) <= MOST_AT_ONCE or self._number % FAR_REPORTS == 0
-        if not is_for_all and not _is_urgent(report, self._sent):
-            region = self._links.identity.region
-            entries = [peer for peer in entries if peer.hello.region == region]
+        if len(entries) > MOST_AT_ONCE and not _is_urgent(report, self._sent):
+            if self._number % NEAR_REPORTS:
+                return
+            if self._number % FAR_REPORTS:
+                region = self._links.identity.region
+                entries = [peer for peer in entries if peer.hello.region == region]
         self._sent, self._sent_at = report, now()
         self._links.send_each(report, entries)
 
--- a/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
@@ -8,6 +8,7 @@
 from returns.result import Failure
 from wasabilb_core.distribution import PlannerLimits
 from wasabilb_core.manifest import Manifest
+from wasabilb_core.peering import tellers
 from wasabilb_core.settings import AgentSettings
 from wasabilb_core.tickets import HostRole, HostSpec
 from wasabilb_node.clock import now
@@ -182,11 +183,23 @@
 
     async def _tick(self) -> None:
         while True:
-            self._node.tick(self._transfers.targets())
+            self._node.tick(self._targets())
             self._transfers.on_tick()
             self._pool.sweep()
             await asyncio.sleep(HEARTBEAT_S)
 
+    def _targets(self) -> dict[str, str]:
+        """Return the peers to link with: other agents, and entry processes if none has a link.
+
+        Entry processes link with the agents of listed runners, which this one may not have yet.
+        """
+        found = self._transfers.targets()
+        if not self._links.peers(role="entry"):
+            places = self._node.roster.places()
+            domain = self._cfg.process.failure_domain
+            found.update({a: a for a in tellers(places, self._cfg.process.host, domain)})
+        return found
+
     async def _follow_runner(self) -> None:
         while True:
             started = now()
--- a/packages/wasabilb-core/src/wasabilb_core/directory.py
+++ b/packages/wasabilb-core/src/wasabilb_core/directory.py
@@ -98,6 +98,14 @@
             self._is_away = False
             self._trusted_at = now + LAPSE_GRACE_S
 
+    def on_distrust(self, seconds: float, now: float) -> None:
+        """Note that a peer takes removed entries for expired ones for so long."""
+        self._trusted_at = max(self._trusted_at, now + seconds)
+
+    def distrust_s(self, now: float) -> float:
+        """Return for how long removed entries are taken for expired ones, seconds."""
+        return LAPSE_GRACE_S if self._is_away else max(0.0, self._trusted_at - now)
+
     def on_listed(self, runner: Runner) -> None:
         """Take an entry of the list."""
         self._entries[runner.id] = _Entry(runner=runner)
--- a/packages/wasabilb-core/src/wasabilb_core/overload.py
+++ b/packages/wasabilb-core/src/wasabilb_core/overload.py
@@ -79,21 +79,21 @@
         Runners that answer now.
     turn_s : float
         Mean time after which a full runner ends a request.
-    processes : int
-        Entry processes that share the runners.
+    processes : float
+        Entry processes that share the runners, one that also uses others as a part.
     lately : float
         Held requests a second that found a place, while others did not.
     """
 
     runners: int
     turn_s: float
-    processes: int
+    processes: float
     lately: float = math.inf
 
     @property
     def rate(self) -> float:
         """Return the requests a second that this process can expect to send."""
-        share = self.runners / max(self.turn_s, 1e-3) / max(1, self.processes)
+        share = self.runners / max(self.turn_s, 1e-3) / max(1.0, self.processes)
         return min(share, self.lately)
 
     def is_full(self, held: int) -> bool:
--- /dev/null
+++ b/packages/wasabilb-core/src/wasabilb_core/peering.py
@@ -0,0 +1,103 @@
+"""Which peers a process links with, so that its work does not grow with the fleet.
+
+Up to `MAX_MESH_HOSTS` entry processes are all linked with each other. Of more, the first few of
+each failure domain in an order that all processes compute alike are its hubs. A process links with
+the hubs of its own domain and a few other processes there; a hub also links with the first hub of
+each other domain. News takes at most four hops, and a domain that is cut off stays connected.
+
+An entry process follows the runners of its own domain and a few others: it hears of their load and
+sends to them. Together the processes of a domain follow all runners.
+"""
+
+from collections.abc import Callable, Collection, Iterable
+
+from wasabilb_core._subsets import even_subset
+from wasabilb_core.directory import Runner
+from wasabilb_core.rendezvous import subset
+from wasabilb_core.roster import EntryPlace
+from wasabilb_core.spread import in_reading_order
+from wasabilb_core.topology import MAX_MESH_HOSTS
+
+# Processes of a failure domain that are linked with all others there. Two of them may be replaced
+# at the same time.
+HUBS = 3
+# Other processes of the own domain. They keep it connected when its hubs end at the same moment.
+NEAR_PEERS = 2
+# Runners of the own failure domain that a process follows, and of all others. A process sends a few
+# requests a second; the far runners take them when the near ones are full or gone.
+NEAR_RUNNERS = 18
+FAR_RUNNERS = 6
+# Up to so many runners of a service are followed by every process.
+MAX_FOLLOWED = NEAR_RUNNERS + FAR_RUNNERS
+
+
+def hubs(places: Iterable[EntryPlace], failure_domain: str) -> list[str]:
+    """Return the addresses of a failure domain's hubs, the first one first."""
+    return _in_order(places, failure_domain)[:HUBS]
+
+
+def entry_peers(
+    own: EntryPlace, places: Collection[EntryPlace], is_down: Callable[[str], bool]
+) -> set[str]:
+    """Return the addresses of the entry processes that an entry process links with.
+
+    Parameters
+    ----------
+    own : EntryPlace
+        This process.
+    places : collection of EntryPlace
+        All known entry processes.
+    is_down : callable
+        Returns whether connections to an address have lately failed. The next one in order takes
+        its place.
+    """
+    others = {place.address for place in places} - {own.address}
+    if len(others) < MAX_MESH_HOSTS:
+        return others
+    up = [p for p in places if p.address == own.address or not is_down(p.address)]
+    near_hubs = hubs(up, own.failure_domain)
+    near = [p.address for p in up if p.failure_domain == own.failure_domain]
+    found = {*near_hubs, *subset(f"{own.address}:peers", set(near) - {own.address}, NEAR_PEERS)}
+    if own.address in near_hubs or len(near) <= HUBS:
+        domains = {place.failure_domain for place in up} - {own.failure_domain}
+        for domain in domains:
+            found.update(hubs(up, domain)[:1])
+    return found - {own.address}
+
+
+def tellers(places: Iterable[EntryPlace], agent: str, failure_domain: str) -> list[str]:
+    """Return the entry processes that tell an agent of each change at once.
+
+    The others tell it with their next heartbeat.
+
+    Parameters
+    ----------
+    places : iterable of EntryPlace
+        All known entry processes.
+    agent : str
+        Name of the agent's host.
+    failure_domain : str
+        Where the agent runs.
+    """
+    near = [p.address for p in places if p.failure_domain == failure_domain]
+    return subset(f"{agent}:tellers", near, HUBS)
+
+
+def followed_runners(
+    own: EntryPlace, places: Iterable[EntryPlace], runners: Collection[Runner]
+) -> set[str]:
+    """Return the ids of the runners of one service that an entry process follows."""
+    if len(runners) <= MAX_FOLLOWED:
+        return {runner.id for runner in runners}
+    near = [r.id for r in runners if r.failure_domain == own.failure_domain]
+    far = [r.id for r in runners if r.failure_domain != own.failure_domain]
+    peers = sorted(p.address for p in places if p.failure_domain == own.failure_domain)
+    index = peers.index(own.address) if own.address in peers else 0
+    size = max(NEAR_RUNNERS, MAX_FOLLOWED - len(far))
+    found = even_subset(near, size, index)
+    return {*found, *subset(f"{own.address}:far", far, MAX_FOLLOWED - len(found))}
+
+
+def _in_order(places: Iterable[EntryPlace], failure_domain: str) -> list[str]:
+    addresses = [place.address for place in places if place.failure_domain == failure_domain]
+    return in_reading_order(failure_domain, addresses)
--- /dev/null
+++ b/packages/wasabilb-core/src/wasabilb_core/roster.py
@@ -0,0 +1,114 @@
+"""The entry processes that exist, as processes tell each other.
+
+Each entry process announces itself with a count that it raises from time to time. A process passes
+on what is newer than what it knows, so that each announcement crosses each link about once. Who
+has not been announced again for `FORGET_S` is forgotten: hosts are replaced all the time, and
+nobody announces the end of one.
+"""
+
+from collections.abc import Iterable
+
+from attrs import define, evolve, frozen
+
+# Interval of a process's own announcements, seconds. At 330 entry processes and 7 links each it
+# costs about 0.6 KB/s a process.
+ANNOUNCE_S = 120.0
+# Three announcements may be lost, for example while regions are apart, seconds.
+FORGET_S = 4 * ANNOUNCE_S
+
+
+@frozen(kw_only=True, slots=True)
+class EntryPlace:
+    """One entry process.
+
+    Parameters
+    ----------
+    address : str
+        `IP:PORT` on which it accepts links.
+    failure_domain : str
+        Where it runs.
+    count : int
+        Number of its newest announcement.
+    """
+
+    address: str
+    failure_domain: str
+    count: int = 0
+
+
+@define(kw_only=True)
+class _Known:
+    """An entry process and when its newest announcement came."""
+
+    place: EntryPlace
+    heard_at: float
+
+
+class Roster:
+    """The known entry processes and what is to be passed on about them.
+
+    Parameters
+    ----------
+    own : EntryPlace or None
+        This process; None for one that is no entry process.
+    now : float
+        Current time, seconds.
+    """
+
+    def __init__(self, *, own: EntryPlace | None, now: float) -> None:
+        self._own = own
+        self._known: dict[str, _Known] = {}
+        self._news: dict[str, EntryPlace] = {}
+        self._announced_at = now
+        if own is not None:
+            self._take(own, now)
+
+    def __len__(self) -> int:
+        return len(self._known)
+
+    def places(self) -> list[EntryPlace]:
+        """Return all known entry processes, this one included."""
+        return [known.place for known in self._known.values()]
+
+    def on_told(self, places: Iterable[EntryPlace], now: float) -> bool:
+        """Take announcements of a peer and return whether a process was not known before."""
+        before = len(self._known)
+        for place in places:
+            if self._own is not None and place.address == self._own.address:
+                self._on_own(place, now)
+                continue
+            known = self._known.get(place.address)
+            if known is None or place.count > known.place.count:
+                self._take(place, now)
+        return len(self._known) > before
+
+    def tick(self, now: float) -> None:
+        """Announce this process when it is time, and forget those that have fallen silent."""
+        if self._own is not None and now - self._announced_at >= ANNOUNCE_S:
+            self._announce(self._own.count + 1, now)
+        for address, known in list(self._known.items()):
+            is_own = self._own is not None and address == self._own.address
+            if not is_own and now - known.heard_at > FORGET_S:
+                del self._known[address]
+
+    def take_news(self) -> list[EntryPlace]:
+        """Return what is new since the last call; peers have not been told of it."""
+        news = list(self._news.values())
+        self._news.clear()
+        return news
+
+    def _on_own(self, place: EntryPlace, now: float) -> None:
+        """Overtake the announcements of an earlier incarnation that peers still know."""
+        assert self._own is not None
+        if place.count >= self._own.count and place != self._own:
+            self._announce(place.count + 1, now)
+
+    def _announce(self, count: int, now: float) -> None:
+        assert self._own is not None
+        self._own = evolve(self._own, count=count)
+        self._announced_at = now
+        self._take(self._own, now)
+
+    def _take(self, place: EntryPlace, now: float) -> None:
+        self._known[place.address] = _Known(place=place, heard_at=now)
+        self._news[place.address] = place
--- a/packages/wasabilb-core/src/wasabilb_core/spread.py
+++ b/packages/wasabilb-core/src/wasabilb_core/spread.py
@@ -38,18 +38,6 @@
     return rank(f"reader:{failure_domain}", hosts)
 
 
-def readers_of(domains: Mapping[str, str], per_domain: int) -> set[str]:
-    """Return the hosts that read the platform, given the failure domain of each host."""
-    found: dict[str, list[str]] = {}
-    for host, domain in domains.items():
-        found.setdefault(domain, []).append(host)
-    return {
-        host
-        for domain, hosts in found.items()
-        for host in in_reading_order(domain, hosts)[:per_domain]
-    }
-
-
 class TicketSpread:
     """Decides on reading, accepting and passing on tickets.
 
--- a/packages/wasabilb-core/src/wasabilb_core/topology.py
+++ b/packages/wasabilb-core/src/wasabilb_core/topology.py
@@ -1,9 +1,8 @@
 """Which processes keep links to which, from the fleet state alone."""
 
-import math
-
+from wasabilb_core._subsets import even_subset
 from wasabilb_core.fleet import FleetState
-from wasabilb_core.rendezvous import rank, subset
+from wasabilb_core.rendezvous import subset
 from wasabilb_core.spread import TicketSpread
 from wasabilb_core.tickets import HostSpec
 
@@ -71,23 +70,14 @@
 
 
 def _even_subset(host: HostSpec, fleet: FleetState, hosts: list[str], size: int) -> list[str]:
-    """Return a part of the hosts such that all entry hosts of the domain cover them evenly.
-
-    With independent random subsets, about one runner of 600 was left without any entry host.
-    Source: Beyer et al., "Site Reliability Engineering", 2016, chapter 20, deterministic
-    subsetting; rounds are ordered by rendezvous hash, so that a new host moves few links.
-    """
-    if len(hosts) <= size:
-        return hosts
+    """Return a part of the hosts such that all entry hosts of the domain cover them evenly."""
     peers = sorted(
         other.name
         for other in fleet.hosts()
         if other.is_entry and other.failure_domain == host.failure_domain
     )
     index = peers.index(host.name) if host.name in peers else 0
-    parts = math.ceil(len(hosts) / size)
-    turn, part = divmod(index, parts)
-    return rank(f"round-{turn}", hosts)[part::parts]
+    return even_subset(hosts, size, index)
 
 
 def _addresses(fleet: FleetState, names: set[str]) -> dict[str, str]:
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from attrs import frozen
 from wasabilb_core.attempts import AttemptEnd
@@ -10,7 +10,9 @@
 from wasabilb_core.directory import Runner
 from wasabilb_core.forwarding import AnswerFacts
 from wasabilb_core.overload import HeldLimit
+from wasabilb_core.peering import followed_runners
 from wasabilb_core.retry_window import RetryWindow
+from wasabilb_core.roster import EntryPlace
 from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView, expected_wait_s
 from wasabilb_core.runner_book import LoadReport, RunnerBook, turn_s
 from wasabilb_node.clock import now
@@ -132,6 +134,8 @@
         self._tell_sent = tell_sent
         self._routing = ROUTING.create("batch_backlog").unwrap()
         self._windows: dict[str, RetryWindow] = {}
+        # Runners of model services whose load this process hears of, by service.
+        self._followed: dict[str, set[str]] = {}
 
     @property
     def catalog(self) -> Catalog | None:
@@ -166,9 +170,22 @@
             ),
         )
 
-    def has_engine(self, service: str) -> bool:
-        """Return whether model engines answer for a service."""
-        return self.engine(service) is not None
+    def follow(self, own: EntryPlace, places: Collection[EntryPlace]) -> list[Runner]:
+        """Choose the model runners that this process follows, and return them.
+
+        Parameters
+        ----------
+        own : EntryPlace
+            This process.
+        places : collection of EntryPlace
+            All known entry processes.
+        """
+        services = {r.service for r in self.directory if self.engine(r.service) is not None}
+        self._followed = {
+            service: followed_runners(own, places, self.directory.routable(service))
+            for service in services
+        }
+        return [r for r in self.directory if r.id in self._followed.get(r.service, ())]
 
     def on_request(self, service: str) -> None:
         """Count a request for the retry budget."""
@@ -231,6 +248,10 @@
             if runner.id not in request.excluded and self._can_serve(runner, engine, version)
         ]
         usable = [r for r in able if self.book.is_usable(r, moment)]
+        followed = self._followed.get(service)
+        if followed is not None:
+            # Without their reports, the load of the others is a guess.
+            usable = [r for r in usable if r.id in followed] or usable
         if engine is None:
             return [self._view(runner, engine, moment) for runner in usable or able]
         long_ids = self._long_runners(service)
@@ -272,10 +293,12 @@
         lately : float
             Held requests a second that found a place, infinite while none gave up.
         """
+        total = len(self.directory.routable(service))
+        part = len(self._followed.get(service, ())) / total if total else 1.0
         return HeldLimit(
             runners=runners,
             turn_s=turn_s(self.engine(service)),
-            processes=self._processes(),
+            processes=max(1.0, self._processes() * min(1.0, part or 1.0)),
             lately=lately,
         )
 
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -8,6 +8,8 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 from wasabilb_core.catalog import Catalog
+from wasabilb_core.peering import entry_peers
+from wasabilb_core.roster import EntryPlace
 from wasabilb_node.clock import now
 from wasabilb_node.http_client import ConnectionPool
 from wasabilb_node.links import Peer
@@ -28,6 +30,8 @@
 # The balancer takes a process out of rotation after two failed checks, one a second, and opens
 # connections to it until then.
 ROTATION_S = 2.6
+# Time after a change in which the peers to link with are worked out again, seconds.
+FOLLOW_S = 0.05
 # Pause between two looks at the requests that a drain waits for.
 DRAIN_POLL_S = 0.05
 
@@ -108,11 +112,12 @@
             pool=ConnectionPool(max_idle=2),
             on_catalog=self._on_catalog,
             on_runner_gone=self._on_runner_gone,
+            is_seed=cfg.links_address in cfg.seeds,
         )
         self.log, self._published = self._node.log, self._node.published
         self._node.links.on(RunnerReport, self._on_report, from_role="agent")
         self._node.links.on(SendNotice, self._on_notice, from_role="entry")
-        self._node.on_changed.append(self._follow_targets)
+        self._node.on_changed.append(self._follow_later)
         self._pool = ConnectionPool(
             max_idle=MAX_IDLE_CONNECTIONS, on_open=self._metrics.on_connection
         )
@@ -124,8 +129,9 @@
             limits=cfg.limits,
             rng=self._node.rng,
             processes=self._entry_count,
-            tell_sent=SendNotices(links=self._node.links).add,
+            tell_sent=SendNotices(links=self._node.links, roster=self._node.roster).add,
         )
+        self._is_following = False
         self._forwarder = Forwarder(
             fleet=self._fleet,
             protocol=protocol,
@@ -211,17 +217,29 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     def _targets(self) -> dict[str, str]:
-        found = {address: address for address in {*self._cfg.seeds, *self._node.sync.known_entries}}
-        for runner in self._published.directory:
+        """Choose the runners to follow and return the processes to link with."""
+        places = self._node.roster.places()
+        own = EntryPlace(address=self._cfg.links_address, failure_domain=self._cfg.failure_domain)
+        known = {place.address for place in places}
+        entries = entry_peers(own, places, self._node.links.is_down)
+        # A seed that is not known yet may know processes that this one has never heard of.
+        found = {address: address for address in {*entries, *set(self._cfg.seeds) - known}}
+        for runner in self._fleet.follow(own, places):
             ip = runner.address.rpartition(":")[0]
-            if self._fleet.has_engine(runner.service):
-                found[f"{ip}:agent"] = f"{ip}:{self._cfg.agent_port}"
+            found[f"{ip}:agent"] = f"{ip}:{self._cfg.agent_port}"
         return found
 
     def _entry_count(self) -> int:
-        return max(1, len(self._node.sync.known_entries))
+        return max(1, len(self._node.roster))
+
+    def _follow_later(self) -> None:
+        # Changes come in bursts, and what follows from them depends on the last one only.
+        if not self._is_following:
+            self._is_following = True
+            asyncio.get_running_loop().call_later(FOLLOW_S, self._follow_targets)
 
     def _follow_targets(self) -> None:
+        self._is_following = False
         self._node.links.set_targets(self._targets())
 
     def _on_catalog(self, catalog: Catalog) -> None:
--- a/packages/wasabilb-node/src/wasabilb_node/followed_state.py
+++ b/packages/wasabilb-node/src/wasabilb_node/followed_state.py
@@ -95,6 +95,14 @@
         else:
             self.directory.on_platform_lost()
 
+    def on_distrust(self, seconds: float) -> None:
+        """Note that a peer takes removed entries for expired ones for so long."""
+        self.directory.on_distrust(seconds, now())
+
+    def distrust_s(self) -> float:
+        """Return for how long removed entries are taken for expired ones, seconds."""
+        return self.directory.distrust_s(now())
+
     def expire(self) -> None:
         """Forget the runners whose entries did not come back; called once a heartbeat."""
         for runner_id in self.directory.expire(now()):
--- a/packages/wasabilb-node/src/wasabilb_node/links.py
+++ b/packages/wasabilb-node/src/wasabilb_node/links.py
@@ -23,6 +23,13 @@
 CONNECT_TIMEOUT_S = 2.0
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 2.0
+# An address counts as down after so many failed attempts in a row, until a later one succeeds. It
+# is tried again after a while, seconds; meanwhile another peer may take its place.
+DOWN_FAILURES = 2
+DOWN_S = 10.0
+# A link that this process opened and no longer wants ends after this time, seconds: longer than the
+# attempts at a peer that is tried again.
+UNWANTED_S = 8.0
 LISTEN_BACKLOG = 512
 
 M = TypeVar("M", bound=Message)
@@ -83,6 +90,12 @@
     backoff_s: float = FIRST_BACKOFF_S
     next_at: float = 0.0
     is_running: bool = False
+    failures: int = 0
+    failed_at: float = float("-inf")
+
+    def is_down(self, moment: float) -> bool:
+        """Return whether attempts have lately failed."""
+        return self.failures >= DOWN_FAILURES and moment - self.failed_at < DOWN_S
 
 
 class _LinkServer(TCPServer):
@@ -133,6 +146,8 @@
         self._pending: dict[Link, float] = {}
         self._dialed: dict[str, Link] = {}
         self._dials: dict[str, _Dial] = {}
+        # When this process stopped wanting a link that it opened.
+        self._unwanted: dict[str, float] = {}
         self._targets: dict[str, str] = {}
         self._handlers: dict[type[Message], Callable[[Peer, Message], None]] = {}
         self._roles: dict[type[Message], str] = {}
@@ -166,9 +181,20 @@
     def set_targets(self, targets: dict[str, str]) -> None:
         """Keep links to these hosts, given as name and address, and dial what is missing."""
         self._targets = {n: a for n, a in targets.items() if a != self.identity.address}
-        self._dials = {a: d for a, d in self._dials.items() if a in self._targets.values()}
+        moment, wanted = now(), set(self._targets.values())
+        self._dials = {
+            address: dial
+            for address, dial in self._dials.items()
+            if address in wanted or dial.is_running or dial.is_down(moment)
+        }
         self._dial_missing()
 
+    def is_down(self, address: str) -> bool:
+        """Return whether no link to an address is open and attempts to open one have failed."""
+        dial = self._dials.get(address)
+        is_failing = dial is not None and dial.is_down(now())
+        return is_failing and all(peer.hello.address != address for peer in self.peers())
+
     def add_target(self, name: str, address: str) -> None:
         """Keep a link to one more host."""
         self.set_targets({**self._targets, name: address})
@@ -215,6 +241,21 @@
                 link.close()
         self._dial_missing()
 
+    def close_unwanted(self) -> None:
+        """Close the links that this process opened and has not wanted for a while."""
+        moment, wanted = now(), set(self._targets.values())
+        for address, link in list(self._dialed.items()):
+            if link.is_closed:
+                del self._dialed[address]
+                self._unwanted.pop(address, None)
+            elif address in wanted:
+                self._unwanted.pop(address, None)
+            elif moment - self._unwanted.setdefault(address, moment) >= UNWANTED_S:
+                peer = self._peers.get(link)
+                if peer is not None:
+                    peer.closed_for = "unwanted"
+                link.close()
+
     def close(self) -> None:
         """Stop accepting, give up dials under way and close all links."""
         if self._server is not None:
@@ -248,12 +289,13 @@
         except (TimeoutError, OSError, StreamClosedError, ssl.SSLError, ValueError):
             # tornado raises ValueError when a peer without TLS sends before the handshake.
             # Jitter keeps the hosts of a failure domain from dialing in step after an outage.
+            dial.failures, dial.failed_at = dial.failures + 1, now()
             dial.next_at = now() + dial.backoff_s * self._rng.uniform(0.5, 1.0)
             dial.backoff_s = min(dial.backoff_s * 2, MAX_BACKOFF_S)
             return
         finally:
             dial.is_running = False
-        dial.backoff_s = FIRST_BACKOFF_S
+        dial.backoff_s, dial.failures = FIRST_BACKOFF_S, 0
         self._dialed[address] = self._start(stream)
 
     def _on_accepted(self, stream: IOStream) -> None:
--- a/packages/wasabilb-node/src/wasabilb_node/published_node.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_node.py
@@ -7,10 +7,12 @@
 from attrs import frozen
 from wasabilb_core.catalog import Catalog
 from wasabilb_core.published import Item, PublishedState
+from wasabilb_core.roster import EntryPlace, Roster
 
+from wasabilb_node.clock import now
 from wasabilb_node.followed_state import FollowedState
 from wasabilb_node.http_client import ConnectionPool
-from wasabilb_node.links import Identity, LinkManager, Peer
+from wasabilb_node.links import Identity, LinkManager
 from wasabilb_node.logs import EventLog
 from wasabilb_node.published_sync import PublishedDecoder, PublishedSource, PublishedSync
 
@@ -68,6 +70,8 @@
         Called with each catalog that comes into force.
     on_runner_gone : callable or None
         Called with the id of each runner that is gone for good.
+    is_seed : bool
+        Whether others learn from this process at their start.
     """
 
     def __init__(
@@ -79,6 +83,7 @@
         pool: ConnectionPool,
         on_catalog: Callable[[Catalog], None] | None = None,
         on_runner_gone: Callable[[str], None] | None = None,
+        is_seed: bool = False,
     ) -> None:
         self._place = place
         incarnation = int.from_bytes(os.urandom(8))
@@ -102,6 +107,8 @@
             log=self.log,
             heartbeat_s=HEARTBEAT_S,
         )
+        own = EntryPlace(address=place.address, failure_domain=place.failure_domain)
+        self.roster = Roster(own=own if place.is_entry else None, now=now())
         items = PublishedState()
         self.published = FollowedState(
             items=items,
@@ -116,15 +123,15 @@
             links=self.links,
             log=self.log,
             rng=self.rng,
+            roster=self.roster,
             on_change=self._on_change,
             on_platform=self._on_platform,
-            may_read=place.is_entry,
-            own_entry=place.address if place.is_entry else "",
+            on_distrust=self.published.on_distrust,
+            distrust_s=self.published.distrust_s,
+            is_seed=is_seed,
         )
         # Called after each change, before peers are told of it.
         self.on_changed: list[Callable[[], None]] = []
-        if place.is_entry:
-            self.links.on_up.append(self._greet)
 
     def tick(self, targets: dict[str, str]) -> None:
         """Keep links to peers and tell them what is known here; called once a heartbeat.
@@ -136,6 +143,8 @@
         """
         self.links.set_targets(targets)
         self.links.tick()
+        if self._place.is_entry:
+            self.links.close_unwanted()
         self.sync.beat()
         self.published.expire()
 
@@ -152,8 +161,4 @@
 
     def _tell(self) -> None:
         if self._place.is_entry:
-            self.sync.beat()
-
-    def _greet(self, peer: Peer) -> None:
-        # A process that has just started learns of published state without waiting for a beat.
-        self.sync.greet(peer)
+            self.sync.tell()
--- a/packages/wasabilb-node/src/wasabilb_node/published_sync.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_sync.py
@@ -10,8 +10,12 @@
 from wasabilb_core.catalog import Catalog, WeightTarget
 from wasabilb_core.directory import Runner
 from wasabilb_core.errors import Error
+from wasabilb_core.peering import tellers
 from wasabilb_core.published import Item, PublishedState
-from wasabilb_core.spread import readers_of
+from wasabilb_core.reading import ReadingDuty
+from wasabilb_core.roster import EntryPlace, Roster
+from wasabilb_core.spread import in_reading_order
+from wasabilb_core.topology import MAX_MESH_HOSTS
 from wasabilb_wire.messages import NodeBeat, Published, PublishedItem, PublishedWant
 
 from wasabilb_node.clock import now
@@ -29,9 +33,19 @@
 ASK_TIMEOUT_S = 0.6
 # An answer is sent in frames of at most this size; a frame has a bound of 2 MiB.
 MAX_ANSWER_BYTES = 1 << 20
-# Entry processes of one failure domain that read the platform. Any one may be turned away or be
-# replaced while the others are served; each more costs calls and hears no sooner.
-READERS_PER_DOMAIN = 3
+# A process that starts waits so long, or up to twice as long, for a peer's state before it reads
+# the platform; links to peers are up after some 10 ms, seconds.
+START_WAIT_S = 0.5
+START_CHECK_S = 0.02
+# Interval in which a process looks whether it is to read, seconds.
+DUTY_CHECK_S = 0.4
+# An agent reads the platform itself after it has had no link to an entry process for this time,
+# seconds; entry processes dial it again at least every 2 s.
+AGENT_WAIT_S = 2.5
+# Changes that follow each other so soon are read, and told to peers, together, seconds. A roll-out
+# to 76 runners makes some 30 changes a second.
+COLLECT_S = 0.2
+SPREAD_S = 0.05
 
 
 @frozen(kw_only=True)
@@ -77,9 +91,20 @@
     changes: Callable[[int], Awaitable[Result[Changes, Error]]]
 
 
+@frozen(kw_only=True)
+class _Told:
+    """The newest heartbeat to a peer and the bytes that had been sent to it by then."""
+
+    beat: NodeBeat
+    bytes_sent: int
+
+
 class PublishedSync:
     """Follows published state and tells listeners of each change once.
 
+    One entry process of each failure domain reads the platform (`wasabilb_core.reading`); the
+    others hear of changes from their peers.
+
     Parameters
     ----------
     state : PublishedState
@@ -88,16 +113,18 @@
         The platform.
     links : LinkManager
         Peers that hold the same state.
+    roster : Roster
+        The known entry processes.
     on_change : callable
         Called with the changed items, in order of their revisions.
     on_platform : callable
         Called with whether the platform answers this process or a linked one that reads it, when
-        that changes. A process that alone cannot reach it hears of all changes from the others.
-    may_read : bool
-        Whether this process is one of those that read the platform. The others read it once at
-        their start, and then only while no linked process can read it.
-    own_entry : str
-        Link address of this entry process, which peers tell each other; empty for others.
+        that changes.
+    on_distrust, distrust_s : callable
+        Take and return for how many seconds removed entries may only have expired in an outage.
+    is_seed : bool
+        Whether others learn from this process at their start. The others wait for a peer's state
+        before they read the platform themselves.
     """
 
     def __init__(
@@ -106,48 +133,62 @@
         state: PublishedState,
         source: PublishedSource,
         links: LinkManager,
+        roster: Roster,
         log: EventLog,
         rng: random.Random,
         on_change: Callable[[list[Item]], None],
         on_platform: Callable[[bool], None],
-        may_read: bool,
-        own_entry: str = "",
+        on_distrust: Callable[[float], None],
+        distrust_s: Callable[[], float],
+        is_seed: bool = False,
     ) -> None:
         self._state = state
         self._source = source
         self._links = links
+        self._roster = roster
         self._log = log
         self._rng = rng
         self._on_change = on_change
         self._on_platform = on_platform
-        self._may_read = may_read
-        self._own_entry = own_entry
+        self._on_distrust = on_distrust
+        self._distrust_s = distrust_s
+        self._is_seed = is_seed
+        self._is_entry = links.identity.role == "entry"
+        self._duty = ReadingDuty()
         self._is_up: bool | None = None
-        self._is_heard: bool | None = None
+        self._is_away = False
         # Whether the newest call succeeded and this process has not left reading to others since.
         self._is_reading = False
-        self._is_read = False
+        self._is_history_lost = False
+        self._unlinked_since = now()
+        self._started_at = now()
         self._asked_at = float("-inf")
         self._behind_since: float | None = None
-        self._told_entries: list[str] = []
+        self._spread_at = float("-inf")
+        self._is_spreading = False
         self._reading_peers: set[Peer] = set()
-        self.known_entries: set[str] = set()
+        self._told: dict[Peer, _Told] = {}
         links.on(NodeBeat, self._on_beat)
         links.on(PublishedWant, self._on_want)
         links.on(Published, self._on_published)
+        links.on_up.append(self._greet)
         links.on_down.append(self._on_link_down)
 
     async def run(self) -> None:
-        """Read the platform until cancelled."""
+        """Read the platform until cancelled, while it is this process's duty."""
+        await self._wait_for_peers()
         retry_s = FIRST_RETRY_S
         while True:
-            if self._is_up is not None and self._leaves_reading():
-                self._is_reading = False
-                self._set_platform(True)
-                await asyncio.sleep(ASK_TIMEOUT_S)
+            if not self._is_due():
+                if self._is_reading or self._is_up is False:
+                    self._is_reading = False
+                    self._set_platform(True)
+                await asyncio.sleep(DUTY_CHECK_S)
                 continue
             error = await self._read_once()
-            self._is_reading = error is None
+            was_reading, self._is_reading = self._is_reading, error is None
+            if was_reading is not self._is_reading:
+                self._spread_later()
             if error is None:
                 retry_s = FIRST_RETRY_S
                 continue
@@ -157,67 +198,131 @@
             retry_s = min(MAX_RETRY_S, retry_s * 2)
 
     def beat(self) -> None:
-        """Tell all peers what is known here; called once a heartbeat and after each change.
+        """Tell all peers what is known here; called once a heartbeat."""
+        self._roster.tick(now())
+        message = self._beat(self._roster.take_news())
+        peers = [peer for peer in self._links.peers() if not self._is_covered(peer, message)]
+        self._links.send_each(message, peers)
+        for peer in self._links.peers():
+            self._told[peer] = _Told(beat=message, bytes_sent=peer.link.bytes_sent)
+
+    def tell(self) -> None:
+        """Tell peers of a change at once; changes that follow each other are told together."""
+        self._spread_later()
+
+    def _greet(self, peer: Peer) -> None:
+        # A process that has just started learns of published state without waiting for a beat.
+        peer.send(self._beat(self._roster.places()))
+
+    def _spread_later(self) -> None:
+        if self._is_spreading:
+            return
+        self._is_spreading = True
+        delay_s = max(0.0, self._spread_at + SPREAD_S - now())
+        asyncio.get_running_loop().call_later(delay_s, self._spread)
+
+    def _spread(self) -> None:
+        self._is_spreading = False
+        self._spread_at = now()
+        news = self._roster.take_news()
+        peers = self._links.peers() if news else self._told_at_once()
+        self._links.send_each(self._beat(news), peers)
 
-        The addresses of entry processes are sent again only when one was added.
+    def _told_at_once(self) -> list[Peer]:
+        """Return the peers that hear of a change before the next heartbeat.
+
+        In a large fleet each agent hears of it from a few entry processes only.
         """
-        entries = self._entries()
-        is_news = entries != self._told_entries
-        self._told_entries = entries
-        self._links.broadcast(self._beat(entries if is_news else []))
+        peers = self._links.peers()
+        places = self._roster.places()
+        if not self._is_entry or len(places) <= MAX_MESH_HOSTS:
+            return peers
+        own = self._links.identity.address
+        return [
+            peer
+            for peer in peers
+            if peer.hello.role == "entry"
+            or own in tellers(places, peer.host, peer.hello.failure_domain)
+        ]
 
-    def greet(self, peer: Peer) -> None:
-        """Tell a new peer everything that beats say."""
-        peer.send(self._beat(self._entries()))
+    def _is_covered(self, peer: Peer, message: NodeBeat) -> bool:
+        """Return whether a heartbeat to a peer may be left out.
 
-    def _entries(self) -> list[str]:
-        return sorted({*self.known_entries, self._own_entry} - {""})
+        Agents send entry processes a report in each interval, which shows that they live.
+        """
+        told = self._told.get(peer)
+        return (
+            not self._is_entry
+            and peer.hello.role == "entry"
+            and told is not None
+            and told.beat == message
+            and peer.link.bytes_sent > told.bytes_sent
+        )
 
-    def _beat(self, entries: list[str]) -> NodeBeat:
+    def _beat(self, entries: list[EntryPlace]) -> NodeBeat:
         return NodeBeat(
-            revision=self._state.revision, entries=entries, reads_platform=self._is_reading
+            revision=self._state.revision,
+            entries=entries,
+            reads_platform=self._is_reading,
+            distrust_ms=self._distrust_ms(),
         )
 
-    def _leaves_reading(self) -> bool:
-        """Return whether others read the platform for this process.
-
-        Of two that stand in for readers that cannot, the first one by name goes on.
-        """
-        own = self._links.identity.host
-        peers = self._links.peers(role="entry")
-        domains = {peer.host: peer.hello.failure_domain for peer in peers}
-        if self._may_read:
-            domains[own] = self._links.identity.failure_domain
-        readers = readers_of(domains, READERS_PER_DOMAIN)
-        return own not in readers and any(
-            peer in self._reading_peers and (peer.host in readers or peer.host < own)
-            for peer in peers
-        )
+    def _distrust_ms(self) -> int:
+        return round(self._distrust_s() * 1000)
+
+    async def _wait_for_peers(self) -> None:
+        """Wait at the start until a peer has told its state, for a while."""
+        wait_s = 0.0 if self._is_seed else START_WAIT_S * self._rng.uniform(1.0, 2.0)
+        until = self._started_at + wait_s
+        while self._state.revision == 0 and now() < until:
+            await asyncio.sleep(START_CHECK_S)
+
+    def _is_due(self) -> bool:
+        """Return whether this process reads the platform now."""
+        if self._state.revision == 0:
+            return True
+        entries = self._links.peers(role="entry")
+        if not self._is_entry:
+            if entries:
+                self._unlinked_since = now()
+            return now() - self._unlinked_since >= AGENT_WAIT_S
+        own = self._links.identity
+        reads = {
+            peer.hello.address: peer in self._reading_peers
+            for peer in entries
+            if peer.hello.failure_domain == own.failure_domain
+        }
+        order = in_reading_order(own.failure_domain, {*reads, own.address})
+        return self._duty.is_due([reads[a] for a in order[: order.index(own.address)]], now())
 
     async def _read_once(self) -> Error | None:
-        if not self._is_read:
-            found = await self._source.snapshot()
-            if isinstance(found, Failure):
-                unread: Error = found.failure()
-                return unread
-            snapshot = found.unwrap()
-            self._set_platform(True)
-            self._is_read = True
-            self._apply(self._state.on_snapshot(snapshot.items, snapshot.revision))
-            return None
+        if self._state.revision == 0 or self._is_history_lost:
+            return await self._read_snapshot()
         after = self._state.revision
         changed = await self._source.changes(after)
         if isinstance(changed, Failure):
-            # Entries may expire while the platform is away and its history may end meanwhile.
-            self._is_read = False
             error: Error = changed.failure()
             return error
         changes = changed.unwrap()
         self._set_platform(True)
         if changes.is_history_lost:
-            self._is_read = False
+            self._is_history_lost = True
             return None
         self._apply(self._state.on_changes(changes.items, after=after, revision=changes.revision))
+        if changes.items:
+            # What follows soon is read with one call.
+            await asyncio.sleep(COLLECT_S * self._rng.uniform(0.5, 1.5))
+        return None
+
+    async def _read_snapshot(self) -> Error | None:
+        found = await self._source.snapshot()
+        if isinstance(found, Failure):
+            error: Error = found.failure()
+            return error
+        snapshot = found.unwrap()
+        self._set_platform(True)
+        self._is_history_lost = False
+        self._apply(self._state.on_snapshot(snapshot.items, snapshot.revision))
         return None
 
     def _set_platform(self, is_up: bool, detail: str = "") -> None:
@@ -228,18 +333,19 @@
             self._log.event("platform_up", service="configuration")
         else:
             self._log.event("platform_down", service="configuration", detail=detail)
-        self._tell_platform()
+        self._check_platform()
 
-    def _tell_platform(self) -> None:
-        """Tell whether the platform is heard at all, if that has changed."""
-        is_heard = self._is_up is True or bool(self._reading_peers)
-        if self._is_up is not None and is_heard is not self._is_heard:
-            self._is_heard = is_heard
-            self._on_platform(is_heard)
+    def _check_platform(self) -> None:
+        """Tell whether the platform is away for this process and those it hears, if it changed."""
+        is_away = self._is_up is False and not self._reading_peers
+        if is_away is not self._is_away:
+            self._is_away = is_away
+            self._on_platform(not is_away)
 
     def _on_link_down(self, peer: Peer) -> None:
         self._reading_peers.discard(peer)
-        self._tell_platform()
+        self._told.pop(peer, None)
+        self._check_platform()
 
     def _apply(self, changed: list[Item]) -> None:
         self._behind_since = None
@@ -247,31 +353,49 @@
             self._on_change(changed)
 
     def _on_beat(self, peer: Peer, beat: NodeBeat) -> None:
-        self.known_entries.update(beat.entries)
+        if self._roster.on_told(beat.entries, now()):
+            self._spread_later()
         if beat.reads_platform:
             self._reading_peers.add(peer)
         else:
             self._reading_peers.discard(peer)
-        self._tell_platform()
-        if beat.revision <= self._state.revision:
-            return
+        if beat.distrust_ms:
+            self._on_distrust(beat.distrust_ms / 1000)
+        self._check_platform()
+        if beat.revision > self._state.revision:
+            self._on_ahead(peer)
+
+    def _on_ahead(self, peer: Peer) -> None:
+        """Ask a peer that knows more, unless this process is about to learn it otherwise."""
         moment = now()
         if self._behind_since is None:
             self._behind_since = moment
-        if self._is_reading and moment - self._behind_since < ASK_AFTER_S:
+        is_patient = self._is_reading or self._is_start_of(peer)
+        if is_patient and moment - self._behind_since < ASK_AFTER_S:
             return
         if moment - self._asked_at >= ASK_TIMEOUT_S:
             self._asked_at = moment
             peer.send(PublishedWant(after=self._state.revision))
 
+    def _is_start_of(self, peer: Peer) -> bool:
+        """Return whether this process knows nothing yet and a nearer peer may tell it all.
+
+        The whole state is large and the links between regions are narrow.
+        """
+        own = self._links.identity.failure_domain
+        return self._state.revision == 0 and peer.hello.failure_domain != own
+
     def _on_want(self, peer: Peer, want: PublishedWant) -> None:
         items = sorted(self._state.changes_after(want.after), key=lambda item: item.revision)
         batch: list[PublishedItem] = []
-        after, size = want.after, 0
+        after, size, distrust_ms = want.after, 0, self._distrust_ms()
         for item in items:
             body = item.body or b""
             if batch and size + len(body) > MAX_ANSWER_BYTES:
-                peer.send(Published(after=after, revision=batch[-1].revision, items=batch))
+                revision = batch[-1].revision
+                peer.send(
+                    Published(after=after, revision=revision, items=batch, distrust_ms=distrust_ms)
+                )
                 after, batch, size = batch[-1].revision, [], 0
             batch.append(
                 PublishedItem(
@@ -282,10 +406,14 @@
                 )
             )
             size += len(body)
-        peer.send(Published(after=after, revision=self._state.revision, items=batch))
+        revision = self._state.revision
+        peer.send(Published(after=after, revision=revision, items=batch, distrust_ms=distrust_ms))
 
     def _on_published(self, peer: Peer, message: Published) -> None:
         self._asked_at = float("-inf")
+        if message.distrust_ms:
+            # Before the items, as an entry that has only expired must not end its runner.
+            self._on_distrust(message.distrust_ms / 1000)
         items = [
             Item(name=i.name, revision=i.revision, body=None if i.is_removed else i.body)
             for i in message.items
--- a/packages/wasabilb-wire/src/wasabilb_wire/codec.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/codec.py
@@ -10,6 +10,7 @@
 import capnp
 from returns.result import Failure, Result, Success
 from wasabilb_core.errors import Error, ErrorKind
+from wasabilb_core.roster import EntryPlace
 
 from wasabilb_wire import messages
 from wasabilb_wire.messages import AccountUsage, Header, KeyRecord, Message, PublishedItem
@@ -55,8 +56,9 @@
     (messages.Usage, "accounts"): AccountUsage,
     (messages.Released, "records"): KeyRecord,
     (messages.Published, "items"): PublishedItem,
+    (messages.NodeBeat, "entries"): EntryPlace,
 }
-_ITEMS = (Header, KeyRecord, AccountUsage, PublishedItem)
+_ITEMS = (Header, KeyRecord, AccountUsage, PublishedItem, EntryPlace)
 
 
 def _plain(value: Any) -> Any:
--- a/packages/wasabilb-wire/src/wasabilb_wire/messages.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/messages.py
@@ -1,8 +1,9 @@
 """The messages between processes: one frozen class for each member of the schema's union."""
 
 from attrs import field, frozen
+from wasabilb_core.roster import EntryPlace
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 
 
 @frozen(slots=True)
@@ -316,13 +317,15 @@
     """Heartbeat of a process that follows published state.
 
     `revision` is the newest revision up to which the sender knows all published items; `entries`
-    are the addresses of entry processes that it knows, so that processes find each other.
+    are the entry processes that it has newly heard of, so that processes find each other.
     `reads_platform` tells whether the platform answered the sender's newest call and it reads on.
+    For `distrust_ms` milliseconds removed entries may only have expired in an outage.
     """
 
     revision: int
-    entries: list[str] = field(factory=list)
+    entries: list[EntryPlace] = field(factory=list)
     reads_platform: bool = False
+    distrust_ms: int = 0
 
 
 @frozen(kw_only=True, slots=True)
@@ -344,11 +347,15 @@
 
 @frozen(kw_only=True, slots=True)
 class Published(Message):
-    """All items that changed after `after`, up to `revision`."""
+    """All items that changed after `after`, up to `revision`.
+
+    For `distrust_ms` milliseconds removed entries may only have expired in an outage.
+    """
 
     after: int
     revision: int
     items: list[PublishedItem] = field(factory=list)
+    distrust_ms: int = 0
 
 
 @frozen(kw_only=True, slots=True)
--- a/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
+++ b/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
@@ -231,10 +231,17 @@
   accounts @3 :List(AccountUsage);
 }
 
+struct EntryPlace {
+  address @0 :Text;
+  failureDomain @1 :Text;
+  count @2 :UInt64;
+}
+
 struct NodeBeat {
   revision @0 :UInt64;
-  entries @1 :List(Text);
+  entries @1 :List(EntryPlace);
   readsPlatform @2 :Bool;
+  distrustMs @3 :UInt32;
 }
 
 struct PublishedWant {
@@ -252,6 +259,7 @@
   after @0 :UInt64;
   revision @1 :UInt64;
   items @2 :List(PublishedItem);
+  distrustMs @3 :UInt32;
 }
 
 struct RunnerReport {
