--- a/packages/wasabilb-core/src/wasabilb_core/_batch_backlog.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_batch_backlog.py
@@ -16,6 +16,8 @@
 # more for long ones, whose end the load would wait for.
 EASING_S = 0.2
 EASING_LONG_S = 0.8
+# Runners that are compared when the newest sends of other processes are not known.
+SAMPLED = 2
 # Cost of a runner that is not expected to end the answer by its deadline, seconds; more than any
 # wait at the others, as an answer that is cut off has used a runner for nothing.
 UNFINISHED_S = 3.0
@@ -65,3 +67,20 @@
             return waits_s + other_s + easing_s + unfinished_s
 
         return min(runners, key=lambda r: (cost_s(r), rng.random()))
+
+
+@ROUTING.register("batch_sampled")
+class BatchSampled(BatchBacklog):
+    """The better one of two random runners, as `batch_backlog` counts.
+
+    Answers the same loads where a process is not told what the others send. With reports that are
+    some tenths of a second old, all would send to the runner that looks best.
+
+    Source: Mitzenmacher, "How useful is old information?", IEEE Transactions on Parallel and
+    Distributed Systems 11(1), 2000.
+    """
+
+    def _pick(
+        self, request: RouteRequest, runners: list[RunnerView], now: float, rng: random.Random
+    ) -> RunnerView:
+        return super()._pick(request, rng.sample(runners, min(SAMPLED, len(runners))), now, rng)
--- a/packages/wasabilb-core/src/wasabilb_core/peering.py
+++ b/packages/wasabilb-core/src/wasabilb_core/peering.py
@@ -2,8 +2,9 @@
 
 Up to `MAX_MESH_HOSTS` entry processes are all linked with each other. Of more, the first few of
 each failure domain in an order that all processes compute alike are its hubs. A process links with
-the hubs of its own domain and a few other processes there; a hub also links with the first hub of
-each other domain. News takes at most four hops, and a domain that is cut off stays connected.
+the hubs of its own domain and the other processes there, a few of them where there are many; a hub
+also links with the first hub of each other domain. News takes at most four hops, and a domain that
+is cut off stays connected.
 
 An entry process follows the runners of its own domain and a few others: it hears of their load and
 sends to them. Together the processes of a domain follow all runners.
@@ -21,7 +22,11 @@
 # Processes of a failure domain that are linked with all others there. Two of them may be replaced
 # at the same time.
 HUBS = 3
-# Other processes of the own domain. They keep it connected when its hubs end at the same moment.
+# Up to so many processes of a domain are all linked and tell each other of each request that they
+# send. At a few requests a second from each, that is below 100 messages a second, 1 % of a core.
+MAX_NEAR_MESH = 24
+# Other linked processes of a larger domain. They keep it connected when its hubs end at the same
+# moment.
 NEAR_PEERS = 2
 # Runners of the own failure domain that a process follows, and of all others. A process sends a few
 # requests a second; the far runners take them when the near ones are full or gone.
@@ -57,7 +62,8 @@
     up = [p for p in places if p.address == own.address or not is_down(p.address)]
     near_hubs = hubs(up, own.failure_domain)
     near = [p.address for p in up if p.failure_domain == own.failure_domain]
-    found = {*near_hubs, *subset(f"{own.address}:peers", set(near) - {own.address}, NEAR_PEERS)}
+    size = len(near) if len(near) <= MAX_NEAR_MESH else NEAR_PEERS
+    found = {*near_hubs, *subset(f"{own.address}:peers", set(near) - {own.address}, size)}
     if own.address in near_hubs or len(near) <= HUBS:
         domains = {place.failure_domain for place in up} - {own.failure_domain}
         for domain in domains:
@@ -65,6 +71,16 @@
     return found - {own.address}
 
 
+def hears_of_sends(places: Collection[EntryPlace], failure_domain: str) -> bool:
+    """Return whether the processes of a failure domain tell each other of the requests they send.
+
+    Reports of a runner's load are some tenths of a second old, in which processes that know nothing
+    of each other would choose the same runners.
+    """
+    near = sum(place.failure_domain == failure_domain for place in places)
+    return len(places) <= MAX_MESH_HOSTS or near <= MAX_NEAR_MESH
+
+
 def tellers(places: Iterable[EntryPlace], agent: str, failure_domain: str) -> list[str]:
     """Return the entry processes that tell an agent of each change at once.
 
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -10,7 +10,7 @@
 from wasabilb_core.directory import Runner
 from wasabilb_core.forwarding import AnswerFacts
 from wasabilb_core.overload import HeldLimit
-from wasabilb_core.peering import followed_runners
+from wasabilb_core.peering import followed_runners, hears_of_sends
 from wasabilb_core.retry_window import RetryWindow
 from wasabilb_core.roster import EntryPlace
 from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView, expected_wait_s
@@ -132,7 +132,12 @@
         self._rng = rng
         self._processes = processes
         self._tell_sent = tell_sent
-        self._routing = ROUTING.create("batch_backlog").unwrap()
+        # By whether this process hears what the others that share its runners send.
+        self._routing = {
+            True: ROUTING.create("batch_backlog").unwrap(),
+            False: ROUTING.create("batch_sampled").unwrap(),
+        }
+        self._hears_of_sends = True
         self._windows: dict[str, RetryWindow] = {}
         # Runners of model services whose load this process hears of, by service.
         self._followed: dict[str, set[str]] = {}
@@ -180,6 +185,7 @@
         places : collection of EntryPlace
             All known entry processes.
         """
+        self._hears_of_sends = hears_of_sends(places, own.failure_domain)
         services = {r.service for r in self.directory if self.engine(r.service) is not None}
         self._followed = {
             service: followed_runners(own, places, self.directory.routable(service))
@@ -267,7 +273,7 @@
 
     def choose(self, request: RouteRequest, views: list[RunnerView]) -> RunnerView | None:
         """Return the best of some runners."""
-        return self._routing.choose(request, views, now(), self._rng)
+        return self._routing[self._hears_of_sends].choose(request, views, now(), self._rng)
 
     def placement(self, service: str, chosen: RunnerView) -> Placement | None:
         """Return where a request is sent; None when the runner has just gone."""
--- a/packages/wasabilb-entry/src/wasabilb_entry/send_notices.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/send_notices.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from wasabilb_core.peering import hears_of_sends
 from wasabilb_core.roster import Roster
 from wasabilb_core.topology import MAX_MESH_HOSTS
 from wasabilb_node.links import LinkManager
@@ -19,9 +20,7 @@
     links : LinkManager
         Links to peers.
     roster : Roster
-        The known entry processes. Each message costs its receiver 0.15 ms, so that nobody is told
-        where there are more than `MAX_MESH_HOSTS`; the routing policy then allows for what it does
-        not know.
+        The known entry processes, which decide who is told (`wasabilb_core.peering`).
     """
 
     def __init__(self, *, links: LinkManager, roster: Roster) -> None:
@@ -32,7 +31,7 @@
 
     def add(self, runner_id: str, prompt_tokens: int) -> None:
         """Note a send."""
-        if len(self._roster) > MAX_MESH_HOSTS:
+        if not hears_of_sends(self._roster.places(), self._links.identity.failure_domain):
             return
         if not self._runners:
             asyncio.get_running_loop().call_later(COLLECT_S, self._tell)
@@ -42,4 +41,8 @@
     def _tell(self) -> None:
         notice = SendNotice(runners=self._runners, prompt_tokens=self._tokens)
         self._runners, self._tokens = [], []
-        self._links.send_each(notice, self._links.peers(role="entry"))
+        peers = self._links.peers(role="entry")
+        if len(self._roster) > MAX_MESH_HOSTS:
+            own = self._links.identity.failure_domain
+            peers = [peer for peer in peers if peer.hello.failure_domain == own]
+        self._links.send_each(notice, peers)
--- a/packages/wasabilb-node/src/wasabilb_node/published_sync.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_sync.py
@@ -10,7 +10,7 @@
 from wasabilb_core.catalog import Catalog, WeightTarget
 from wasabilb_core.directory import Runner
 from wasabilb_core.errors import Error
-from wasabilb_core.peering import tellers
+from wasabilb_core.peering import hubs, tellers
 from wasabilb_core.published import Item, PublishedState
 from wasabilb_core.reading import ReadingDuty
 from wasabilb_core.roster import EntryPlace, Roster
@@ -231,18 +231,23 @@
     def _told_at_once(self) -> list[Peer]:
         """Return the peers that hear of a change before the next heartbeat.
 
-        In a large fleet each agent hears of it from a few entry processes only.
+        In a large fleet hubs tell the entry processes, and a few of these tell each agent.
         """
         peers = self._links.peers()
         places = self._roster.places()
         if not self._is_entry or len(places) <= MAX_MESH_HOSTS:
             return peers
-        own = self._links.identity.address
+        own = self._links.identity
+        near_hubs = hubs(places, own.failure_domain)
+        is_hub = own.address in near_hubs
         return [
             peer
             for peer in peers
-            if peer.hello.role == "entry"
-            or own in tellers(places, peer.host, peer.hello.failure_domain)
+            if (
+                is_hub or peer.hello.address in near_hubs
+                if peer.hello.role == "entry"
+                else own.address in tellers(places, peer.host, peer.hello.failure_domain)
+            )
         ]
 
     def _is_covered(self, peer: Peer, message: NodeBeat) -> bool:
