--- /dev/null
+++ b/features/peering.feature
@@ -0,0 +1,56 @@
+Feature: Links that do not grow with the fleet
+  A process links with a few peers, follows a part of the runners, and still hears of each change.
+
+  Scenario Outline: Links at <entries> entry processes in <domains> failure domains
+    Guards against control traffic that grows with the fleet and against processes that news does
+    not reach.
+    Given <entries> entry processes in <domains> failure domains
+    Then no entry process has more links than its domain has processes, and 3 for each other
+    And most entry processes have at most <links> links
+    And news reaches every entry process in at most 4 hops from any other
+    And each failure domain that is cut off is connected in itself
+    When the hubs of a failure domain end
+    Then news reaches every entry process in at most 4 hops from any other
+
+    Examples:
+      | entries | domains | links |
+      | 7       | 3       | 6     |
+      | 45      | 3       | 16    |
+      | 136     | 5       | 10    |
+      | 330     | 6       | 10    |
+
+  Scenario Outline: Runners that <entries> entry processes follow
+    Guards against runners that nobody sends to, and against reports that grow with the fleet.
+    Given <entries> entry processes in <domains> failure domains
+    And <runners> runners in the same failure domains
+    Then each entry process follows at most 24 runners, and all of its own domain up to 16
+    And each runner is followed by at least <least> entry processes
+
+    Examples:
+      | entries | domains | runners | least |
+      | 7       | 3       | 10      | 7     |
+      | 45      | 3       | 29      | 15    |
+      | 99      | 5       | 76      | 20    |
+      | 330     | 6       | 600     | 6     |
+
+  Scenario: A process that is gone is forgotten, and a restarted one is not
+    Guards against peers that are chosen long after they have left.
+    Given two entry processes that know a third one
+    When the third one restarts and announces itself to one of them
+    Then the other one takes the news from it and passes it on once
+    When the third one is silent for 9 minutes
+    Then none of them knows it any more
+
+  Scenario: A peer that cannot be reached is replaced, and taken back
+    Guards against links to hosts that are gone, and against a peer that is never tried again.
+    Given a process that keeps a link to a peer whose host is gone
+    When two connections have failed
+    Then the peer counts as down
+    When it accepts connections again 10 s later
+    Then it is linked and does not count as down
+
+  Scenario: A link that is no longer wanted ends
+    Guards against links that pile up while the fleet changes.
+    Given a process that is linked with a peer
+    When it has not wanted the link for 8 s
+    Then the link is closed
--- a/features/readers.feature
+++ b/features/readers.feature
@@ -45,3 +45,27 @@
     And the runner leaves 0.1 s later
     Then every process has dropped it after 1 s
 
+
+  Scenario: Calls and messages at 230 processes
+    Guards against control work that grows with the square of the fleet.
+    Given 136 entry processes and 94 agents in 5 failure domains, linked as a large fleet
+    When they have run for 20 s
+    Then at most 1 entry processes of each failure domain and no agent wait for changes
+    And each entry process that is no hub has handled at most 40 messages a second while nothing changed
+    When the platform publishes a change
+    Then every process knows it after 1 s
+
+  Scenario: A change after the hubs of a failure domain have ended
+    Guards against a failure domain that hears of nothing once its hubs are gone.
+    Given 136 entry processes and 94 agents in 5 failure domains, linked as a large fleet
+    When they have run for 10 s
+    And the hubs of one failure domain end
+    And it publishes a change 2 s later
+    Then every process knows it after 4 s
+
+  Scenario: All processes start at once
+    Guards against a read of the platform by each process of a fleet that starts.
+    Given 136 entry processes and 94 agents in 5 failure domains, linked as a large fleet
+    When they have run for 3 s
+    Then every process knows the newest state
+    And at most 80 of them have read the platform
--- a/features/steps/memory_links.py
+++ b/features/steps/memory_links.py
@@ -95,6 +95,7 @@
         self.failure_domain = failure_domain
         self.identity = _hello(self)
         self.handlers, self.by_link, self.on_up, self.on_down = {}, {}, [], []
+        self.received = 0
 
     def on(self, kind, handler, *, from_role=""):
         self.handlers[kind] = handler
@@ -127,6 +128,7 @@
 
     def receive(self, link, message):
         peer = self.by_link.get(link)
+        self.received += 1
         if peer is not None and type(message) in self.handlers:
             self.handlers[type(message)](peer, message)
 
@@ -164,6 +166,12 @@
             for callback in link.owner.on_up:
                 callback(link.owner.by_link[link])
 
+    def disconnect(self, one, two):
+        """Close the links between two hosts."""
+        for link in [link for link in self.ends[one].by_link if link.far.host == two]:
+            link.other.close()
+            link.close()
+
     def is_paused(self, host):
         return asyncio.get_running_loop().time() < self.paused_until.get(host, 0.0)
 
@@ -237,6 +245,11 @@
         else:
             raise ValueError(effect)
 
+    def end(self, host):
+        """End a process."""
+        self.dead.add(host)
+        self._end(self.ends[host])
+
     def _end(self, agent):
         for end in list(agent.by_link):
             end.other.close()
--- /dev/null
+++ b/features/steps/peering_steps.py
@@ -0,0 +1,278 @@
+"""Steps about the peers and runners that a process links with."""
+
+import asyncio
+from collections import Counter, deque
+from types import SimpleNamespace
+from unittest.mock import patch
+
+from behave import given, then, when
+from wasabilb_core.directory import Runner
+from wasabilb_core.peering import MAX_FOLLOWED, entry_peers, followed_runners, hubs
+from wasabilb_core.roster import EntryPlace, Roster
+from wasabilb_node import links as links_module
+from wasabilb_node.links import Identity, LinkManager
+from wasabilb_standins.fleet import free_address
+
+DOMAINS = "abcdef"
+
+
+class Quiet:
+    """Takes log lines and drops them."""
+
+    def event(self, name, **fields):
+        pass
+
+
+def graph(places, is_down=lambda address: False):
+    """Return the links of all processes, both ways."""
+    links = {place.address: set() for place in places}
+    for place in places:
+        for peer in entry_peers(place, places, is_down):
+            links[place.address].add(peer)
+            links[peer].add(place.address)
+    return links
+
+
+def hops(links, start):
+    found, queue = {start: 0}, deque([start])
+    while queue:
+        one = queue.popleft()
+        for other in links[one]:
+            if other not in found:
+                found[other] = found[one] + 1
+                queue.append(other)
+    return found
+
+
+@given("{entries:d} entry processes in {domains:d} failure domains")
+def step_places(context, entries, domains):
+    context.places = [
+        EntryPlace(address=f"10.0.{n}.1:7700", failure_domain=DOMAINS[n % domains])
+        for n in range(entries)
+    ]
+    context.links = graph(context.places)
+
+
+@given("{count:d} runners in the same failure domains")
+def step_runners(context, count):
+    domains = sorted({place.failure_domain for place in context.places})
+    context.runners = [
+        Runner(
+            id=f"r-{n}",
+            born_ms=1,
+            service="s",
+            address="x:1",
+            failure_domain=domains[n % len(domains)],
+        )
+        for n in range(count)
+    ]
+    context.followed = {
+        place.address: followed_runners(place, context.places, context.runners)
+        for place in context.places
+    }
+
+
+@then("no entry process has more links than its domain has processes, and {more:d} for each other")
+def step_most_links(context, more):
+    counts = Counter(place.failure_domain for place in context.places)
+    for place in context.places:
+        most = counts[place.failure_domain] + more * (len(counts) - 1)
+        assert len(context.links[place.address]) <= most, (place, most)
+
+
+@then("most entry processes have at most {most:d} links")
+def step_usual_links(context, most):
+    found = sorted(map(len, context.links.values()))
+    assert found[len(found) // 2] <= most, found[len(found) // 2]
+
+
+@then("news reaches every entry process in at most {most:d} hops from any other")
+def step_hops(context, most):
+    for start in context.links:
+        found = hops(context.links, start)
+        assert len(found) == len(context.links), (start, len(found))
+        assert max(found.values()) <= most, (start, max(found.values()))
+
+
+@then("each failure domain that is cut off is connected in itself")
+def step_domains_connected(context):
+    for domain in {place.failure_domain for place in context.places}:
+        own = {place.address for place in context.places if place.failure_domain == domain}
+        inside = {address: context.links[address] & own for address in own}
+        assert len(hops(inside, min(own))) == len(own), domain
+
+
+@when("the hubs of a failure domain end")
+def step_hubs_end(context):
+    ended = set(hubs(context.places, "a"))
+    left = [place for place in context.places if place.address not in ended]
+    context.links = graph(left, is_down=lambda address: address in ended)
+
+
+@then("each entry process follows at most 24 runners, and all of its own domain up to {near:d}")
+def step_follows(context, near):
+    for place in context.places:
+        followed = context.followed[place.address]
+        own = {r.id for r in context.runners if r.failure_domain == place.failure_domain}
+        assert len(followed) <= MAX_FOLLOWED
+        assert len(followed & own) >= min(len(own), near), len(followed & own)
+
+
+@then("each runner is followed by at least {least:d} entry processes")
+def step_followed(context, least):
+    counts = [
+        sum(runner.id in followed for followed in context.followed.values())
+        for runner in context.runners
+    ]
+    assert min(counts) >= least, sorted(counts)[:5]
+
+
+@given("two entry processes that know a third one")
+def step_rosters(context):
+    places = [EntryPlace(address=f"{n}:1", failure_domain="a", count=n) for n in (0, 0, 4)]
+    places = [places[0], EntryPlace(address="1:1", failure_domain="a"), places[2]]
+    context.third = places[2]
+    context.rosters = [Roster(own=place, now=0.0) for place in places[:2]]
+    for roster in context.rosters:
+        roster.on_told(places, 0.0)
+        roster.take_news()
+
+
+@when("the third one restarts and announces itself to one of them")
+def step_restarts(context):
+    own = EntryPlace(address=context.third.address, failure_domain="a")
+    restarted = Roster(own=own, now=100.0)
+    # It hears from the first one that an earlier incarnation was known.
+    restarted.on_told(context.rosters[0].places(), 100.0)
+    context.rosters[0].on_told(restarted.take_news(), 100.0)
+
+
+@then("the other one takes the news from it and passes it on once")
+def step_passes_on(context):
+    first, second = context.rosters
+    news = [place for place in first.take_news() if place.address == context.third.address]
+    assert [place.count for place in news] == [context.third.count + 1], news
+    second.on_told(news, 101.0)
+    passed = [p for p in second.take_news() if p.address == context.third.address]
+    assert passed == news
+    second.on_told(news, 102.0)
+    assert second.take_news() == []
+
+
+@when("the third one is silent for 9 minutes")
+def step_silent(context):
+    for roster in context.rosters:
+        for minute in range(10):
+            roster.tick(101.0 + 60.0 * minute)
+
+
+@then("none of them knows it any more")
+def step_forgotten(context):
+    for roster in context.rosters:
+        assert context.third.address not in {place.address for place in roster.places()}
+
+
+def manager(address):
+    identity = Identity(
+        host=address,
+        role="entry",
+        region="r",
+        failure_domain="a",
+        incarnation=1,
+        address=address,
+    )
+    return LinkManager(identity=identity, log=Quiet(), heartbeat_s=1.0)
+
+
+@given("a process that keeps a link to a peer whose host is gone")
+def step_gone_peer(context):
+    context.addresses = free_address(), free_address()
+    context.play = []
+
+
+@when("two connections have failed")
+def step_two_failed(context):
+    async def action(stage):
+        stage.links.set_targets({"peer": stage.address})
+        for _ in range(40):
+            await asyncio.sleep(0.05)
+            stage.links.tick()
+            if stage.links.is_down(stage.address):
+                break
+
+    context.play.append(action)
+
+
+@then("the peer counts as down")
+def step_is_down(context):
+    async def check(stage):
+        assert stage.links.is_down(stage.address)
+
+    context.play.append(check)
+
+
+@when("it accepts connections again {seconds:g} s later")
+def step_accepts(context, seconds):
+    async def action(stage):
+        stage.peer = manager(stage.address)
+        stage.peer.listen()
+        stage.shift_s += seconds
+        for _ in range(60):
+            stage.links.set_targets({"peer": stage.address})
+            await asyncio.sleep(0.05)
+            if stage.links.peers():
+                break
+
+    context.play.append(action)
+
+
+@then("it is linked and does not count as down")
+def step_is_linked(context):
+    async def check(stage):
+        assert stage.links.peers() and not stage.links.is_down(stage.address)
+
+    context.play.append(check)
+    asyncio.run(play(context))
+
+
+@given("a process that is linked with a peer")
+def step_linked(context):
+    step_gone_peer(context)
+    step_accepts(context, 0.0)
+
+
+@when("it has not wanted the link for {seconds:g} s")
+def step_not_wanted(context, seconds):
+    async def action(stage):
+        stage.links.set_targets({})
+        stage.links.close_unwanted()
+        assert stage.links.peers()
+        stage.shift_s += seconds
+        stage.links.close_unwanted()
+        await asyncio.sleep(0.05)
+
+    context.play.append(action)
+
+
+@then("the link is closed")
+def step_closed(context):
+    async def check(stage):
+        assert not stage.links.peers() and not stage.peer.peers()
+
+    context.play.append(check)
+    asyncio.run(play(context))
+
+
+async def play(context):
+    """Carry out the collected steps between two processes on loopback, with a clock to shift."""
+    own, address = context.addresses
+    stage = SimpleNamespace(links=manager(own), peer=None, address=address)
+    stage.shift_s, real_now = 0.0, links_module.now
+    with patch.object(links_module, "now", lambda: real_now() + stage.shift_s):
+        try:
+            for action in context.play:
+                await action(stage)
+        finally:
+            stage.links.close()
+            if stage.peer is not None:
+                stage.peer.close()
--- a/features/steps/readers_steps.py
+++ b/features/steps/readers_steps.py
@@ -1,26 +1,33 @@
 """Steps about the processes that read the platform for the others, under a virtual clock."""
 
 import asyncio
+import itertools
+import operator
 import random
 from collections import Counter
 
+from attrs import evolve
 from behave import given, then, when
 from forwarding_stage import StoredValues
 from memory_links import Network, run_virtual
 from returns.result import Failure, Success
 from wasabilb_core.directory import Runner
 from wasabilb_core.errors import Error, ErrorKind
+from wasabilb_core.peering import entry_peers, followed_runners, hubs
 from wasabilb_core.published import Item, PublishedState
 from wasabilb_core.roster import EntryPlace, Roster
 from wasabilb_node import clock
 from wasabilb_node.followed_state import FollowedState
+from wasabilb_node.links import UNWANTED_S
 from wasabilb_node.logs import EventLog
 from wasabilb_node.published_sync import Changes, PublishedSource, PublishedSync, Snapshot
+from wasabilb_wire.messages import RunnerReport
 
 BEAT_S = 0.8
 # The platform answers a call that waits for changes after this time at the latest.
 LONGEST_WAIT_S = 5.0
 LOOK_S = 0.02
+SEEDS = 3
 RUNNER = Runner(id="r", born_ms=1, service="s", address="127.0.0.1:9", failure_domain="a")
 AWAY = Failure(Error(kind=ErrorKind.PLATFORM_UNAVAILABLE, detail="turned away"))
 
@@ -70,14 +77,15 @@
 class Process:
     """One process that follows published state."""
 
-    def __init__(self, *, network, platform, host, role, failure_domain):
+    def __init__(self, *, network, platform, host, role, failure_domain, is_seed=False):
         self.host, self.role = host, role
         links = network.add(host, role, failure_domain=failure_domain)
         log = EventLog(
             process=host, role=role, host=host, failure_domain=failure_domain, incarnation="1"
         )
-        own = EntryPlace(address=host, failure_domain=failure_domain)
-        roster = Roster(own=own if role == "entry" else None, now=clock.now())
+        self.own = EntryPlace(address=host, failure_domain=failure_domain)
+        roster = Roster(own=self.own if role == "entry" else None, now=clock.now())
+        self.roster, self.links = roster, links
         items = PublishedState()
         self.followed = FollowedState(
             items=items, decoder=StoredValues({b"runner": RUNNER}), log=log
@@ -93,6 +101,7 @@
             on_platform=self.on_platform,
             on_distrust=self.followed.on_distrust,
             distrust_s=self.followed.distrust_s,
+            is_seed=is_seed,
         )
 
     def on_change(self, items):
@@ -105,39 +114,106 @@
         if self.role == "entry":
             self.sync.tell()
 
+    def report(self, *, is_for_all):
+        """Report the runner as an agent does while nothing changes."""
+        own = self.own.failure_domain
+        peers = self.links.peers(role="entry")
+        near = [peer for peer in peers if peer.hello.failure_domain == own]
+        self.links.send_each(RunnerReport(runner="r", born_ms=1), peers if is_for_all else near)
+
     async def run(self):
         reading = asyncio.ensure_future(self.sync.run())
         # Processes do not beat in step.
         await asyncio.sleep(random.Random(self.host).uniform(0, BEAT_S))
         try:
-            while True:
+            for number in itertools.count():
                 self.sync.beat()
                 self.followed.expire()
+                if self.role == "agent":
+                    self.report(is_for_all=number % 2 == 0)
                 await asyncio.sleep(BEAT_S)
         finally:
             reading.cancel()
 
 
+async def connect_all(network, processes):
+    """Link each entry process with all processes."""
+    await asyncio.sleep(0.2)
+    for number, one in enumerate(processes):
+        for two in processes[number + 1 :]:
+            if "entry" in (one.role, two.role):
+                network.connect(one.host, two.host)
+
+
+class FewLinks:
+    """Keeps the links that entry processes want and ends those that none wants."""
+
+    def __init__(self, network, processes):
+        self.network = network
+        self.entries = [process for process in processes if process.role == "entry"]
+        self.runners = [
+            evolve(RUNNER, id=process.host, failure_domain=process.own.failure_domain)
+            for process in processes
+            if process.role == "agent"
+        ]
+        self.wanted_at = {}
+
+    def wanted(self, entry):
+        """Return the hosts that an entry process wants links with, seeds at first."""
+        places = entry.roster.places()
+        peers = entry_peers(entry.own, places, lambda address: address in self.network.dead)
+        known = {place.address for place in places}
+        seeds = {seed.host for seed in self.entries[:SEEDS]} - known - {entry.host}
+        # A runner is known as soon as the published state is.
+        runners = self.runners if entry.followed.revision else []
+        return {*peers, *seeds, *followed_runners(entry.own, places, runners)}
+
+    def look(self, now):
+        for entry in self.entries:
+            if entry.host not in self.network.dead:
+                for host in self.wanted(entry) - self.network.dead:
+                    pair = frozenset((entry.host, host))
+                    if pair not in self.wanted_at:
+                        self.network.connect(entry.host, host)
+                    self.wanted_at[pair] = now
+        for pair, at in list(self.wanted_at.items()):
+            if now - at >= UNWANTED_S:
+                del self.wanted_at[pair]
+                self.network.disconnect(*pair)
+
+
+async def connect_few(network, processes):
+    """Link processes as those of a large fleet do, beginning with the seeds."""
+    links = FewLinks(network, processes)
+    while True:
+        links.look(clock.now())
+        await asyncio.sleep(0.2)
+
+
 def play(context, *checks):
     """Run all processes and carry out the steps that were collected, in order."""
 
     async def main():
         network, platform = Network(), Platform()
         platform.items.update(context.listed)
-        specs = [(f"e-{n:02}", "entry", "ab"[n % 2]) for n in range(context.entries)]
-        specs += [(f"s-{n:02}", "agent", "ab"[n % 2]) for n in range(context.agents)]
+        names = "abcdefgh"[: context.domains]
+        specs = [(f"e-{n:03}", "entry", names[n % len(names)]) for n in range(context.entries)]
+        specs += [(f"s-{n:03}", "agent", names[n % len(names)]) for n in range(context.agents)]
         processes = [
-            Process(network=network, platform=platform, host=host, role=role, failure_domain=where)
-            for host, role, where in specs
+            Process(
+                network=network,
+                platform=platform,
+                host=host,
+                role=role,
+                failure_domain=where,
+                is_seed=number < SEEDS,
+            )
+            for number, (host, role, where) in enumerate(specs)
         ]
         tasks = [asyncio.ensure_future(process.run()) for process in processes]
-        await asyncio.sleep(0.2)
-        for number, one in enumerate(specs):
-            for two in specs[number + 1 :]:
-                if "entry" in (one[1], two[1]):
-                    network.connect(one[0], two[0])
+        tasks.append(asyncio.ensure_future(context.connect(network, processes)))
         for action in [*context.actions, *checks]:
-            await action(platform, processes)
+            await action(platform, [p for p in processes if p.host not in network.dead])
         for task in tasks:
             task.cancel()
 
@@ -150,8 +226,17 @@
 
 @given("{entries:d} entry processes and {agents:d} agents in 2 failure domains")
 def step_processes(context, entries, agents):
-    context.entries, context.agents = entries, agents
-    context.listed, context.actions = {}, []
+    context.entries, context.agents, context.domains = entries, agents, 2
+    context.listed, context.actions, context.connect = {}, [], connect_all
+
+
+@given(
+    "{entries:d} entry processes and {agents:d} agents in {domains:d} failure domains, linked as a "
+    "large fleet"
+)
+def step_large(context, entries, agents, domains):
+    step_processes(context, entries, agents)
+    context.domains, context.connect = domains, connect_few
 
 
 @given("a runner that they all list")
@@ -233,14 +318,61 @@
 def step_few(context, count):
     async def check(platform, processes):
         found = [process.host for process in waiting(platform, processes)]
-        domains = Counter(int(host.partition("-")[2]) % 2 for host in found)
-        assert set(domains) == {0, 1} and max(domains.values()) <= count, found
+        domains = Counter(int(host.partition("-")[2]) % context.domains for host in found)
+        assert len(domains) == context.domains and max(domains.values()) <= count, found
         assert all(host.startswith("e-") for host in found), found
 
     context.actions.append(check)
     play(context)
 
 
+@then(
+    "each entry process that is no hub has handled at most {most:d} messages a second while "
+    "nothing changed"
+)
+def step_messages(context, most):
+    async def check(platform, processes):
+        entries = [process for process in processes if process.role == "entry"]
+        places = [process.own for process in entries]
+        domains = {place.failure_domain for place in places}
+        every_hub = {hub for domain in domains for hub in hubs(places, domain)}
+        others = [process for process in entries if process.host not in every_hub]
+        before = [process.links.received for process in others]
+        await asyncio.sleep(5.0)
+        now = [process.links.received for process in others]
+        rate = max(map(operator.sub, now, before)) / 5.0
+        assert rate <= most, rate
+
+    context.actions.append(check)
+    play(context)
+
+
+@when("the hubs of one failure domain end")
+def step_hubs_end(context):
+    async def action(platform, processes):
+        entries = [process for process in processes if process.role == "entry"]
+        places = [process.own for process in entries]
+        network = entries[0].links.network
+        for host in hubs(places, "a"):
+            network.end(host)
+
+    context.actions.append(action)
+
+
+@then("every process knows the newest state")
+def step_newest(context):
+    step_all_know(context, 0.0)
+
+
+@then("at most {most:d} of them have read the platform")
+def step_few_reads(context, most):
+    async def check(platform, processes):
+        assert len(platform.calls) <= most, len(platform.calls)
+
+    context.actions.append(check)
+    play(context)
+
+
 @then("every process knows it after {seconds:g} s")
 def step_all_know(context, seconds):
     async def check(platform, processes):
--- a/packages/wasabilb-agent/src/wasabilb_agent/_runner_reports.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_runner_reports.py
@@ -7,8 +7,9 @@
 
 from wasabilb_agent.model_runner import RunnerState
 
-# Entry processes hear of an unchanged state at least this often.
-QUIET_REPORT_S = 0.5
+# Entry processes hear of an unchanged state this often, seconds; it stands for a heartbeat, and
+# they forget it after 2 s.
+QUIET_REPORT_S = 0.7
 # Entry processes that all hear each report. Of more, those of the own region hear each second and
 # the others each fourth one: the latter send there when their own runners are full, and each
 # message costs its receiver 0.15 ms.
--- a/packages/wasabilb-node/src/wasabilb_node/published_sync.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_sync.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
-from attrs import frozen
+from attrs import evolve, frozen
 from returns.result import Failure, Result
 from wasabilb_core.catalog import Catalog, WeightTarget
 from wasabilb_core.directory import Runner
@@ -93,10 +93,11 @@
 
 @frozen(kw_only=True)
 class _Told:
-    """The newest heartbeat to a peer and the bytes that had been sent to it by then."""
+    """What a peer had been told by a heartbeat, and whether the interval before it was idle."""
 
     beat: NodeBeat
     bytes_sent: int
+    was_idle: bool
 
 
 class PublishedSync:
@@ -201,10 +202,12 @@
         """Tell all peers what is known here; called once a heartbeat."""
         self._roster.tick(now())
         message = self._beat(self._roster.take_news())
-        peers = [peer for peer in self._links.peers() if not self._is_covered(peer, message)]
-        self._links.send_each(message, peers)
-        for peer in self._links.peers():
-            self._told[peer] = _Told(beat=message, bytes_sent=peer.link.bytes_sent)
+        peers = self._links.peers()
+        told = {peer: self._told_to(peer, message) for peer in peers}
+        self._links.send_each(message, [p for p in peers if not self._is_covered(p, told[p])])
+        self._told = {
+            peer: evolve(state, bytes_sent=peer.link.bytes_sent) for peer, state in told.items()
+        }
 
     def tell(self) -> None:
         """Tell peers of a change at once; changes that follow each other are told together."""
@@ -250,19 +253,23 @@
             )
         ]
 
-    def _is_covered(self, peer: Peer, message: NodeBeat) -> bool:
+    def _told_to(self, peer: Peer, message: NodeBeat) -> _Told:
+        last = self._told.get(peer)
+        sent = peer.link.bytes_sent
+        return _Told(
+            beat=message, bytes_sent=sent, was_idle=last is None or sent == last.bytes_sent
+        )
+
+    def _is_covered(self, peer: Peer, told: _Told) -> bool:
         """Return whether a heartbeat to a peer may be left out.
 
-        Agents send entry processes a report in each interval, which shows that they live.
+        Agents send entry processes reports, which show that they live: near ones in each interval,
+        others in each second one.
         """
-        told = self._told.get(peer)
-        return (
-            not self._is_entry
-            and peer.hello.role == "entry"
-            and told is not None
-            and told.beat == message
-            and peer.link.bytes_sent > told.bytes_sent
-        )
+        last = self._told.get(peer)
+        if self._is_entry or peer.hello.role != "entry" or last is None or last.beat != told.beat:
+            return False
+        return not (told.was_idle and last.was_idle)
 
     def _beat(self, entries: list[EntryPlace]) -> NodeBeat:
         return NodeBeat(
