--- a/features/distribution.feature
+++ b/features/distribution.feature
@@ -50,6 +50,36 @@
     When two of them read nothing after they have met
     Then the other one reads 16 chunks before 4.2 s and all of them later
 
+  Scenario Outline: The whole version leaves the store first
+    Load: <hosts> hosts of <regions> regions that fetch a version at once, each over a link that takes
+    4 s for it, from a store that sends a copy in <copy> s.
+    Guards against a store that fails soon after a version was named, when a part of it is with
+    nobody because the hosts' links were busy with what they have from each other.
+    When the version is fetched with "near_first"
+    Then it has left the store after at most 2 times <copy> s
+    And the store has sent at most 1.2 copies
+
+    Examples:
+      | hosts | regions | copy |
+      | 12    | 3       | 1.26 |
+      | 45    | 5       | 2.1  |
+      | 76    | 5       | 2.1  |
+
+  Scenario Outline: All hosts have a version soon after the links could have brought it
+    Load: as above. Guards against hosts whose links are idle while others wait for chunks.
+    When the version is fetched with "near_first"
+    Then all hosts have it after at most 1.25 times 4 s
+
+    Examples:
+      | hosts | regions | copy |
+      | 12    | 3       | 1.26 |
+      | 45    | 5       | 2.1  |
+
+    @known_red
+    Examples: hosts of the large deployment
+      | hosts | regions | copy |
+      | 76    | 5       | 2.1  |
+
   Scenario: Requests to a store that pauses time out together
     Guards against a time-out that doubles once for each request under way, so that a pause of a
     second kept a region away from the store for two minutes.
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -1,10 +1,14 @@
 """Steps about one planner or a few, step by step."""
 
 import random
+import sys
+from pathlib import Path
+from unittest.mock import patch
 
 from attrs import evolve
 from behave import given, then, when
 from swarm_model import LIMITS, make_hosts, make_planner
+from wasabilb_agent.runner_agent import TRANSFER_LIMITS
 from wasabilb_core.distribution import (
     CHUNK_POLICIES,
     ORIGIN,
@@ -13,6 +17,9 @@
     Overlay,
 )
 
+sys.path.append(str(Path(__file__).parents[2] / "bench"))
+import transfer_model
+
 
 @given(
     "{count:d} hosts of 3 regions that each begin a transfer of {chunks:d} chunks with "
@@ -124,3 +131,54 @@
         context.now += 0.05
         context.planner.on_tick(context.now)
         assert context.now <= context.resumed + 2 * timeout, "the store is still avoided"
+
+
+# One copy takes 4 s over a host's link and a third of that between two regions.
+LINKS = {"ALLOWED_S": 8.0, "HOST_COPIES": 2.0, "REGION_COPIES": 6.0, "TICK_S": 0.05}
+
+
+class ObservedTransfer(transfer_model.Transfer):
+    """Notes when each chunk has first left the store."""
+
+    def __init__(self, **options):
+        self.left_at = {}
+        super().__init__(**options)
+
+    def _deliver(self, name, index, source, version):
+        if source == ORIGIN:
+            self.left_at.setdefault(index, self.now)
+        super()._deliver(name, index, source, version)
+
+
+@when('the version is fetched with "{policy}"')
+def step_fetch(context, policy):
+    row = context.active_outline
+    hosts, regions, copy_s = int(row["hosts"]), int(row["regions"]), float(row["copy"])
+    layout = transfer_model.Layout(hosts=hosts, regions=regions, domains_per_region=1, chunks=48)
+    origin_copies = LINKS["ALLOWED_S"] / copy_s
+    with patch.multiple(transfer_model, ORIGIN_COPIES=origin_copies, **LINKS):
+        transfer = ObservedTransfer(
+            layout=layout,
+            policy=policy,
+            seed=1,
+            limits=evolve(TRANSFER_LIMITS, far_wait_s=2 * copy_s),
+        )
+        context.fetched = transfer.run(20.0)
+    context.left_at = transfer.left_at
+
+
+@then("it has left the store after at most {factor:g} times {copy:g} s")
+def step_left(context, factor, copy):
+    assert len(context.left_at) == 48
+    assert max(context.left_at.values()) <= factor * copy, max(context.left_at.values())
+
+
+@then("the store has sent at most {copies:g} copies")
+def step_copies(context, copies):
+    assert context.fetched.origin_copies <= copies, context.fetched
+
+
+@then("all hosts have it after at most {factor:g} times {link:g} s")
+def step_all_have(context, factor, link):
+    assert context.fetched.finished == context.fetched.living
+    assert context.fetched.time_s <= factor * link, context.fetched
--- a/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
@@ -36,10 +36,10 @@
 # One read of the origin at a time from each of them keeps its link busy without a queue in which
 # new connections would time out; the other requests across regions go to peers.
 TRANSFER_LIMITS = PlannerLimits(
-    peer_requests=4,
+    peer_requests=3,
     duty_requests=3,
-    requests_per_peer=2,
-    uploads=3,
+    requests_per_peer=1,
+    uploads=2,
     uploads_across=2,
     first_timeout_s=2.5,
     max_avoid_s=0.5,
--- a/packages/wasabilb-core/src/wasabilb_core/_near_first.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_near_first.py
@@ -6,10 +6,15 @@
 from wasabilb_core._chunk_view import ORIGIN, ChunkRequest, Source, TransferView
 from wasabilb_core.rendezvous import rank
 
+# Up to so many hosts of a region are all linked. Hosts that do not see each other read the same
+# chunks from the origin.
+MAX_NEAR_MESH = 24
 # Hosts of each other region that a host is linked with.
 FAR_LINKS = 2
 # Time in which the hosts of a region hear of a version and greet each other, seconds.
 MEETING_S = 0.8
+# Requests to near hosts while this host still has chunks to read from the origin.
+READING_REQUESTS = 2
 
 
 class NearFirst:
@@ -29,28 +34,50 @@
         self._owned: dict[tuple[str, ...], int] = {}
 
     def neighbours(self, view: TransferView, now: float) -> tuple[str, ...]:
-        """Return the near hosts of the overlay and a few far ones."""
+        """Return the near hosts, in a large region those of the overlay, and a few far ones."""
         own = view.host.region
-        near = [n for n in view.overlay.neighbours(view.host.name) if self._is_near(view, n)]
+        near = view.overlay.standing[own]
+        if len(near) > MAX_NEAR_MESH:
+            near = [n for n in view.overlay.neighbours(view.host.name) if self._is_near(view, n)]
         far: set[str] = set()
         for region, names in view.overlay.standing.items():
             if region != own:
                 place = view.overlay.standing[own].index(view.host.name)
                 far.update(names[(place + n) % len(names)] for n in range(FAR_LINKS))
-        return tuple(sorted({*near, *far}))
+        return tuple(sorted({*near, *far} - {view.host.name}))
 
     def choose(self, view: TransferView, now: float) -> ChunkRequest | None:
         """Return the rarest chunk that the region offers, else one to bring into it."""
         missing = view.missing
         if not missing:
             return None
-        if view.near_in_flight < view.limits.peer_requests:
+        near = [peer for peer in view.peers.values() if peer.is_near and not peer.faults]
+        unread = self._unread(view, near, now)
+        if unread & missing and view.origin.in_flight == 0:
+            return self._from_origin(view, unread & missing)
+        if view.near_in_flight < (READING_REQUESTS if unread else view.limits.peer_requests):
             request = _rarest(view, missing, now, is_near=True)
             if request is not None:
                 return request
-        if view.duty_in_flight >= view.limits.duty_requests:
+        if unread or view.duty_in_flight >= view.limits.duty_requests:
             return None
-        near = [peer for peer in view.peers.values() if peer.is_near and not peer.faults]
+        return self._bring_in(view, near, missing, now)
+
+    def _unread(self, view: TransferView, near: list[Source], now: float) -> int:
+        """Return what this host is to read from the origin before it fetches much else.
+
+        The links of the hosts carry the origin's copy out first, so that nobody needs it any more
+        when it fails soon after a version was named.
+        """
+        is_late = now - view.started_at >= view.limits.far_wait_s
+        if is_late or now < view.origin.avoid_until:
+            return 0
+        return self._of_region(view) & self._own_chunks(view, now) & ~view.have & ~_union(near)
+
+    def _bring_in(
+        self, view: TransferView, near: list[Source], missing: int, now: float
+    ) -> ChunkRequest | None:
+        """Return a chunk to bring into the region, of which no near host has it."""
         wanted = missing & ~view.origin.asked & ~_union(near)
         if not wanted:
             return None
--- a/packages/wasabilb-node/src/wasabilb_node/published_sync.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_sync.py
@@ -124,8 +124,8 @@
     on_distrust, distrust_s : callable
         Take and return for how many seconds removed entries may only have expired in an outage.
     is_seed : bool
-        Whether others learn from this process at their start. The others wait for a peer's state
-        before they read the platform themselves.
+        Whether others learn from this process at their start. Other entry processes wait for a
+        peer's state before they read the platform themselves.
     """
 
     def __init__(
@@ -283,8 +283,13 @@
         return round(self._distrust_s() * 1000)
 
     async def _wait_for_peers(self) -> None:
-        """Wait at the start until a peer has told its state, for a while."""
-        wait_s = 0.0 if self._is_seed else START_WAIT_S * self._rng.uniform(1.0, 2.0)
+        """Wait at the start until a peer has told its state, for a while.
+
+        Agents do not wait: nobody links with the agent of a new host before its runner is listed,
+        and the weights take seconds from then on.
+        """
+        is_first = self._is_seed or not self._is_entry
+        wait_s = 0.0 if is_first else START_WAIT_S * self._rng.uniform(1.0, 2.0)
         until = self._started_at + wait_s
         while self._state.revision == 0 and now() < until:
             await asyncio.sleep(START_CHECK_S)
