--- a/features/published_state.feature
+++ b/features/published_state.feature
@@ -89,3 +89,17 @@
     Given a link that takes 4.2 s for a version and a runner whose versions are good for 8 s
     When a version is named at 0 s, the next one at 0.5 s, and its store is never away
     Then the runner loads the newer one only and answers all the time but for the load
+
+  Scenario Outline: A version that is nearly whole when its time runs out
+    Guards against a transfer that is given up a moment before its end, so that a runner gets neither
+    of two versions.
+    Given a runner whose versions are good for 8 s
+    When <share> of a version is there <seconds> s after a newer one was named
+    Then the host fetches the <choice> version
+
+    Examples:
+      | share | seconds | choice |
+      | 0.5   | 3.0     | older  |
+      | 0.5   | 4.0     | newer  |
+      | 0.9   | 4.0     | older  |
+      | 0.9   | 5.5     | newer  |
--- a/features/steps/published_state_steps.py
+++ b/features/steps/published_state_steps.py
@@ -354,3 +354,20 @@
 def step_newer_only(context):
     assert context.stepwise.loads == [3], context.stepwise.loads
     assert context.stepwise.idle_s <= LOAD_S + STEP_S, context.stepwise.idle_s
+
+
+@given("a runner whose versions are good for {bound:g} s")
+def step_bound(context, bound):
+    context.bound_s = bound
+
+
+@when("{share:g} of a version is there {seconds:g} s after a newer one was named")
+def step_partly_there(context, share, seconds):
+    older = NamedVersion(number=2, share=share, is_ready=False, outdated_s=seconds)
+    newer = NamedVersion(number=3, share=0.0, is_ready=False, outdated_s=-math.inf)
+    context.fetched = version_to_fetch([older, newer], bound_s=context.bound_s)
+
+
+@then("the host fetches the {choice} version")
+def step_fetches(context, choice):
+    assert context.fetched == {"older": 2, "newer": 3}[choice], context.fetched
--- a/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
@@ -32,6 +32,9 @@
 # Times in which one copy leaves the origin before a host reads what other regions were to read: the
 # second one is for reads that overlap and for the way through other hosts.
 FAR_WAIT_COPIES = 2.0
+# Longest pause before an origin that failed is asked for a manifest again, seconds. Runners stop
+# answering some seconds after a version was named, and the first host that has it tells the others.
+MAX_ORIGIN_RETRY_S = 1.0
 # A chunk takes 0.1 s over this host's link alone and 0.3 s when all hosts read the origin at once.
 # One read of the origin at a time from each of them keeps its link busy without a queue in which
 # new connections would time out; the other requests across regions go to peers.
@@ -157,6 +160,7 @@
             rng=self._node.rng,
             preload=staging.preload,
             limits=self._transfer_limits,
+            max_retry_s=MAX_ORIGIN_RETRY_S,
         )
         self._reports = RunnerReports(links=self._links)
         self._state: RunnerState | None = None
--- a/packages/wasabilb-agent/src/wasabilb_agent/transfer.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/transfer.py
@@ -71,6 +71,8 @@
         Adds to a new transfer the chunks that lie on this host already.
     limits : callable or None
         Returns the bounds of this host's part in the transfer of a manifest.
+    max_retry_s : float
+        Longest pause before a store that failed is asked again, seconds.
     rng : random.Random
         Source of randomness.
     """
@@ -88,6 +90,7 @@
         rng: random.Random,
         preload: Preload | None = None,
         limits: Callable[[Manifest], PlannerLimits] | None = None,
+        max_retry_s: float = MAX_RETRY_S,
     ) -> None:
         self._cfg = cfg
         self._participants = participants
@@ -98,6 +101,7 @@
         self._log = log
         self._metrics = metrics
         self._rng = rng
+        self._max_retry_s = max_retry_s
         self._store = store
         self._uploads = Uploads(cfg=cfg.weights, region=cfg.region)
         self._manifests = ManifestExchange(
@@ -192,7 +196,7 @@
             self._log.event("platform_down", service=service, detail=error.detail)
             # Jitter keeps the hosts of a fleet from asking the store in step.
             await self._manifests.wait(job.variant, retry_s * self._rng.uniform(0.5, 1.0))
-            retry_s = min(MAX_RETRY_S, retry_s * 2)
+            retry_s = min(self._max_retry_s, retry_s * 2)
         received = job.transfer.receipts.total if job.transfer is not None else {}
         origin = received.get(ORIGIN, 0)
         peers = sum(received.values()) - origin
--- a/packages/wasabilb-core/src/wasabilb_core/_batch_backlog.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_batch_backlog.py
@@ -18,6 +18,9 @@
 EASING_LONG_S = 0.8
 # Runners that are compared when the newest sends of other processes are not known.
 SAMPLED = 2
+# Most answers are at most so many times longer than expected: callers' estimates are right for the
+# middle one only.
+ANSWER_FACTOR = 2.0
 # Cost of a runner that is not expected to end the answer by its deadline, seconds; more than any
 # wait at the others, as an answer that is cut off has used a runner for nothing.
 UNFINISHED_S = 3.0
@@ -35,8 +38,9 @@
 
 
 def ends_after_s(runner: RunnerView, request: RouteRequest) -> float:
-    """Return the seconds until a runner has ended an answer that is asked for now."""
-    return expected_wait_s(runner) + runner.pace * runner.token_s * request.predicted_tokens
+    """Return the seconds until a runner has most likely ended an answer that is asked for now."""
+    tokens = ANSWER_FACTOR * request.predicted_tokens
+    return expected_wait_s(runner) + runner.pace * runner.token_s * tokens
 
 
 @ROUTING.register("batch_backlog")
--- a/packages/wasabilb-core/src/wasabilb_core/version_steps.py
+++ b/packages/wasabilb-core/src/wasabilb_core/version_steps.py
@@ -19,6 +19,9 @@
 # as its step takes; parts of the bound since a newer one was named.
 FETCH_UNTIL = 0.45
 LOAD_UNTIL = 0.65
+# A version of which so much is there is finished as long as it can still be loaded: the rest takes
+# less than a second.
+NEARLY_WHOLE = 0.8
 
 
 @frozen(kw_only=True)
@@ -61,11 +64,15 @@
         for version in known[:-1]
         if version.share >= FINISH_FROM
         and not version.is_ready
-        and version.outdated_s < FETCH_UNTIL * bound_s
+        and version.outdated_s < _fetch_until(version.share) * bound_s
     ]
     return unfinished[-1] if unfinished else known[-1].number
 
 
+def _fetch_until(share: float) -> float:
+    return LOAD_UNTIL if share >= NEARLY_WHOLE else FETCH_UNTIL
+
+
 def version_to_load(versions: Iterable[NamedVersion], *, bound_s: float) -> int | None:
     """Return the newest version that the runner can load and that is still of use."""
     ready = [
