--- a/features/direct_forwarding.feature
+++ b/features/direct_forwarding.feature
@@ -117,3 +117,28 @@
     When the drain ends keep-alive while a stream is under way and its caller sends a request after it
     Then the stream is whole, its connection ends and the other request reaches no runner
 
+
+  Scenario: A stream goes on elsewhere when its runner is to load a version
+    # Load: a roll-out, in which each runner ends what runs before it loads. Guards against runners
+    # that answer nobody for seconds because of their last streams.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that answer slowly and then answer
+    When the first runner begins an order while a stream is under way there
+    Then the caller gets all events once
+    And the first runner sees the end of the connection within 1.5 s of the order
+
+  Scenario: A stream stays at a runner that is to load a version while the others are full
+    # Guards against streams that are broken off to wait in a queue.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that answer slowly and then answer
+    When the first runner begins an order while a stream is under way there and the other one is full
+    Then the caller gets all events once
+    And the runners received 1 requests that may have run
+
+  Scenario: A stream that may not be sent again stays at a runner that is to load a version
+    # Guards against repeated sends beyond the budget, and streams that are broken off for want of it.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that answer slowly and then answer
+    When the first runner begins an order while a stream is under way there without a retry budget
+    Then the caller gets all events once
+    And the runners received 1 requests that may have run
--- a/features/steps/direct_forwarding_steps.py
+++ b/features/steps/direct_forwarding_steps.py
@@ -4,11 +4,14 @@
 import math
 import re
 
+from attrs import evolve
 from behave import given, then, when
-from forwarding_stage import KEY, PATHS, Stage, request
+from forwarding_stage import KEY, LIMITS, PATHS, Stage, request
 from scripted_runner import BODY, EVENTS
 from wasabilb_core.catalog import CallerLimits
+from wasabilb_core.runner_book import LoadReport
 from wasabilb_node.clock import now
+from wasabilb_wire.messages import RunnerReport
 
 
 async def read_answer(reader):
@@ -230,6 +233,41 @@
     play(context, wait)
 
 
+@when("the first runner begins an order while a stream is under way there{but}")
+def step_order_begins(context, but):
+    async def load(stage):
+        asking = asyncio.ensure_future(ask(stage, request(PATHS["stream"])))
+        await asyncio.sleep(0.3)
+        fleet = stage.fleet
+        first = next(n for n, scripted in enumerate(stage.runners) if scripted.requests)
+        context.first = stage.runners[first]
+        if "full" in but:
+            other = fleet.directory.get(f"r-{1 - first}")
+            fleet.book.on_report(other, LoadReport(running=4, waiting=2, at=now(), slots=4))
+        if "budget" in but:
+            fleet.on_limits(evolve(LIMITS, retry_ratio=0.0, retry_slack=0.0))
+        context.ordered_at = asyncio.get_running_loop().time()
+        for _ in range(12):
+            fleet.on_report(RunnerReport(runner=f"r-{first}", born_ms=1, is_busy=True))
+            await asyncio.sleep(0.1)
+        return await asking
+
+    play(context, load)
+
+
+# The step is also given nothing after "there".
+when("the first runner begins an order while a stream is under way there")(
+    lambda context: step_order_begins(context, "")
+)
+
+
+@then("the first runner sees the end of the connection within {seconds:g} s of the order")
+def step_sees_end_of_order(context, seconds):
+    assert context.first.closed_at - context.ordered_at <= seconds, (
+        context.first.closed_at - context.ordered_at
+    )
+
+
 @then("the first runner sees the end of the connection within 0.1 s of that time")
 def sees_end_in_time(context):
     assert context.closed_early > -0.1, context.closed_early
--- a/features/steps/forwarding_stage.py
+++ b/features/steps/forwarding_stage.py
@@ -27,6 +27,7 @@
 
 SALT = b"salt" * 8
 KEY = "k" * 20
+LIMITS = FleetLimits(retry_ratio=0.2, retry_slack=100, retry_window_s=10.0, version_s=8.0)
 PATHS = {"idempotent": "/safe/x", "at-most-once": "/once/x", "stream": "/stream/x"}
 
 
@@ -134,9 +135,7 @@
             failure_domain="a",
             regions={"a": "r"},
             pool=ConnectionPool(max_idle=4),
-            limits=FleetLimits(
-                retry_ratio=0.2, retry_slack=100, retry_window_s=10.0, version_s=8.0
-            ),
+            limits=LIMITS,
             rng=rng,
             processes=lambda: 1,
             tell_sent=lambda runner_id, tokens: None,
--- a/packages/wasabilb-core/src/wasabilb_core/_batch_backlog.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_batch_backlog.py
@@ -26,12 +26,17 @@
 UNFINISHED_S = 3.0
 
 
+def load_of(runner: RunnerView) -> int:
+    """Return the requests that are known to run or wait at a runner."""
+    return max(runner.in_flight, runner.reported_running + runner.reported_queued)
+
+
 def expected_wait_s(runner: RunnerView) -> float:
     """Return the seconds until a runner begins to read a prompt that is sent now.
 
     The larger of two waits: for a place in the batch, and for the prompts ahead.
     """
-    load = max(runner.in_flight, runner.reported_running + runner.reported_queued)
+    load = load_of(runner)
     place_s = max(0, load + 1 - runner.slots) * runner.turn_s
     prompts_s = runner.prompts_s / READING_SHARE
     return runner.pace * (max(place_s, prompts_s) + load * SHARED_STEP_S)
--- a/packages/wasabilb-core/src/wasabilb_core/attempts.py
+++ b/packages/wasabilb-core/src/wasabilb_core/attempts.py
@@ -23,6 +23,7 @@
     BROKEN = "broken"
     SILENT = "silent"
     OUTDATED = "outdated"
+    MOVED = "moved"
     DEADLINE = "deadline"
     CALLER_GONE = "caller-gone"
 
--- a/packages/wasabilb-core/src/wasabilb_core/routing.py
+++ b/packages/wasabilb-core/src/wasabilb_core/routing.py
@@ -5,6 +5,7 @@
 
 ends_after_s = _batch_backlog.ends_after_s
 expected_wait_s = _batch_backlog.expected_wait_s
+load_of = _batch_backlog.load_of
 BatchBacklog = _batch_backlog.BatchBacklog
 PeerCompared = _peer_compared.PeerCompared
 PrefixBounded = _prefix_bounded.PrefixBounded
@@ -19,4 +20,5 @@
     "RunnerView",
     "ends_after_s",
     "expected_wait_s",
+    "load_of",
 ]
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -9,17 +9,19 @@
 from wasabilb_core.catalog import Catalog, EngineSpec, RequestKind, Route
 from wasabilb_core.directory import Runner
 from wasabilb_core.forwarding import AnswerFacts
-from wasabilb_core.overload import HeldLimit
+from wasabilb_core.overload import SPARE_PLACES, HeldLimit
 from wasabilb_core.peering import followed_runners, hears_of_sends
 from wasabilb_core.retry_window import RetryWindow
 from wasabilb_core.roster import EntryPlace
-from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView, expected_wait_s
+from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView, expected_wait_s, load_of
 from wasabilb_core.runner_book import LoadReport, RunnerBook, turn_s
 from wasabilb_node.clock import now
 from wasabilb_node.followed_state import FollowedState
 from wasabilb_node.http_client import ConnectionPool
 from wasabilb_wire.messages import RunnerReport
 
+from wasabilb_entry.load_moves import LoadMoves
+
 # Silence of a stream's runner after which another one takes over. Callers leave after 2 s; a step
 # of a full batch takes 0.1 s, and a prompt that joins it up to 0.25 s more.
 STREAM_GAP_S = 1.2
@@ -139,6 +141,7 @@
         }
         self._hears_of_sends = True
         self._windows: dict[str, RetryWindow] = {}
+        self.moves = LoadMoves(free_places=self._free_places)
         # Runners of model services whose load this process hears of, by service.
         self._followed: dict[str, set[str]] = {}
 
@@ -174,6 +177,7 @@
                 is_easing=report.is_easing,
             ),
         )
+        self.moves.on_report(runner.id, is_busy=report.is_busy and report.is_reachable)
 
     def follow(self, own: EntryPlace, places: Collection[EntryPlace]) -> list[Runner]:
         """Choose the model runners that this process follows, and return them.
@@ -299,12 +303,10 @@
         lately : float
             Held requests a second that found a place, infinite while none gave up.
         """
-        total = len(self.directory.routable(service))
-        part = len(self._followed.get(service, ())) / total if total else 1.0
         return HeldLimit(
             runners=runners,
             turn_s=turn_s(self.engine(service)),
-            processes=max(1.0, self._processes() * min(1.0, part or 1.0)),
+            processes=self._sharers(service),
             lately=lately,
         )
 
@@ -331,6 +333,21 @@
             return False
         return version is None or runner.version >= version
 
+    def _free_places(self, runner_id: str) -> int:
+        """Return the places that this process may take for streams of a runner that loads."""
+        runner = self.directory.get(runner_id)
+        if runner is None:
+            return 0
+        views = self.views(runner.service, RouteRequest(excluded={runner_id}))
+        free = sum(max(0, view.slots - load_of(view) - SPARE_PLACES) for view in views)
+        return math.ceil(free / self._sharers(runner.service))
+
+    def _sharers(self, service: str) -> float:
+        """Return the entry processes that share the followed runners of a service."""
+        total = len(self.directory.routable(service))
+        part = len(self._followed.get(service, ())) / total if total else 1.0
+        return max(1.0, self._processes() * min(1.0, part or 1.0))
+
     def _begins_in_time(self, runner: Runner, view: RunnerView, engine: EngineSpec | None) -> bool:
         """Return whether a request would begin before its runner's version is out of date."""
         outdated_s = self._outdated_s(runner, engine)
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from functools import partial
 
 from attrs import define, field
 from tornado.httputil import HTTPHeaders
@@ -32,6 +33,8 @@
 ANSWER_MARGIN_S = 0.02
 # A caller with so much less time than the route's timeout has asked before, seconds.
 RETURNED_S = 0.25
+# Time that a stream must have left to go on elsewhere, seconds: its prompt is read again.
+MIN_MOVE_S = 1.0
 # Callers come back at most after a third of their time, so that longer pauses are of no use.
 RETRY_AFTER_SHARE = 1 / 3
 
@@ -173,10 +176,13 @@
             if end is AttemptEnd.ANSWERED:
                 self._finish(work)
                 return
+            if end is AttemptEnd.MOVED:
+                # The repeated send was taken from the budget when it was moved.
+                continue
             if end is AttemptEnd.CALLER_GONE or work.req.is_gone:
                 self._done(work, outcome="caller-gone")
                 return
-            if not self._may_go_on(work, end):
+            if not self._may_go_on(work, work.history, end):
                 self._give_up(work, None)
                 return
 
@@ -218,11 +224,15 @@
             keeps_running_when_gone=route.kind is RequestKind.NON_IDEMPOTENT,
         )
         self._fleet.on_sent(runner, work.facts.prompt_tokens)
+        move = partial(self._move, work, attempt)
+        if route.kind is RequestKind.STREAM and route.is_repeatable:
+            self._fleet.moves.add(runner.id, move)
         started = now()
         try:
             end = await attempt.run()
         finally:
             self._fleet.on_ended(runner)
+            self._fleet.moves.remove(runner.id, move)
         work.history = work.history.after(end)
         work.tried.add(runner.id)
         work.placed, work.last_end = placed, end
@@ -246,6 +256,15 @@
             work.failed_reply = work.relay.reply()
         return end
 
+    def _move(self, work: _Work, attempt: RunnerAttempt) -> bool:
+        """Take a stream off a runner that loads a version; it goes on at another one."""
+        if attempt.is_moving or work.left_s < MIN_MOVE_S:
+            return False
+        if not self._may_go_on(work, work.history.after(AttemptEnd.MOVED), AttemptEnd.MOVED):
+            return False
+        attempt.move()
+        return True
+
     def _limits(self, work: _Work, runner: Runner) -> AttemptLimits:
         first_byte_s, gap_s = self._fleet.silence(work.service, work.route)
         return AttemptLimits(
@@ -261,14 +280,14 @@
             return work.route.timeout_s
         return work.req.arrived_at + timeout_s - now()
 
-    def _may_go_on(self, work: _Work, end: AttemptEnd) -> bool:
+    def _may_go_on(self, work: _Work, history: AttemptHistory, end: AttemptEnd) -> bool:
         """Return whether another runner is tried; a repeated send is taken from the budget."""
         route = work.route
         if end is AttemptEnd.FAILED and not route.is_repeatable:
             return False
-        if not may_try_again(route, work.history, end, work.left_s):
+        if not may_try_again(route, history, end, work.left_s):
             return False
-        return work.history.sent == 0 or self._fleet.spend_retry(work.service)
+        return history.sent == 0 or self._fleet.spend_retry(work.service)
 
     def _finish(self, work: _Work) -> None:
         reply = work.relay.reply()
--- /dev/null
+++ b/packages/wasabilb-entry/src/wasabilb_entry/load_moves.py
@@ -0,0 +1,69 @@
+"""Moves streams off runners that load a version, so that these are back soon.
+
+A runner that is ordered to load ends what runs and accepts nothing new until then. Its last streams
+can take seconds, in which all its other places are empty. They go on elsewhere after their last
+event while other runners have room. Answers the load of a roll-out, in which each runner of the
+model is away once.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import TypeAlias
+
+# Time after the order in which most streams end by themselves, seconds. One that is moved makes its
+# caller wait for its prompt to be read again.
+GRACE_S = 0.8
+# Interval in which streams that found no room before are looked at again, seconds.
+AGAIN_S = 0.25
+
+# Moves one stream and returns whether it could be moved.
+Move: TypeAlias = Callable[[], bool]
+
+
+class LoadMoves:
+    """The streams under way at each runner.
+
+    Parameters
+    ----------
+    free_places : callable
+        Returns the places that this process may take at other runners than the one named.
+    """
+
+    def __init__(self, *, free_places: Callable[[str], int]) -> None:
+        self._free_places = free_places
+        self._streams: dict[str, list[Move]] = {}
+        self._timers: dict[str, asyncio.TimerHandle] = {}
+
+    def add(self, runner_id: str, move: Move) -> None:
+        """Note a stream that may be moved."""
+        self._streams.setdefault(runner_id, []).append(move)
+
+    def remove(self, runner_id: str, move: Move) -> None:
+        """Forget a stream."""
+        streams = self._streams.get(runner_id, [])
+        if move in streams:
+            streams.remove(move)
+        if not streams:
+            self._streams.pop(runner_id, None)
+
+    def on_report(self, runner_id: str, *, is_busy: bool) -> None:
+        """Take note of whether a runner carries out an order."""
+        timer = self._timers.get(runner_id)
+        if is_busy and timer is None:
+            self._look_later(runner_id, GRACE_S)
+        elif not is_busy and timer is not None:
+            timer.cancel()
+            del self._timers[runner_id]
+
+    def _look_later(self, runner_id: str, delay_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._timers[runner_id] = loop.call_later(delay_s, self._look, runner_id)
+
+    def _look(self, runner_id: str) -> None:
+        streams = self._streams.get(runner_id, [])
+        room = self._free_places(runner_id) if streams else 0
+        for move in list(streams):
+            if room <= 0:
+                break
+            room -= move()
+        self._look_later(runner_id, AGAIN_S)
--- a/packages/wasabilb-entry/src/wasabilb_entry/placer.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/placer.py
@@ -14,7 +14,7 @@
     begins_on_time,
     decide,
 )
-from wasabilb_core.routing import RouteRequest, RunnerView, ends_after_s, expected_wait_s
+from wasabilb_core.routing import RouteRequest, RunnerView, ends_after_s, expected_wait_s, load_of
 from wasabilb_node.clock import now
 
 from wasabilb_entry.caller_connection import ReceivedRequest
@@ -192,5 +192,4 @@
 
 def _has_room(view: RunnerView) -> bool:
     """Return whether a runner has free places besides those that are kept for others."""
-    load = max(view.in_flight, view.reported_running + view.reported_queued)
-    return load + SPARE_PLACES < view.slots
+    return load_of(view) + SPARE_PLACES < view.slots
--- a/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import math
+from typing import Any
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 from wasabilb_core.attempts import AttemptEnd
@@ -70,6 +71,19 @@
     keeps_running_when_gone: bool = False
     # Why the answer was refused, for the log.
     refused: str = ""
+    _moving: "asyncio.Future[None]" = field(
+        factory=lambda: asyncio.get_running_loop().create_future()
+    )
+
+    @property
+    def is_moving(self) -> bool:
+        """Return whether the request is to go on at another runner."""
+        return self._moving.done()
+
+    def move(self) -> None:
+        """End the attempt, as the request goes on at another runner."""
+        if not self.is_moving:
+            self._moving.set_result(None)
 
     async def run(self) -> AttemptEnd:
         """Make the attempt and return how it ended."""
@@ -129,6 +143,7 @@
 
     async def _watch(self, reading: "asyncio.Future[ReadEnd]") -> AttemptEnd | None:
         """Wait for the answer and return why it was cut off, None when it was not."""
+        ends: set[asyncio.Future[Any]] = {reading, self._moving}
         while not reading.done():
             moment = now()
             if moment >= self.limits.deadline:
@@ -143,7 +158,9 @@
                 return AttemptEnd.OUTDATED
             # The answer may begin meanwhile, from when on shorter silences end it.
             end = min(silent_at, begin_by, self.limits.deadline, moment + self.limits.gap_s)
-            await asyncio.wait({reading}, timeout=end - moment)
+            await asyncio.wait(ends, timeout=end - moment, return_when=asyncio.FIRST_COMPLETED)
+            if self.is_moving and not reading.done():
+                return AttemptEnd.MOVED
         return None
 
     def _outcome(self, read: ReadEnd) -> AttemptEnd:
