--- a/packages/wasabilb-agent/src/wasabilb_agent/_uploads.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_uploads.py
@@ -13,8 +13,9 @@
 PIECE_S = 0.015
 MIN_PIECE_BYTES = 4 << 10
 LARGEST_PIECE_BYTES = min(MAX_PIECE_BYTES, 128 << 10)
-# Above this backlog the peer or the network is slower than the pacer, so sending waits.
-MAX_BACKLOG_PIECES = 4
+# Above this backlog the peer or the network is slower than the pacer, so sending waits. Live frames
+# wait behind the backlogs of all uploads.
+MAX_BACKLOG_PIECES = 2
 BACKLOG_CHECK_S = 0.01
 
 
