--- /dev/null
+++ b/features/steps/unexpected_errors_steps.py
@@ -0,0 +1,177 @@
+"""Steps about errors that nobody foresaw."""
+
+import asyncio
+from unittest.mock import patch
+
+from behave import given, then, when
+from forwarding_stage import LIMITS, SALT, PlainProtocol, StoredValues
+from peering_steps import play
+from returns.result import Success
+from wasabilb_core.catalog import Catalog
+from wasabilb_core.published import Item
+from wasabilb_entry import gateway as gateway_module
+from wasabilb_entry.gateway import Gateway, GatewaySettings
+from wasabilb_entry.held_places import HeldPlaces
+from wasabilb_node.clock import now
+from wasabilb_node.published_sync import Changes, PublishedSource, Snapshot
+from wasabilb_standins.fleet import free_address
+
+CATALOG = Catalog(version=1, routes=(), services={})
+
+
+class Errors:
+    """Takes log lines and keeps those about errors."""
+
+    def __init__(self):
+        self.lines = []
+
+    def event(self, name, **fields):
+        if name == "internal_error":
+            self.lines.append(fields)
+
+
+@given("an entry process whose heartbeats run each {seconds:g} s")
+def step_entry(context, seconds):
+    context.heartbeat_s, context.beats, context.errors = seconds, 0, []
+    context.fails_at, context.reading_fails = None, False
+
+
+def run_gateway(context, seconds):
+    """Run an entry process for a while and keep what it knows in the end."""
+
+    async def snapshot():
+        if context.reading_fails:
+            context.reading_fails = False
+            raise KeyError("a malformed answer")
+        return Success(Snapshot(items=(Item(name="c", revision=1, body=b"c"),), revision=1))
+
+    async def changes(after):
+        await asyncio.sleep(10)
+        return Success(Changes(items=(), revision=after))
+
+    def on_tick():
+        context.beats += 1
+        if context.beats == context.fails_at:
+            raise ValueError("a heartbeat failed")
+
+    async def main():
+        address = free_address()
+        gateway = Gateway(
+            cfg=GatewaySettings(
+                host="h",
+                region="r",
+                failure_domain="a",
+                regions={"a": "r"},
+                callers_address=free_address(),
+                ready_address=free_address(),
+                links_address=address,
+                metrics_address="",
+                seeds=(address,),
+                agent_port=1,
+                limits=LIMITS,
+                grace_s=1.0,
+            ),
+            protocol=PlainProtocol(),
+            decoder=StoredValues({b"c": CATALOG}),
+            source=lambda pool: PublishedSource(snapshot=snapshot, changes=changes),
+            salt=SALT,
+        )
+        written = gateway.log.event
+
+        def event(name, **fields):
+            if name == "internal_error":
+                context.errors.append(fields)
+            written(name, **fields)
+
+        gateway.log.event = event
+        gateway.on_tick.append(on_tick)
+        await gateway.start()
+        until = now() + seconds
+        while now() < until and not (context.beats > 20 and gateway.is_ready):
+            await asyncio.sleep(0.02)
+        context.is_ready = gateway.is_ready
+
+    with patch.object(gateway_module, "HEARTBEAT_S", context.heartbeat_s):
+        asyncio.run(main())
+
+
+@when("one of its heartbeats raises an error")
+def step_heartbeat_fails(context):
+    context.fails_at = 3
+    run_gateway(context, 2.0)
+
+
+@when("the first reading of the platform raises an error")
+def step_reading_fails(context):
+    context.reading_fails = True
+    run_gateway(context, 2.0)
+
+
+@then("its heartbeats go on")
+def step_beats_go_on(context):
+    assert context.beats > 10, context.beats
+
+
+@then("it knows the catalog within 2 s")
+def step_knows(context):
+    assert context.is_ready
+
+
+@then("the log has one line for the error")
+def step_one_line(context):
+    assert len(context.errors) == 1, context.errors
+
+
+@given("a request that is held for a place")
+def step_held(context):
+    context.looks = 0
+
+
+@when("a look for a place raises an error")
+def step_look_fails(context):
+    def views():
+        context.looks += 1
+        if context.looks == 1:
+            raise ValueError("a look failed")
+        return []
+
+    async def main():
+        asyncio.get_running_loop().set_exception_handler(lambda loop, found: None)
+        places = HeldPlaces(views=views)
+        return await asyncio.wait_for(
+            places.wait(
+                is_returned=False,
+                deadline=now() + 1.0,
+                has_room=lambda views: context.looks > 2,
+                watch_gone=lambda callback: None,
+            ),
+            2.0,
+        )
+
+    context.result = asyncio.run(main())
+
+
+@then("the held request ends all the same")
+def step_settled(context):
+    assert context.result in (True, False)
+
+
+@when("a part raises an error at the end of the link")
+def step_part_fails(context):
+    context.heard = []
+
+    async def action(stage):
+        def fails(peer):
+            raise ValueError("a part failed")
+
+        stage.links.on_down.extend([fails, context.heard.append])
+        stage.peer.close()
+        await asyncio.sleep(0.1)
+
+    context.play.append(action)
+
+
+@then("the parts after it hear of the end")
+def step_heard(context):
+    asyncio.run(play(context))
+    assert len(context.heard) == 1
--- a/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
@@ -13,6 +13,7 @@
 from wasabilb_core.tickets import HostRole, HostSpec
 from wasabilb_node.clock import now
 from wasabilb_node.http_client import ConnectionPool
+from wasabilb_node.loops import run_rounds
 from wasabilb_node.metrics import Metrics
 from wasabilb_node.published_node import HEARTBEAT_S, NodePlace, PublishedNode
 from wasabilb_node.published_sync import PublishedDecoder, PublishedSource
@@ -172,9 +173,12 @@
         self.log.event("process_started", listen=self._cfg.process.listen)
         self._links.listen()
         self._tasks = [
-            asyncio.ensure_future(self._node.sync.run()),
-            asyncio.ensure_future(self._tick()),
-            asyncio.ensure_future(self._follow_runner()),
+            asyncio.ensure_future(run_rounds(one_round, where=where, log=self.log))
+            for where, one_round in (
+                ("platform", self._node.sync.run),
+                ("heartbeat", self._tick),
+                ("runner", self._follow_runner),
+            )
         ]
 
     async def drain(self) -> None:
@@ -186,11 +190,10 @@
         self._links.close()
 
     async def _tick(self) -> None:
-        while True:
-            self._node.tick(self._targets())
-            self._transfers.on_tick()
-            self._pool.sweep()
-            await asyncio.sleep(HEARTBEAT_S)
+        self._node.tick(self._targets())
+        self._transfers.on_tick()
+        self._pool.sweep()
+        await asyncio.sleep(HEARTBEAT_S)
 
     def _targets(self) -> dict[str, str]:
         """Return the peers to link with: other agents, and entry processes if none has a link.
@@ -205,14 +208,9 @@
         return found
 
     async def _follow_runner(self) -> None:
-        while True:
-            started = now()
-            try:
-                await self._step()
-            except Exception as exc:
-                # A defect in one round must not end the agent; the next round starts afresh.
-                self.log.event("internal_error", where="runner_agent", detail=repr(exc))
-            await asyncio.sleep(max(0.0, REPORT_S - (now() - started)))
+        started = now()
+        await self._step()
+        await asyncio.sleep(max(0.0, REPORT_S - (now() - started)))
 
     async def _step(self) -> None:
         # Before the runner answers, too: a new host fetches while its engine starts.
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -13,6 +13,7 @@
 from wasabilb_node.clock import now
 from wasabilb_node.http_client import ConnectionPool
 from wasabilb_node.links import Peer
+from wasabilb_node.loops import run_rounds
 from wasabilb_node.published_node import HEARTBEAT_S, NodePlace, PublishedNode
 from wasabilb_node.published_sync import PublishedDecoder, PublishedSource
 from wasabilb_wire.messages import RunnerReport, SendNotice
@@ -155,8 +156,8 @@
         if self._cfg.metrics_address:
             self._serve(self._cfg.metrics_address, self._answer_metrics)
         self._tasks = [
-            asyncio.ensure_future(self._node.sync.run()),
-            asyncio.ensure_future(self._tick()),
+            asyncio.ensure_future(run_rounds(self._node.sync.run, where="platform", log=self.log)),
+            asyncio.ensure_future(run_rounds(self._tick, where="heartbeat", log=self.log)),
         ]
 
     async def drain(self) -> None:
@@ -208,13 +209,12 @@
         _answer(req, 200, text)
 
     async def _tick(self) -> None:
-        while True:
-            self._node.tick(self._targets())
-            self._pool.sweep()
-            self._callers.sweep()
-            for callback in self.on_tick:
-                callback()
-            await asyncio.sleep(HEARTBEAT_S)
+        self._node.tick(self._targets())
+        self._pool.sweep()
+        self._callers.sweep()
+        for callback in self.on_tick:
+            callback()
+        await asyncio.sleep(HEARTBEAT_S)
 
     def _targets(self) -> dict[str, str]:
         """Choose the runners to follow and return the processes to link with."""
--- a/packages/wasabilb-entry/src/wasabilb_entry/held_places.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/held_places.py
@@ -85,6 +85,13 @@
 
     def look(self) -> None:
         """Send held requests while there is room, and give up those that waited too long."""
+        try:
+            self._look()
+        finally:
+            # Whatever fails here, the others must not wait for ever.
+            self._look_later()
+
+    def _look(self) -> None:
         for held in self._requests.expired(now()):
             self._wake(held, is_sent=False)
         views = self._views()
@@ -94,7 +101,6 @@
                 self._requests.on_sent(now())
                 self._wake(held, is_sent=True)
                 break
-        self._look_later()
 
     def _wake(self, held: Held, *, is_sent: bool) -> None:
         self._requests.remove(held.key)
--- a/packages/wasabilb-entry/src/wasabilb_entry/load_moves.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/load_moves.py
@@ -60,10 +60,11 @@
         self._timers[runner_id] = loop.call_later(delay_s, self._look, runner_id)
 
     def _look(self, runner_id: str) -> None:
+        # First, so that a failure below does not end the looks.
+        self._look_later(runner_id, AGAIN_S)
         streams = self._streams.get(runner_id, [])
         room = self._free_places(runner_id) if streams else 0
         for move in list(streams):
             if room <= 0:
                 break
             room -= move()
-        self._look_later(runner_id, AGAIN_S)
--- a/packages/wasabilb-node/src/wasabilb_node/links.py
+++ b/packages/wasabilb-node/src/wasabilb_node/links.py
@@ -321,7 +321,11 @@
                 "link_down", peer=peer.host, address=peer.hello.address, reason=peer.closed_for
             )
             for callback in self.on_down:
-                callback(peer)
+                try:
+                    callback(peer)
+                except Exception as exc:
+                    # The others must hear of the lost link all the same.
+                    self._log.event("internal_error", where="link_down", detail=repr(exc))
 
     def _on_message(self, link: Link, message: Message) -> None:
         peer = self._peers.get(link)
