--- a/packages/wasabilb-core/src/wasabilb_core/roster.py
+++ b/packages/wasabilb-core/src/wasabilb_core/roster.py
@@ -60,6 +60,8 @@
         self._known: dict[str, _Known] = {}
         self._news: dict[str, EntryPlace] = {}
         self._announced_at = now
+        # Raised whenever a process is added or forgotten, for what is worked out from the places.
+        self.version = 0
         if own is not None:
             self._take(own, now)
 
@@ -90,6 +92,7 @@
             is_own = self._own is not None and address == self._own.address
             if not is_own and now - known.heard_at > FORGET_S:
                 del self._known[address]
+                self.version += 1
 
     def take_news(self) -> list[EntryPlace]:
         """Return what is new since the last call; peers have not been told of it."""
@@ -110,5 +113,6 @@
         self._take(self._own, now)
 
     def _take(self, place: EntryPlace, now: float) -> None:
+        self.version += place.address not in self._known
         self._known[place.address] = _Known(place=place, heard_at=now)
         self._news[place.address] = place
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -32,7 +32,7 @@
 # connections to it until then.
 ROTATION_S = 2.6
 # Time after a change in which the peers to link with are worked out again, seconds.
-FOLLOW_S = 0.05
+FOLLOW_S = 0.2
 # Pause between two looks at the requests that a drain waits for.
 DRAIN_POLL_S = 0.05
 
--- a/packages/wasabilb-node/src/wasabilb_node/published_sync.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_sync.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import Protocol
 
 from attrs import evolve, frozen
@@ -169,6 +169,10 @@
         self._is_spreading = False
         self._reading_peers: set[Peer] = set()
         self._told: dict[Peer, _Told] = {}
+        # What follows from the roster, and its version then.
+        self._duties_version = -1
+        self._near_hubs: list[str] = []
+        self._is_teller: dict[str, bool] = {}
         links.on(NodeBeat, self._on_beat)
         links.on(PublishedWant, self._on_want)
         links.on(Published, self._on_published)
@@ -241,18 +245,30 @@
         if not self._is_entry or len(places) <= MAX_MESH_HOSTS:
             return peers
         own = self._links.identity
-        near_hubs = hubs(places, own.failure_domain)
-        is_hub = own.address in near_hubs
+        if self._duties_version != self._roster.version:
+            self._duties_version = self._roster.version
+            self._near_hubs = hubs(places, own.failure_domain)
+            self._is_teller = {}
+        is_hub = own.address in self._near_hubs
         return [
             peer
             for peer in peers
             if (
-                is_hub or peer.hello.address in near_hubs
+                is_hub or peer.hello.address in self._near_hubs
                 if peer.hello.role == "entry"
-                else own.address in tellers(places, peer.host, peer.hello.failure_domain)
+                else self._tells(peer, places)
             )
         ]
 
+    def _tells(self, agent: Peer, places: Collection[EntryPlace]) -> bool:
+        """Return whether this process is one of those that tell an agent of each change."""
+        found = self._is_teller.get(agent.host)
+        if found is None:
+            own = self._links.identity.address
+            found = own in tellers(places, agent.host, agent.hello.failure_domain)
+            self._is_teller[agent.host] = found
+        return found
+
     def _told_to(self, peer: Peer, message: NodeBeat) -> _Told:
         last = self._told.get(peer)
         sent = peer.link.bytes_sent
