--- a/features/readers.feature
+++ b/features/readers.feature
@@ -69,3 +69,11 @@
     When they have run for 3 s
     Then every process knows the newest state
     And at most 40 entry processes have read the platform, and each agent once
+
+  Scenario: A large catalog is sent packed
+    Guards against a failure domain whose reader sends a catalog of 1,400 routes to 25 peers for
+    seconds, while they go by the old one.
+    Given a published item with the text of 1400 routes
+    When it is packed for peers
+    Then it takes at most 0.2 of its size, and a peer unpacks the same
+    And a packed item that expands beyond 4 MiB, or is cut off, is refused
--- a/features/steps/readers_steps.py
+++ b/features/steps/readers_steps.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import itertools
+import json
 import operator
 import random
+import zlib
 from collections import Counter
 
 from attrs import evolve
@@ -18,6 +20,7 @@
 from wasabilb_core.roster import EntryPlace, Roster
 from wasabilb_node import clock
 from wasabilb_node.followed_state import FollowedState
+from wasabilb_node.item_packing import MAX_BODY_BYTES, ItemPacker, unpack
 from wasabilb_node.links import UNWANTED_S
 from wasabilb_node.logs import EventLog
 from wasabilb_node.published_sync import Changes, PublishedSource, PublishedSync, Snapshot
@@ -408,3 +411,41 @@
         assert len(dropped(processes)) == len(processes)
 
     play(context, check)
+
+
+@given("a published item with the text of {count:d} routes")
+def step_large_item(context, count):
+    rng = random.Random(3)
+    routes = [
+        {
+            "host": f"h{rng.randrange(10**6)}.example",
+            "prefix": f"/{rng.randrange(10**6)}/x/",
+            "kind": rng.choice(["stream", "idempotent"]),
+            "timeoutMs": 6000,
+            "service": f"service-{rng.randrange(5)}",
+        }
+        for _ in range(count)
+    ]
+    context.item = Item(name="routes", revision=7, body=json.dumps(routes).encode())
+
+
+@when("it is packed for peers")
+def step_pack(context):
+    context.packed = ItemPacker().pack(context.item)
+
+
+@then("it takes at most {share:g} of its size, and a peer unpacks the same")
+def step_packed_size(context, share):
+    assert len(context.packed.body) <= share * len(context.item.body), len(context.packed.body)
+    assert unpack(context.packed) == context.item
+
+
+@then("a packed item that expands beyond 4 MiB, or is cut off, is refused")
+def step_refused(context):
+    bomb = zlib.compress(b"0" * (MAX_BODY_BYTES + 1))
+    for body in (bomb, context.packed.body[:-9], b"no such format"):
+        try:
+            unpack(evolve(context.packed, body=body))
+        except ValueError:
+            continue
+        raise AssertionError(f"{len(body)} bytes were taken")
--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -75,6 +75,7 @@
             revision=st.integers(0, 2**48),
             is_removed=st.booleans(),
             body=st.binary(max_size=30),
+            is_packed=st.booleans(),
         ),
         max_size=3,
     ),
--- a/packages/wasabilb-node/src/wasabilb_node/published_sync.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_sync.py
@@ -19,6 +19,7 @@
 from wasabilb_wire.messages import NodeBeat, Published, PublishedItem, PublishedWant
 
 from wasabilb_node.clock import now
+from wasabilb_node.item_packing import ItemPacker, unpack
 from wasabilb_node.links import LinkManager, Peer
 from wasabilb_node.logs import EventLog
 
@@ -169,6 +170,7 @@
         self._is_spreading = False
         self._reading_peers: set[Peer] = set()
         self._told: dict[Peer, _Told] = {}
+        self._packer = ItemPacker()
         # What follows from the roster, and its version then.
         self._duties_version = -1
         self._near_hubs: list[str] = []
@@ -423,22 +425,15 @@
         batch: list[PublishedItem] = []
         after, size, distrust_ms = want.after, 0, self._distrust_ms()
         for item in items:
-            body = item.body or b""
-            if batch and size + len(body) > MAX_ANSWER_BYTES:
+            packed = self._packer.pack(item)
+            if batch and size + len(packed.body) > MAX_ANSWER_BYTES:
                 revision = batch[-1].revision
                 peer.send(
                     Published(after=after, revision=revision, items=batch, distrust_ms=distrust_ms)
                 )
                 after, batch, size = batch[-1].revision, [], 0
-            batch.append(
-                PublishedItem(
-                    name=item.name,
-                    revision=item.revision,
-                    is_removed=item.body is None,
-                    body=body,
-                )
-            )
-            size += len(body)
+            batch.append(packed)
+            size += len(packed.body)
         revision = self._state.revision
         peer.send(Published(after=after, revision=revision, items=batch, distrust_ms=distrust_ms))
 
@@ -447,10 +442,7 @@
         if message.distrust_ms:
             # Before the items, as an entry that has only expired must not end its runner.
             self._on_distrust(message.distrust_ms / 1000)
-        items = [
-            Item(name=i.name, revision=i.revision, body=None if i.is_removed else i.body)
-            for i in message.items
-        ]
+        items = [unpack(found) for found in message.items]
         changed = self._state.on_changes(items, after=message.after, revision=message.revision)
         if changed:
             self._log.event(
--- a/packages/wasabilb-wire/src/wasabilb_wire/messages.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/messages.py
@@ -337,12 +337,16 @@
 
 @frozen(kw_only=True, slots=True)
 class PublishedItem:
-    """One published item at its newest revision; a removed one has an empty body."""
+    """One published item at its newest revision; a removed one has an empty body.
+
+    The body of a packed item is compressed (RFC 1950).
+    """
 
     name: str
     revision: int
     is_removed: bool
     body: bytes
+    is_packed: bool = False
 
 
 @frozen(kw_only=True, slots=True)
--- a/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
+++ b/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
@@ -253,6 +253,7 @@
   revision @1 :UInt64;
   isRemoved @2 :Bool;
   body @3 :Data;
+  isPacked @4 :Bool;
 }
 
 struct Published {
