--- a/features/peering.feature
+++ b/features/peering.feature
@@ -54,3 +54,12 @@
     Given a process that is linked with a peer
     When it has not wanted the link for 8 s
     Then the link is closed
+
+  Scenario: Reports to many entry processes
+    Guards against reports that cost a large fleet a part of its processors, and against an order to
+    load that entry processes of other regions hear of late.
+    Given an agent that is linked with 12 entry processes of its region and 12 of others
+    When its runner's load changes at 10 looks in turn
+    Then it looks each 0.2 s, near ones hear 10 reports and far ones 5
+    When its runner begins an order
+    Then all of them hear of it
--- a/features/steps/peering_steps.py
+++ b/features/steps/peering_steps.py
@@ -6,6 +6,8 @@
 from unittest.mock import patch
 
 from behave import given, then, when
+from wasabilb_agent._runner_reports import RunnerReports
+from wasabilb_agent.model_runner import RunnerState
 from wasabilb_core.directory import Runner
 from wasabilb_core.peering import MAX_FOLLOWED, entry_peers, followed_runners, hubs
 from wasabilb_core.roster import EntryPlace, Roster
@@ -276,3 +278,61 @@
             stage.links.close()
             if stage.peer is not None:
                 stage.peer.close()
+
+
+class ReportedLinks:
+    """Counts the reports that each peer is sent."""
+
+    def __init__(self, near, far):
+        self.identity = SimpleNamespace(region="near")
+        self.sent = Counter()
+        self.all = [
+            SimpleNamespace(host=f"{region}-{n}", hello=SimpleNamespace(region=region))
+            for region, count in (("near", near), ("far", far))
+            for n in range(count)
+        ]
+
+    def peers(self, *, role=""):
+        return self.all
+
+    def send_each(self, message, peers):
+        self.sent.update(peer.host for peer in peers)
+
+
+def reported(**changes):
+    values = {"born_ms": 1, "model": "m", "is_busy": False, "orders": 0}
+    return RunnerState(**{**values, **changes})
+
+
+@given("an agent that is linked with {near:d} entry processes of its region and {far:d} of others")
+def step_reporting(context, near, far):
+    context.linked = ReportedLinks(near, far)
+    context.reports = RunnerReports(links=context.linked)
+    context.runner = Runner(id="r", born_ms=1, service="s", address="x:1", failure_domain="a")
+
+
+@when("its runner's load changes at {looks:d} looks in turn")
+def step_load_changes(context, looks):
+    context.reports.send(context.runner, reported(), is_easing=False)
+    context.linked.sent.clear()
+    for number in range(looks):
+        state = reported(running=number + 1)
+        context.reports.send(context.runner, state, is_easing=False)
+
+
+@then("it looks each {seconds:g} s, near ones hear {near:d} reports and far ones {far:d}")
+def step_report_counts(context, seconds, near, far):
+    assert context.reports.interval_s == seconds
+    expected = {p.host: near if p.hello.region == "near" else far for p in context.linked.all}
+    assert context.linked.sent == expected, context.linked.sent
+
+
+@when("its runner begins an order")
+def step_order(context):
+    context.linked.sent.clear()
+    context.reports.send(context.runner, reported(running=10, is_busy=True), is_easing=False)
+
+
+@then("all of them hear of it")
+def step_all_hear(context):
+    assert set(context.linked.sent) == {peer.host for peer in context.linked.all}
--- a/packages/wasabilb-agent/src/wasabilb_agent/_runner_reports.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_runner_reports.py
@@ -10,12 +10,15 @@
 # Entry processes hear of an unchanged state this often, seconds; it stands for a heartbeat, and
 # they forget it after 2 s.
 QUIET_REPORT_S = 0.7
-# Entry processes that all hear each report. Of more, those of the own region hear each second and
-# the others each fourth one: the latter send there when their own runners are full, and each
-# message costs its receiver 0.15 ms.
+# Interval of the runner's report; reports of this age change the choice of a runner little, as a
+# place in a full batch becomes free about every 0.08 s, seconds.
+REPORT_S = 0.1
+# Up to so many entry processes are told at that interval. Of more, each has a smaller part in the
+# runner's load and a message costs its receiver 0.15 ms: they are told at the longer one, seconds,
+# those of other regions each second time, as they send there when their own runners are full.
 MOST_AT_ONCE = 16
-NEAR_REPORTS = 2
-FAR_REPORTS = 4
+LONG_REPORT_S = 0.2
+FAR_REPORTS = 2
 
 
 class RunnerReports:
@@ -33,6 +36,12 @@
         self._sent: RunnerReport | None = None
         self._sent_at = float("-inf")
 
+    @property
+    def interval_s(self) -> float:
+        """Return the time between two looks at the runner, seconds."""
+        entries = self._links.peers(role="entry")
+        return REPORT_S if len(entries) <= MOST_AT_ONCE else LONG_REPORT_S
+
     def send(self, listed: Runner, state: RunnerState | None, *, is_easing: bool) -> None:
         """Report a runner's state, None for one that does not answer."""
         report = _report(listed, state, is_easing=is_easing)
@@ -40,12 +49,10 @@
             return
         entries = self._links.peers(role="entry")
         self._number += 1
-        if len(entries) > MOST_AT_ONCE and not _is_urgent(report, self._sent):
-            if self._number % NEAR_REPORTS:
-                return
-            if self._number % FAR_REPORTS:
-                region = self._links.identity.region
-                entries = [peer for peer in entries if peer.hello.region == region]
+        is_for_all = len(entries) <= MOST_AT_ONCE or self._number % FAR_REPORTS == 0
+        if not is_for_all and not _is_urgent(report, self._sent):
+            region = self._links.identity.region
+            entries = [peer for peer in entries if peer.hello.region == region]
         self._sent, self._sent_at = report, now()
         self._links.send_each(report, entries)
 
--- a/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
@@ -27,9 +27,6 @@
 from wasabilb_agent.staging import Staging
 from wasabilb_agent.transfer import ChunkTransfers
 
-# Interval of the runner's report; reports of this age change the choice of a runner little, as a
-# place in a full batch becomes free about every 0.08 s.
-REPORT_S = 0.1
 # Times in which one copy leaves the origin before a host reads what other regions were to read: the
 # second one is for reads that overlap and for the way through other hosts.
 FAR_WAIT_COPIES = 2.0
@@ -210,7 +207,7 @@
     async def _follow_runner(self) -> None:
         started = now()
         await self._step()
-        await asyncio.sleep(max(0.0, REPORT_S - (now() - started)))
+        await asyncio.sleep(max(0.0, self._reports.interval_s - (now() - started)))
 
     async def _step(self) -> None:
         # Before the runner answers, too: a new host fetches while its engine starts.
