--- a/features/steps/readers_steps.py
+++ b/features/steps/readers_steps.py
@@ -23,7 +23,8 @@
 from wasabilb_node.item_packing import MAX_BODY_BYTES, ItemPacker, unpack
 from wasabilb_node.links import UNWANTED_S
 from wasabilb_node.logs import EventLog
-from wasabilb_node.published_sync import Changes, PublishedSource, PublishedSync, Snapshot
+from wasabilb_node.published_source import Changes, PublishedSource, Snapshot
+from wasabilb_node.published_sync import PublishedSync
 from wasabilb_wire.messages import RunnerReport
 
 BEAT_S = 0.8
--- a/features/steps/unexpected_errors_steps.py
+++ b/features/steps/unexpected_errors_steps.py
@@ -13,7 +13,7 @@
 from wasabilb_entry.gateway import Gateway, GatewaySettings
 from wasabilb_entry.held_places import HeldPlaces
 from wasabilb_node.clock import now
-from wasabilb_node.published_sync import Changes, PublishedSource, Snapshot
+from wasabilb_node.published_source import Changes, PublishedSource, Snapshot
 from wasabilb_standins.fleet import free_address
 
 CATALOG = Catalog(version=1, routes=(), services={})
--- a/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
@@ -16,7 +16,7 @@
 from wasabilb_node.loops import run_rounds
 from wasabilb_node.metrics import Metrics
 from wasabilb_node.published_node import HEARTBEAT_S, NodePlace, PublishedNode
-from wasabilb_node.published_sync import PublishedDecoder, PublishedSource
+from wasabilb_node.published_source import PublishedDecoder, PublishedSource
 
 from wasabilb_agent._model_fleet import ModelFleet
 from wasabilb_agent._participants import ListedParticipants
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -15,7 +15,7 @@
 from wasabilb_node.links import Peer
 from wasabilb_node.loops import run_rounds
 from wasabilb_node.published_node import HEARTBEAT_S, NodePlace, PublishedNode
-from wasabilb_node.published_sync import PublishedDecoder, PublishedSource
+from wasabilb_node.published_source import PublishedDecoder, PublishedSource
 from wasabilb_wire.messages import RunnerReport, SendNotice
 
 from wasabilb_entry.caller_connection import CallerServer
--- a/packages/wasabilb-node/src/wasabilb_node/followed_state.py
+++ b/packages/wasabilb-node/src/wasabilb_node/followed_state.py
@@ -9,7 +9,7 @@
 
 from wasabilb_node.clock import now
 from wasabilb_node.logs import EventLog
-from wasabilb_node.published_sync import PublishedDecoder
+from wasabilb_node.published_source import PublishedDecoder
 
 
 class FollowedState:
--- a/packages/wasabilb-node/src/wasabilb_node/published_node.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_node.py
@@ -14,7 +14,8 @@
 from wasabilb_node.http_client import ConnectionPool
 from wasabilb_node.links import Identity, LinkManager
 from wasabilb_node.logs import EventLog
-from wasabilb_node.published_sync import PublishedDecoder, PublishedSource, PublishedSync
+from wasabilb_node.published_source import PublishedDecoder, PublishedSource
+from wasabilb_node.published_sync import PublishedSync
 
 # A third of the time after which a silent link is replaced, seconds.
 HEARTBEAT_S = 0.8
--- a/packages/wasabilb-node/src/wasabilb_node/published_sync.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_sync.py
@@ -2,26 +2,22 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Collection
-from typing import Protocol
+from collections.abc import Callable
 
-from attrs import evolve, frozen
-from returns.result import Failure, Result
-from wasabilb_core.catalog import Catalog, WeightTarget
-from wasabilb_core.directory import Runner
+from returns.result import Failure
 from wasabilb_core.errors import Error
-from wasabilb_core.peering import hubs, tellers
 from wasabilb_core.published import Item, PublishedState
 from wasabilb_core.reading import ReadingDuty
 from wasabilb_core.roster import EntryPlace, Roster
 from wasabilb_core.spread import in_reading_order
-from wasabilb_core.topology import MAX_MESH_HOSTS
 from wasabilb_wire.messages import NodeBeat, Published, PublishedItem, PublishedWant
 
 from wasabilb_node.clock import now
 from wasabilb_node.item_packing import ItemPacker, unpack
 from wasabilb_node.links import LinkManager, Peer
 from wasabilb_node.logs import EventLog
+from wasabilb_node.published_source import PublishedSource
+from wasabilb_node.told_peers import ToldPeers
 
 # A reader that is turned away or finds the platform down tries again after this time. Peers that
 # are served tell of changes meanwhile, so that a short pause is not needed.
@@ -49,58 +45,6 @@
 SPREAD_S = 0.05
 
 
-@frozen(kw_only=True)
-class Snapshot:
-    """Everything that the platform publishes, read from `revision` on."""
-
-    items: tuple[Item, ...]
-    revision: int
-
-
-@frozen(kw_only=True)
-class Changes:
-    """What changed after a revision; the history may end before that."""
-
-    items: tuple[Item, ...]
-    revision: int
-    is_history_lost: bool = False
-
-
-class PublishedDecoder(Protocol):
-    """Reads published items into types of the product."""
-
-    def decode(self, item: Item) -> Catalog | Runner | WeightTarget | None:
-        """Return what an item says, None for what cannot be used."""
-
-    def runner_id(self, name: str) -> str | None:
-        """Return the runner that an item's name stands for, if it does."""
-
-
-@frozen(kw_only=True)
-class PublishedSource:
-    """The platform's reading calls.
-
-    Parameters
-    ----------
-    snapshot : callable
-        Reads everything.
-    changes : callable
-        Waits for changes after a revision and returns them, none after a while.
-    """
-
-    snapshot: Callable[[], Awaitable[Result[Snapshot, Error]]]
-    changes: Callable[[int], Awaitable[Result[Changes, Error]]]
-
-
-@frozen(kw_only=True)
-class _Told:
-    """What a peer had been told by a heartbeat, and whether the interval before it was idle."""
-
-    beat: NodeBeat
-    bytes_sent: int
-    was_idle: bool
-
-
 class PublishedSync:
     """Follows published state and tells listeners of each change once.
 
@@ -169,12 +113,8 @@
         self._spread_at = float("-inf")
         self._is_spreading = False
         self._reading_peers: set[Peer] = set()
-        self._told: dict[Peer, _Told] = {}
+        self._told = ToldPeers(links=links, roster=roster)
         self._packer = ItemPacker()
-        # What follows from the roster, and its version then.
-        self._duties_version = -1
-        self._near_hubs: list[str] = []
-        self._is_teller: dict[str, bool] = {}
         links.on(NodeBeat, self._on_beat)
         links.on(PublishedWant, self._on_want)
         links.on(Published, self._on_published)
@@ -208,12 +148,8 @@
         """Tell all peers what is known here; called once a heartbeat."""
         self._roster.tick(now())
         message = self._beat(self._roster.take_news())
-        peers = self._links.peers()
-        told = {peer: self._told_to(peer, message) for peer in peers}
-        self._links.send_each(message, [p for p in peers if not self._is_covered(p, told[p])])
-        self._told = {
-            peer: evolve(state, bytes_sent=peer.link.bytes_sent) for peer, state in told.items()
-        }
+        self._links.send_each(message, self._told.due(message))
+        self._told.on_sent()
 
     def tell(self) -> None:
         """Tell peers of a change at once; changes that follow each other are told together."""
@@ -234,61 +170,9 @@
         self._is_spreading = False
         self._spread_at = now()
         news = self._roster.take_news()
-        peers = self._links.peers() if news else self._told_at_once()
+        peers = self._links.peers() if news else self._told.at_once()
         self._links.send_each(self._beat(news), peers)
 
-    def _told_at_once(self) -> list[Peer]:
-        """Return the peers that hear of a change before the next heartbeat.
-
-        In a large fleet hubs tell the entry processes, and a few of these tell each agent.
-        """
-        peers = self._links.peers()
-        places = self._roster.places()
-        if not self._is_entry or len(places) <= MAX_MESH_HOSTS:
-            return peers
-        own = self._links.identity
-        if self._duties_version != self._roster.version:
-            self._duties_version = self._roster.version
-            self._near_hubs = hubs(places, own.failure_domain)
-            self._is_teller = {}
-        is_hub = own.address in self._near_hubs
-        return [
-            peer
-            for peer in peers
-            if (
-                is_hub or peer.hello.address in self._near_hubs
-                if peer.hello.role == "entry"
-                else self._tells(peer, places)
-            )
-        ]
-
-    def _tells(self, agent: Peer, places: Collection[EntryPlace]) -> bool:
-        """Return whether this process is one of those that tell an agent of each change."""
-        found = self._is_teller.get(agent.host)
-        if found is None:
-            own = self._links.identity.address
-            found = own in tellers(places, agent.host, agent.hello.failure_domain)
-            self._is_teller[agent.host] = found
-        return found
-
-    def _told_to(self, peer: Peer, message: NodeBeat) -> _Told:
-        last = self._told.get(peer)
-        sent = peer.link.bytes_sent
-        return _Told(
-            beat=message, bytes_sent=sent, was_idle=last is None or sent == last.bytes_sent
-        )
-
-    def _is_covered(self, peer: Peer, told: _Told) -> bool:
-        """Return whether a heartbeat to a peer may be left out.
-
-        Agents send entry processes reports, which show that they live: near ones in each interval,
-        others in each second one.
-        """
-        last = self._told.get(peer)
-        if self._is_entry or peer.hello.role != "entry" or last is None or last.beat != told.beat:
-            return False
-        return not (told.was_idle and last.was_idle)
-
     def _beat(self, entries: list[EntryPlace]) -> NodeBeat:
         return NodeBeat(
             revision=self._state.revision,
@@ -379,7 +263,6 @@
 
     def _on_link_down(self, peer: Peer) -> None:
         self._reading_peers.discard(peer)
-        self._told.pop(peer, None)
         self._check_platform()
 
     def _apply(self, changed: list[Item]) -> None:
