--- a/features/steps/unexpected_errors_steps.py
+++ b/features/steps/unexpected_errors_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 from forwarding_stage import LIMITS, SALT, PlainProtocol, StoredValues
+from memory_links import run_virtual
 from peering_steps import play
 from returns.result import Success
 from wasabilb_core.catalog import Catalog
@@ -12,6 +13,7 @@
 from wasabilb_entry import gateway as gateway_module
 from wasabilb_entry.gateway import Gateway, GatewaySettings
 from wasabilb_entry.held_places import HeldPlaces
+from wasabilb_entry.load_moves import AGAIN_S, GRACE_S, LoadMoves
 from wasabilb_node.clock import now
 from wasabilb_node.published_source import Changes, PublishedSource, Snapshot
 from wasabilb_standins.fleet import free_address
@@ -175,3 +177,32 @@
 def step_heard(context):
     asyncio.run(play(context))
     assert len(context.heard) == 1
+
+
+@given("a runner that begins an order with a stream under way")
+def step_loading_runner(context):
+    context.looks = []
+
+
+@when("the stream ends and the runner is never heard of again")
+def step_runner_lost(context):
+    def move():
+        return False
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        moves = LoadMoves(free_places=lambda runner_id: context.looks.append(runner_id) or 0)
+        moves.add("r", move)
+        moves.on_report("r", is_busy=True)
+        await asyncio.sleep(GRACE_S + 2.5 * AGAIN_S)
+        moves.remove("r", move)
+        await asyncio.sleep(2 * AGAIN_S)
+        context.planned = [timer for timer in loop._scheduled if not timer.cancelled()]
+
+    run_virtual(main)
+
+
+@then("nothing is planned for the runner any more")
+def step_nothing_planned(context):
+    assert len(context.looks) == 3, context.looks
+    assert context.planned == [], context.planned
--- a/features/unexpected_errors.feature
+++ b/features/unexpected_errors.feature
@@ -26,3 +26,9 @@
     Given a process that is linked with a peer
     When a part raises an error at the end of the link
     Then the parts after it hear of the end
+
+  Scenario: A runner that goes away while it loads a version
+    Guards against a look at its streams four times a second for the rest of the process's life.
+    Given a runner that begins an order with a stream under way
+    When the stream ends and the runner is never heard of again
+    Then nothing is planned for the runner any more
--- a/packages/wasabilb-entry/src/wasabilb_entry/load_moves.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/load_moves.py
@@ -60,10 +60,14 @@
         self._timers[runner_id] = loop.call_later(delay_s, self._look, runner_id)
 
     def _look(self, runner_id: str) -> None:
+        del self._timers[runner_id]
+        streams = self._streams.get(runner_id)
+        if not streams:
+            # The next report begins anew; a runner that is gone sends none.
+            return
         # First, so that a failure below does not end the looks.
         self._look_later(runner_id, AGAIN_S)
-        streams = self._streams.get(runner_id, [])
-        room = self._free_places(runner_id) if streams else 0
+        room = self._free_places(runner_id)
         for move in list(streams):
             if room <= 0:
                 break
