--- a/features/steps/peering_steps.py
+++ b/features/steps/peering_steps.py
@@ -131,8 +131,8 @@
 
 @given("two entry processes that know a third one")
 def step_rosters(context):
-    places = [EntryPlace(address=f"{n}:1", failure_domain="a", count=n) for n in (0, 0, 4)]
-    places = [places[0], EntryPlace(address="1:1", failure_domain="a"), places[2]]
+    counts = {"0:1": 0, "1:1": 0, "4:1": 4}
+    places = [EntryPlace(address=a, failure_domain="a", count=n) for a, n in counts.items()]
     context.third = places[2]
     context.rosters = [Roster(own=place, now=0.0) for place in places[:2]]
     for roster in context.rosters:
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -134,7 +134,7 @@
         self._rng = rng
         self._processes = processes
         self._tell_sent = tell_sent
-        # By whether this process hears what the others that share its runners send.
+        # By whether this process and the others that share its runners tell each other of sends.
         self._routing = {
             True: ROUTING.create("batch_backlog").unwrap(),
             False: ROUTING.create("batch_sampled").unwrap(),
@@ -212,7 +212,8 @@
             self.book.on_sent(runner, now())
             return
         self.book.on_sent(runner, now(), engine.prompt_s(prompt_tokens))
-        self._tell_sent(runner.id, prompt_tokens)
+        if self._hears_of_sends:
+            self._tell_sent(runner.id, prompt_tokens)
 
     def on_told(self, runner_id: str, prompt_tokens: int) -> None:
         """Count a send of another entry process."""
--- a/packages/wasabilb-entry/src/wasabilb_entry/send_notices.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/send_notices.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from wasabilb_core.peering import hears_of_sends
 from wasabilb_core.roster import Roster
 from wasabilb_core.topology import MAX_MESH_HOSTS
 from wasabilb_node.links import LinkManager
@@ -20,7 +19,7 @@
     links : LinkManager
         Links to peers.
     roster : Roster
-        The known entry processes, which decide who is told (`wasabilb_core.peering`).
+        The known entry processes. Of many, those of the own failure domain are told.
     """
 
     def __init__(self, *, links: LinkManager, roster: Roster) -> None:
@@ -31,8 +30,6 @@
 
     def add(self, runner_id: str, prompt_tokens: int) -> None:
         """Note a send."""
-        if not hears_of_sends(self._roster.places(), self._links.identity.failure_domain):
-            return
         if not self._runners:
             asyncio.get_running_loop().call_later(COLLECT_S, self._tell)
         self._runners.append(runner_id)
--- a/packages/wasabilb-node/src/wasabilb_node/http_client.py
+++ b/packages/wasabilb-node/src/wasabilb_node/http_client.py
@@ -39,8 +39,9 @@
 ]
 
 
-# Longest whole answer. The platform holds values up to 1 MiB and lists them in pages of that size,
-# in an encoding that adds a third; chunks of weights are at most 4 MiB.
+# Longest whole answer, bytes. The platform holds values up to 1 MiB and lists them in pages of that
+# size, in an encoding that adds a third; chunks of the known deployments have 48 KiB. Larger chunks
+# than this bound cannot be read from an origin.
 MAX_WHOLE_BYTES = 6 << 20
 
 
