A runner of which nothing is reported counts as loaded by every process alike

Ruled out: counting a fixed half, which refuses callers of an idle fleet; the notices of sends alone, which reach only those linked already. Change: core decision assume_load, used for model runners without a current report. The scenario of the view fails without the change.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -41,6 +41,19 @@
     When the load is played with and without notices of sends between entry processes
     Then with notices the 95th percentile of the first token is at most 0.8 of that without
 
+  Scenario: Restarted entry processes do not fill the queues of runners that they know nothing of
+    # Load: 9 runners, requests for 2.5 times what they can do, for 4 s, from 7 entry processes that
+    # hear of no runner's load for the first 1.5 s.
+    # Guards against processes that each take a busy runner for an empty one.
+    When callers come back to restarted entry processes that have no reports for 1.5 s
+    Then assuming an equal part of each process serves at least 1.1 times the worth
+
+  Scenario: An entry process assumes a load where it has no report
+    # Guards against a view that shows a runner as empty though this process has filled a part of it.
+    Given an entry process that shares a runner with 4 others and has no report of it
+    When it has sent 4 requests there
+    Then it counts the runner as full
+
   Scenario: Long answers end although hosts are slowed
     # Load: 6 runners, one of which takes 2.5 times longer, at the fleet's full capacity for 15 s.
     # Guards against answers that are cut off at their deadline on slowed hosts.
--- a/features/steps/overload_model.py
+++ b/features/steps/overload_model.py
@@ -20,6 +20,7 @@
 )
 from wasabilb_core.routing import ROUTING, RouteRequest, ends_after_s, expected_wait_s
 from wasabilb_core.runner_book import LoadReport, RunnerBook
+from wasabilb_core.unreported_load import assume_load
 
 ENGINE = EngineSpec(
     model="m",
@@ -63,6 +64,8 @@
         self.first = self.ended = None
         self.refused = self.back_after = None
         self.ran = False
+        # The process that sent it, and the runner.
+        self.sent = None
 
 
 class Engine:
@@ -71,7 +74,7 @@
     def __init__(self, pace, spec):
         self.pace, self.spec = pace, spec
         self.running, self.waiting = [], []
-        self.busy_until = 0.0
+        self.over = []
 
     def load(self):
         return len(self.running), len(self.waiting)
@@ -97,9 +100,9 @@
             job.made += STRIDE
             if job.made >= job.tokens:
                 job.ended = end
-        self.running = [
-            job for job in self.running if job.ended is None and end < job.arrived + DEADLINE_S
-        ]
+        is_over = [job.ended is not None or end >= job.arrived + DEADLINE_S for job in self.running]
+        self.over = [job for job, over in zip(self.running, is_over, strict=True) if over]
+        self.running = [job for job, over in zip(self.running, is_over, strict=True) if not over]
         return end
 
 
@@ -119,10 +122,14 @@
         report_s=REPORT_S,
         objective_s=OBJECTIVE_S,
         routing="batch_backlog",
+        reports_from=0.0,
+        assumes=True,
     ):
         self.rng = random.Random(seed)
         self.engine, self.processes, self.report_s = engine, processes, report_s
         self.objective_s = objective_s
+        # When the first reports arrive, and whether a load is assumed until then.
+        self.reports_from, self.assumes = reports_from, assumes
         # Which runners accept nothing from one time to another one.
         self.reloads = reloads
         self.engines = {f"r-{n}": Engine(pace, engine) for n, pace in enumerate(paces)}
@@ -154,7 +161,7 @@
             now += self.rng.expovariate(rate)
             self.at(now, self.arrive, Job(now, self.rng), self.rng.randrange(self.processes))
         for n in range(int(stop / self.report_s)):
-            self.at(n * self.report_s, self.report)
+            self.at(self.reports_from + n * self.report_s, self.report)
         for n in range(int(stop / LOOK_S)):
             self.at(n * LOOK_S, self.look)
         for name in self.engines:
@@ -165,7 +172,13 @@
         return self.jobs
 
     def step(self, now, name):
-        self.at(self.engines[name].step(now), self.step, name)
+        end = self.engines[name].step(now)
+        for job in self.engines[name].over:
+            self.at(end, self.end, *job.sent)
+        self.at(end, self.step, name)
+
+    def end(self, now, book, runner):
+        book.on_ended(runner)
 
     def report(self, now):
         for name, engine in self.engines.items():
@@ -185,11 +198,14 @@
         book.on_report(self.runners[name], attrs.evolve(load, at=now))
 
     def views(self, process, now):
-        return [
+        views = [
             self.books[process].view(runner, now=now, engine=self.engine, distance_s=0.0)
             for runner in self.runners.values()
             if not any(runner.id in ids and at <= now < to for ids, at, to in self.reloads)
         ]
+        if not self.assumes:
+            return views
+        return [assume_load(view, sharers=self.processes) for view in views]
 
     def request(self, job, now):
         by_end = self.policy != "wait"
@@ -274,6 +290,7 @@
     def send(self, now, job, process, name):
         runner, need_s = self.runners[name], self.engine.prompt_s(job.prompt)
         self.books[process].on_sent(runner, now, need_s)
+        job.sent = self.books[process], runner
         if self.tells:
             for book in self.books:
                 if book is not self.books[process]:
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -12,7 +12,7 @@
 from wasabilb_core.directory import Runner
 from wasabilb_core.overload import Decision, HeldLimit, decide
 from wasabilb_core.published import PublishedState
-from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView
+from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView, load_of
 from wasabilb_core.runner_book import LoadReport
 from wasabilb_entry.fleet_view import FleetLimits, FleetView
 from wasabilb_entry.placer import NO_RUNNER_RETURN_S, Demand, Placer
@@ -170,6 +170,32 @@
     assert context.firsts[True] <= 0.8 * context.firsts[False], context.firsts
 
 
+def restarted(*, assumes):
+    """Play 9 runners whose load is reported from 1.5 s on, at 2.5 times what they can do."""
+    jobs = []
+    for seed in (1, 2, 3):
+        fleet = Fleet(
+            paces=[1.0] * 9,
+            seed=seed,
+            policy="manage",
+            reports_from=1.5,
+            assumes=assumes,
+        )
+        jobs += fleet.play(2.5 * 9 / ENGINE.turn_s, 4, 11)
+    return jobs
+
+
+@when("callers come back to restarted entry processes that have no reports for 1.5 s")
+def play_restarted(context):
+    context.assumed, context.empty = restarted(assumes=True), restarted(assumes=False)
+
+
+@then("assuming an equal part of each process serves at least {factor:g} times the worth")
+def assumed_serves_more(context, factor):
+    found = worth(context.assumed), worth(context.empty)
+    assert found[0] >= factor * found[1], found
+
+
 @when("the load is played by expected wait alone and by the end of the answer, too")
 def play_slowed(context):
     paces = [1.0] * 5 + [2.5]
@@ -248,8 +274,8 @@
     assert context.chosen == choice, context.chosen
 
 
-@given("a full runner that leaves while a request is held for it")
-def runner_that_leaves(context):
+def model_fleet(*, processes):
+    """Return an entry process's view of one runner with 16 places, and the runner."""
     log = EventLog(process="t", role="entry", host="t", failure_domain="a", incarnation="1")
     published = FollowedState(items=PublishedState(), decoder=StoredValues({}), log=log)
     published.catalog = Catalog(
@@ -266,19 +292,42 @@
         layer_to=1,
     )
     published.directory.on_listed(runner)
-    context.fleet = FleetView(
+    fleet = FleetView(
         published=published,
         failure_domain="a",
         regions={"a": "r"},
         pool=None,
         limits=FleetLimits(retry_ratio=0.2, retry_slack=1, retry_window_s=10, version_s=8),
         rng=random.Random(1),
-        processes=lambda: 1,
+        processes=lambda: processes,
         tell_sent=lambda runner_id, tokens: None,
     )
+    return fleet, runner
+
+
+@given("a full runner that leaves while a request is held for it")
+def runner_that_leaves(context):
+    context.fleet, runner = model_fleet(processes=1)
     context.fleet.book.on_report(runner, LoadReport(running=16, waiting=4, at=now(), slots=16))
 
 
+@given("an entry process that shares a runner with {others:d} others and has no report of it")
+def unreported_runner(context, others):
+    context.fleet, context.runner = model_fleet(processes=others + 1)
+
+
+@when("it has sent {count:d} requests there")
+def sent_there(context, count):
+    for _ in range(count):
+        context.fleet.on_sent(context.runner, 100)
+
+
+@then("it counts the runner as full")
+def counts_as_full(context):
+    (view,) = context.fleet.views("s", RouteRequest())
+    assert load_of(view) >= view.slots, view
+
+
 @when("no place becomes free in time")
 def no_place(context):
     async def play():
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -15,6 +15,7 @@
 from wasabilb_core.roster import EntryPlace
 from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView, expected_wait_s, load_of
 from wasabilb_core.runner_book import LoadReport, RunnerBook, turn_s
+from wasabilb_core.unreported_load import assume_load
 from wasabilb_node.clock import now
 from wasabilb_node.followed_state import FollowedState
 from wasabilb_node.http_client import ConnectionPool
@@ -319,13 +320,16 @@
         *,
         is_for_long: bool = False,
     ) -> RunnerView:
-        return self.book.view(
+        view = self.book.view(
             runner,
             now=moment,
             engine=engine,
             distance_s=self._distance_s(runner.failure_domain),
             is_for_long=is_for_long,
         )
+        if engine is None:
+            return view
+        return assume_load(view, sharers=self._sharers(runner.service))
 
     def _can_serve(self, runner: Runner, engine: EngineSpec | None, version: int | None) -> bool:
         if engine is None:
