--- a/features/steps/readers_steps.py
+++ b/features/steps/readers_steps.py
@@ -423,15 +423,15 @@
             "prefix": f"/{rng.randrange(10**6)}/x/",
             "kind": rng.choice(["stream", "idempotent"]),
             "timeoutMs": 6000,
-            "targetLatencyMs": rng.choice([150, 400, 500]),
-            "gapTargetMs": 400,
-            "maxAttempts": 2,
+            "objective_ms": rng.choice([150, 400, 500]),
+            "pause_ms": 400,
+            "attempts": 2,
             "priority": rng.randrange(3),
             "resumable": True,
             "anonymous": False,
             "sticky": True,
             "name": f"route-{rng.randrange(10**9)}",
-            "trafficSplit": [{"service": f"service-{rng.randrange(5)}", "weight": 1}],
+            "targets": [{"service": f"service-{rng.randrange(5)}", "weight": 1}],
         }
         for _ in range(count)
     ]
