One state machine for who may receive requests

Cause: a runner's leaving was a field of its listed entry and its expiry a flag beside it.

Change: core.runner_presence holds the state of a runner over its incarnations: serving, assumed, leaving by word, leaving by publication, gone. RunnerDirectory asks it, orders entries by revision, and remembers up to 1200 gone runners, so that an entry cannot bring back an incarnation that said it leaves. FollowedState logs runner_leaving and runner_back and calls back when a runner may receive no more.

Ruled out: a set of leaving ids beside the directory; it would not know of incarnations, reuse and order.

--- a/packages/wasabilb-core/src/wasabilb_core/directory.py
+++ b/packages/wasabilb-core/src/wasabilb_core/directory.py
@@ -2,11 +2,16 @@
 
 from collections.abc import Iterator
 
-from attrs import define, evolve, frozen
+from attrs import evolve, frozen
+
+from wasabilb_core.runner_presence import Incarnation, PresenceState, RunnerPresence
 
 # Entries that expired while the platform was away are back within about 2 s of its return; the
 # margin covers the time that a change takes to reach this process.
 LAPSE_GRACE_S = 2.2
+# Gone runners that are remembered, so that a late entry or answer does not bring one back. The
+# largest planned fleet has 600 runners, and all of them may be replaced at once.
+MAX_GONE = 1200
 
 
 @frozen(kw_only=True)
@@ -63,13 +68,10 @@
     is_draining: bool = False
     cold_s: float = 0.0
 
-
-@define(kw_only=True)
-class _Entry:
-    """A listed runner and, when its entry expired, since when it is only assumed to live."""
-
-    runner: Runner
-    is_lapsed: bool = False
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return which life of the server this is."""
+        return Incarnation(born_ms=self.born_ms, address=self.address)
 
 
 class RunnerDirectory:
@@ -78,15 +80,20 @@
     An entry that is removed while the platform is unreliable may only have expired. Such a runner
     stays routable until `LAPSE_GRACE_S` after the platform's return. At any other time a removed
     entry ends the runner at once, because a leaving runner must not receive new requests.
+    `RunnerPresence` decides for each runner.
     """
 
     def __init__(self) -> None:
-        self._entries: dict[str, _Entry] = {}
+        self._runners: dict[str, Runner] = {}
+        # Of gone runners, too; the ones that went last are at the end.
+        self._presences: dict[str, RunnerPresence] = {}
+        # Listed runners that may receive requests; each request looks at all runners.
+        self._usable: set[str] = set()
         self._is_away = False
         self._trusted_at = 0.0
 
     def __iter__(self) -> Iterator[Runner]:
-        return (entry.runner for entry in self._entries.values())
+        return iter(self._runners.values())
 
     def on_platform_lost(self) -> None:
         """Note that the platform's list cannot be read at this time."""
@@ -106,52 +113,100 @@
         """Return for how long removed entries are taken for expired ones, seconds."""
         return LAPSE_GRACE_S if self._is_away else max(0.0, self._trusted_at - now)
 
-    def on_listed(self, runner: Runner) -> None:
-        """Take an entry of the list."""
-        self._entries[runner.id] = _Entry(runner=runner)
-
-    def on_removed(self, runner_id: str, now: float) -> bool:
+    def on_listed(self, runner: Runner, revision: int = 0) -> bool:
+        """Take an entry of the list; False for one that is out of date."""
+        presence = self._presence(runner.id, runner.incarnation)
+        is_taken = presence.on_listed(
+            runner.incarnation, is_draining=runner.is_draining, revision=revision
+        )
+        if is_taken:
+            self._runners[runner.id] = runner
+        self._settle(runner.id)
+        return is_taken
+
+    def on_removed(self, runner_id: str, now: float, revision: int = 0) -> bool:
         """Take the removal of an entry and return whether the runner is gone for good."""
-        entry = self._entries.get(runner_id)
-        if entry is None:
-            return False
-        if (self._is_away or now < self._trusted_at) and not entry.runner.is_draining:
-            entry.is_lapsed = True
+        presence = self._presences.get(runner_id)
+        if presence is None:
             return False
-        del self._entries[runner_id]
-        return True
+        is_trusted = not self._is_away and now >= self._trusted_at
+        presence.on_removed(revision=revision, is_trusted=is_trusted)
+        return self._settle(runner_id)
+
+    def on_word(self, runner: Runner) -> bool:
+        """Take the runner's own word that it leaves and return whether it is gone for good."""
+        self._presence(runner.id, runner.incarnation).on_word(runner.incarnation)
+        return self._settle(runner.id)
 
     def on_weights(
         self, runner_id: str, born_ms: int, version: int, layer_from: int, layer_to: int
     ) -> None:
         """Take a fresher report of the weights that a runner holds."""
-        entry = self._entries.get(runner_id)
-        if entry is None or entry.runner.born_ms != born_ms:
+        runner = self._runners.get(runner_id)
+        if runner is None or runner.born_ms != born_ms:
             return
-        held = (entry.runner.version, entry.runner.layer_from, entry.runner.layer_to)
+        held = (runner.version, runner.layer_from, runner.layer_to)
         if held != (version, layer_from, layer_to):
-            entry.runner = evolve(
-                entry.runner, version=version, layer_from=layer_from, layer_to=layer_to
+            self._runners[runner_id] = evolve(
+                runner, version=version, layer_from=layer_from, layer_to=layer_to
             )
 
     def expire(self, now: float) -> list[str]:
         """Remove the runners whose entries did not come back and return their ids."""
         if self._is_away or now < self._trusted_at:
             return []
-        late = [name for name, entry in self._entries.items() if entry.is_lapsed]
+        late = [name for name in self._runners if self.state(name) is PresenceState.ASSUMED]
         for name in late:
-            del self._entries[name]
+            self._presences[name].on_not_returned()
+            self._settle(name)
         return late
 
     def get(self, runner_id: str) -> Runner | None:
         """Return a runner by its id."""
-        entry = self._entries.get(runner_id)
-        return entry.runner if entry is not None else None
+        return self._runners.get(runner_id)
+
+    def state(self, runner_id: str) -> PresenceState:
+        """Return the state of a runner; one that was never listed is gone."""
+        presence = self._presences.get(runner_id)
+        return presence.state if presence is not None else PresenceState.GONE
+
+    def may_receive(self, runner: Runner) -> bool:
+        """Return whether a request may be sent to this incarnation of a runner now."""
+        presence = self._presences.get(runner.id)
+        if presence is None or presence.incarnation != runner.incarnation:
+            return False
+        return presence.state.may_receive
 
     def routable(self, service: str) -> list[Runner]:
         """Return the runners of a service that are not leaving."""
         return [
-            entry.runner
-            for entry in self._entries.values()
-            if entry.runner.service == service and not entry.runner.is_draining
+            runner
+            for runner in self._runners.values()
+            if runner.service == service and runner.id in self._usable
         ]
+
+    def is_leaving(self, service: str) -> bool:
+        """Return whether runners of a service are known and all of them leave."""
+        found = [self.state(r.id) for r in self._runners.values() if r.service == service]
+        return bool(found) and all(state.is_leaving for state in found)
+
+    def _presence(self, runner_id: str, incarnation: Incarnation) -> RunnerPresence:
+        presence = self._presences.get(runner_id)
+        if presence is None:
+            presence = self._presences[runner_id] = RunnerPresence(incarnation=incarnation)
+        return presence
+
+    def _settle(self, runner_id: str) -> bool:
+        """Follow a runner's state and return whether it was listed and is gone."""
+        presence = self._presences[runner_id]
+        if presence.state.may_receive:
+            self._usable.add(runner_id)
+        else:
+            self._usable.discard(runner_id)
+        if presence.state is not PresenceState.GONE:
+            return False
+        self._presences[runner_id] = self._presences.pop(runner_id)
+        gone = [name for name, p in self._presences.items() if p.state is PresenceState.GONE]
+        for name in gone[: max(0, len(gone) - MAX_GONE)]:
+            del self._presences[name]
+        return self._runners.pop(runner_id, None) is not None
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -88,7 +88,14 @@
     "weights_named": _spec("A version of a model's weights is wanted.", "model version revision"),
     "runner_listed": _spec(
         "The platform lists a runner or a change of it.",
-        "runner service address is_leaving revision",
+        "runner service address is_leaving state revision",
+    ),
+    "runner_leaving": _spec(
+        "A runner receives no more requests, by its answer to a request or by its entry.",
+        "runner service address state request revision",
+    ),
+    "runner_back": _spec(
+        "A runner that was leaving receives requests again.", "runner was revision"
     ),
     "runner_gone": _spec("A runner is no longer used.", "runner reason"),
     "runner_restarted": _spec("The runner beside this agent has started anew.", "born_ms"),
--- a/packages/wasabilb-node/src/wasabilb_node/followed_state.py
+++ b/packages/wasabilb-node/src/wasabilb_node/followed_state.py
@@ -46,6 +46,8 @@
         self._on_new_catalog = on_catalog
         self._on_runner_gone = on_runner_gone
         self._named: dict[str, NamedVersions] = {}
+        # Called with each runner that may receive no more requests.
+        self.on_runner_leaving: list[Callable[[Runner], None]] = []
 
     @property
     def revision(self) -> int:
@@ -83,11 +85,19 @@
             elif isinstance(value, Runner):
                 self._on_runner(value, item.revision)
             elif runner_id is not None:
-                if self.directory.on_removed(runner_id, now()):
-                    self._forget(runner_id, f"revision {item.revision}")
+                self._on_removed(runner_id, item.revision)
             elif item.body is not None:
                 self._log.event("published_unusable", name=item.name, revision=item.revision)
 
+    def on_runner_word(self, runner: Runner, request_id: str) -> None:
+        """Take the word of a runner that it leaves, from its answer to a request."""
+        was_used = self.directory.may_receive(runner)
+        is_gone = self.directory.on_word(runner)
+        if was_used:
+            self._on_leaving(runner, request=request_id, revision=self.revision)
+        if is_gone:
+            self._forget(runner.id, "it leaves and is not listed")
+
     def on_platform(self, is_up: bool) -> None:
         """Note whether the platform answers; entries may expire while it does not."""
         if is_up:
@@ -130,15 +140,44 @@
         )
 
     def _on_runner(self, runner: Runner, revision: int) -> None:
-        self.directory.on_listed(runner)
+        was = self.directory.state(runner.id)
+        self.directory.on_listed(runner, revision)
+        is_used = self.directory.state(runner.id).may_receive
         self._log.event(
             "runner_listed",
             runner=runner.id,
             service=runner.service,
             address=runner.address,
             is_leaving=runner.is_draining,
+            state=self.directory.state(runner.id).value,
+            revision=revision,
+        )
+        if was.is_leaving and is_used:
+            self._log.event("runner_back", runner=runner.id, was=was.value, revision=revision)
+        elif was.may_receive and not is_used:
+            self._on_leaving(runner, revision=revision)
+
+    def _on_removed(self, runner_id: str, revision: int) -> None:
+        runner = self.directory.get(runner_id)
+        if not self.directory.on_removed(runner_id, now(), revision) or runner is None:
+            return
+        self._forget(runner_id, f"revision {revision}")
+        for callback in self.on_runner_leaving:
+            callback(runner)
+
+    def _on_leaving(self, runner: Runner, *, revision: int, request: str | None = None) -> None:
+        """Log that a runner receives no more requests, and tell who keeps something for it."""
+        self._log.event(
+            "runner_leaving",
+            runner=runner.id,
+            service=runner.service,
+            address=runner.address,
+            state=self.directory.state(runner.id).value,
+            request=request,
             revision=revision,
         )
+        for callback in self.on_runner_leaving:
+            callback(runner)
 
     def _forget(self, runner_id: str, reason: str) -> None:
         self._log.event("runner_gone", runner=runner_id, reason=reason)
