A runner that says it leaves receives no more requests

Cause: nothing read the header by which a leaving runner says so in its answers. Requests reached it until its entry said so, which during an outage of the platform is never.

Change: the platform's header is decoded once into AnswerFacts.is_leaving. The head of any answer on a connection counts: refusals, failures, broken answers, streams, late copies. A request whose connection was being made meanwhile is not sent. Idle connections to the runner are closed, answers under way are delivered. The scripted runner of the features can leave.

Shown by: features/leaving.feature (38 scenarios, real sockets and a property test) and 9 rows in platform_adapter.feature.

No existing check was changed.

--- /dev/null
+++ b/features/leaving.feature
@@ -0,0 +1,116 @@
+Feature: Runners that say they leave
+  A leaving runner says so in all its answers, and goes on answering for seconds.
+
+  Scenario Outline: A runner that says it leaves receives nothing more
+    # Guards against requests to a runner that is about to end, before its entry in the list says so.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that <first> while leaving and then answer
+    When a caller sends a request on the <kind> route and 8 more on the idempotent one
+    Then the 8 are answered whole and none of them reached the runner that leaves
+    And it sees the end of all its connections
+    And the log names the runner and the request whose answer said so
+
+    Examples:
+      | kind         | first                    |
+      | idempotent   | answer                   |
+      | idempotent   | refuse as full           |
+      | idempotent   | refuse as another runner |
+      | idempotent   | fail with status 500     |
+      | idempotent   | break off in the body    |
+      | idempotent   | answer without a seal    |
+      | idempotent   | answer without a length  |
+      | idempotent   | answer twice             |
+      | at-most-once | answer                   |
+      | at-most-once | fail with status 500     |
+      | stream       | answer                   |
+      | stream       | reset after two events   |
+
+  Scenario: The head of a stream is word enough, and the stream is whole
+    # Guards against requests that go on to a leaving runner until its long answers have ended, and
+    # against streams that are cut off there.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that answer slowly while leaving and then answer
+    When 8 requests on the idempotent route follow the head of a stream
+    Then the caller gets all events once
+    And the 8 are answered whole and none of them reached the runner that leaves
+    And it sees the end of all its connections
+
+  Scenario: A request that was placed before the word is not sent after it
+    # Guards against a request that reaches a leaving runner because its connection took long.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that answer and then answer
+    When the chosen runner says that it leaves while the connection for a request is made
+    Then the caller gets the whole answer
+    And the runner that leaves received 0 requests
+
+  Scenario: A stream is not moved to a runner that leaves
+    # Guards against streams that go on at a runner that is about to end.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that answer slowly and then answer
+    When the first runner begins an order while a stream is under way there and the other one leaves
+    Then the caller gets all events once
+    And the runners received 1 requests that may have run
+
+  Scenario: All runners of a service leave
+    # Guards against requests that wait for their deadline, or are sent to a leaving runner for want
+    # of another one.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that answer while leaving and then answer while leaving
+    When a caller sends two requests and then a third one on the at-most-once route
+    Then the caller gets status 503, outcome not-run
+    And the answer came within 0.2 s and tells when to come back
+    And the runners received 2 requests that may have run
+
+  Scenario: The last runner says that it leaves while a request is held
+    # Guards against held requests that wait for a place at a runner that may receive nothing.
+    Given a full runner that leaves while a request is held for it
+    When the runner says so
+    Then the request is refused within 0.2 s and told the time of a new runner
+
+  Scenario Outline: What ends the leaving of a runner
+    # Guards against a leaving runner that an entry written before its word brings back, and against
+    # a restarted runner that nobody uses.
+    Given a listed runner that leaves by its <way>
+    When <event> follows
+    Then the runner that left is <state>
+
+    Examples:
+      | way   | event                                      | state    |
+      | word  | its entry, ready, at a newer revision      | not used |
+      | word  | its entry, draining, at a newer revision   | not used |
+      | word  | its entry, ready, at an older revision     | not used |
+      | word  | a later incarnation at a newer revision    | used     |
+      | word  | a later incarnation at an older revision   | not used |
+      | word  | an earlier incarnation at a newer revision | not used |
+      | word  | another address at a newer revision        | used     |
+      | word  | its removal and its entry                  | not used |
+      | word  | its removal and an earlier incarnation     | used     |
+      | word  | its removal while the platform is away     | not used |
+      | word  | its agent's report of a free runner        | not used |
+      | word  | an answer without the word                 | not used |
+      | entry | its entry, ready, at a newer revision      | used     |
+      | entry | its entry, ready, at an older revision     | not used |
+      | entry | a later incarnation at a newer revision    | used     |
+      | entry | its word and its entry                     | not used |
+      | entry | its agent's report of a free runner        | not used |
+
+  Scenario: Another runner at the address of one that left
+    # Guards against a new runner that is taken for the one that had its address.
+    Given a listed runner that leaves by its word
+    When another runner is listed at its address
+    Then the other one is used
+
+  Scenario: The word of an earlier incarnation
+    # Guards against a restarted runner that is left out because of a late answer.
+    Given a listed runner that leaves by its entry
+    When a later incarnation is listed and an answer of the earlier one says that it leaves
+    Then the runner that left is used
+
+  Scenario: A leaving runner is no part of a roll-out
+    # Guards against orders that wait for a runner that leaves.
+    Given a listed runner that leaves by its entry
+    Then the agents count 0 members of its model
+
+  Scenario: Any order of entries, words, crashes, reuse and restarts
+    # Guards against an order of events in which an incarnation that said it leaves is used again.
+    Then in any history no incarnation that said it leaves is used, and a newer one is
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -54,6 +54,23 @@
       | 429    | not executed   | not run |
       | 503    | nothing        | unknown |
 
+  Scenario Outline: The word of a runner that leaves
+    # Guards against a runner that is lost for its life by a value that says something else.
+    When a runner answers with the word "<value>" of its leaving
+    Then the runner counts as <state>
+
+    Examples:
+      | value | state   |
+      | 1     | leaving |
+      | 1,1   | leaving |
+      | 0, 1  | leaving |
+      | -     | staying |
+      | 0     | staying |
+      | 2     | staying |
+      | 1.0   | staying |
+      | true  | staying |
+      | 11    | staying |
+
   Scenario: The store's readings
     # Guards against missed changes after the history was lost, and calls that hang.
     Given a stand-in of the store with two pages of items
--- a/features/steps/forwarding_stage.py
+++ b/features/steps/forwarding_stage.py
@@ -70,6 +70,7 @@
             request_id=head.headers.get("Request-Id", ""),
             is_not_run="Not-Run" in head.headers,
             is_sealed="Seal" in head.headers,
+            is_leaving=head.headers.get("Leaving") == "1",
         )
 
     def label_answer(self, headers, request_id):
@@ -175,6 +176,12 @@
         for scripted in self.runners:
             await scripted.stop()
 
+    async def settle(self):
+        """Give runners the time to see closed connections, and note how many they still serve."""
+        await asyncio.sleep(0.1)
+        for scripted in self.runners:
+            scripted.open_at_end = scripted.serving
+
     async def connect(self):
         return await asyncio.open_connection("127.0.0.1", self.port)
 
--- /dev/null
+++ b/features/steps/leaving_steps.py
@@ -0,0 +1,356 @@
+"""Steps about runners that say they leave."""
+
+import asyncio
+from types import SimpleNamespace
+
+from behave import given, then, when
+from direct_forwarding_steps import ask, play, read_answer
+from forwarding_stage import LIMITS, PATHS, StoredValues, request
+from hypothesis import given as property_given
+from hypothesis import strategies as st
+from published_state_steps import runner
+from scripted_runner import BODY
+from wasabilb_agent._model_fleet import ModelFleet
+from wasabilb_core.directory import Runner, RunnerDirectory
+from wasabilb_core.forwarding import AnswerFacts
+from wasabilb_core.published import Item, PublishedState
+from wasabilb_entry.fleet_view import FleetView
+from wasabilb_entry.placer import ALL_LEAVING_RETURN_S, Demand, Placer
+from wasabilb_node.clock import now
+from wasabilb_node.followed_state import FollowedState
+from wasabilb_node.http_client import ConnectionPool
+from wasabilb_node.logs import EventLog
+from wasabilb_wire.messages import RunnerReport
+
+WORD = AnswerFacts(request_id="q", is_leaving=True)
+
+
+async def send_more(stage, count):
+    numbers = range(count)
+    return [
+        await ask(stage, request(PATHS["idempotent"], request_id=f"more-{number}"))
+        for number in numbers
+    ]
+
+
+@when("a caller sends a request on the {kind} route and {count:d} more on the idempotent one")
+def send_and_more(context, kind, count):
+    async def send(stage):
+        found = await ask(stage, request(PATHS[kind]))
+        context.more = await send_more(stage, count)
+        await stage.settle()
+        return found
+
+    play(context, send)
+
+
+@when("{count:d} requests on the idempotent route follow the head of a stream")
+def follow_head(context, count):
+    async def send(stage):
+        reader, writer = await stage.connect()
+        started = now()
+        writer.write(request(PATHS["stream"]))
+        while not any(scripted.is_leaving for scripted in stage.runners):
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        context.more = await send_more(stage, count)
+        found = await read_answer(reader)
+        writer.close()
+        await stage.settle()
+        return (*found, now() - started)
+
+    play(context, send)
+
+
+@then("the {count:d} are answered whole and none of them reached the runner that leaves")
+def none_reached(context, count):
+    assert len(context.more) == count
+    for status, _, body, is_whole, _ in context.more:
+        assert status == 200 and is_whole and body.startswith(BODY), context.more
+    (leaving,) = [scripted for scripted in context.stage.runners if scripted.is_leaving]
+    assert leaving.late == 0, leaving.late
+
+
+@then("it sees the end of all its connections")
+def sees_all_ends(context):
+    (leaving,) = [scripted for scripted in context.stage.runners if scripted.is_leaving]
+    assert leaving.open_at_end == 0, leaving.open_at_end
+
+
+@then("the log names the runner and the request whose answer said so")
+def log_names_word(context):
+    lines = [fields for name, fields in context.stage.log.lines if name == "runner_leaving"]
+    (leaving,) = [n for n, scripted in enumerate(context.stage.runners) if scripted.is_leaving]
+    assert [line["runner"] for line in lines] == [f"r-{leaving}"], lines
+    assert lines[0]["state"] == "leaving-by-word", lines
+
+
+@when("the chosen runner says that it leaves while the connection for a request is made")
+def word_while_connecting(context):
+    async def send(stage):
+        fleet, acquire = stage.fleet, stage.fleet.pool.acquire
+
+        async def slow(address, **limits):
+            conn = await acquire(address, **limits)
+            if not hasattr(context, "left"):
+                (chosen,) = [r for r in fleet.directory if r.address == address]
+                context.left = int(chosen.id.removeprefix("r-"))
+                fleet.published.on_runner_word(chosen, "other")
+            return conn
+
+        fleet.pool.acquire = slow
+        return await ask(stage, request(PATHS["idempotent"]))
+
+    play(context, send)
+
+
+@then("the runner that leaves received {count:d} requests")
+def received(context, count):
+    assert len(context.stage.runners[context.left].requests) == count
+
+
+@when("a caller sends two requests and then a third one on the at-most-once route")
+def send_three(context):
+    async def send(stage):
+        for number in range(2):
+            await ask(stage, request(PATHS["at-most-once"], request_id=f"q-{number}"))
+        return await ask(stage, request(PATHS["at-most-once"], request_id="q-3"))
+
+    play(context, send)
+
+
+@when("the runner says so")
+def last_says_so(context):
+    async def run():
+        context.fleet.pool = ConnectionPool(max_idle=1)
+        demand = Demand(
+            service="s",
+            prompt_tokens=100,
+            answer_tokens=50,
+            objective_at=now() + 0.5,
+            deadline=now() + 6.0,
+            is_returned=False,
+            is_first=True,
+            tried=frozenset(),
+        )
+        req = SimpleNamespace(is_gone=False, watch_gone=lambda callback: None)
+        waiting = asyncio.ensure_future(Placer(fleet=context.fleet).place(demand, req))
+        await asyncio.sleep(0.2)
+        assert not waiting.done()
+        context.fleet.on_answer_head(context.fleet.directory.get("r"), WORD)
+        said_at = now()
+        context.refusal = await waiting
+        context.refused_s = now() - said_at
+
+    asyncio.run(run())
+
+
+@then("the request is refused within {seconds:g} s and told the time of a new runner")
+def refused_soon(context, seconds):
+    assert context.refused_s <= seconds, context.refused_s
+    assert context.refusal.retry_after_s == ALL_LEAVING_RETURN_S, context.refusal
+
+
+READY, DRAINING = runner(born_ms=5), runner(born_ms=5, is_draining=True)
+VALUES = {
+    b"ready": READY,
+    b"draining": DRAINING,
+    b"later": runner(born_ms=6),
+    b"earlier": runner(born_ms=4),
+    b"moved": runner(born_ms=5, address="127.0.0.2:9"),
+    b"other": runner(id="r-2", born_ms=7),
+}
+LISTED = 10
+
+
+def take(context, body, revision=LISTED + 1, runner_id="r-1"):
+    context.followed.take([Item(name=f"runner/{runner_id}", revision=revision, body=body)])
+
+
+@given("a listed runner that leaves by its {way}")
+def leaves_by(context, way):
+    log = EventLog(process="t", role="entry", host="t", failure_domain="a", incarnation="1")
+    context.followed = FollowedState(items=PublishedState(), decoder=StoredValues(VALUES), log=log)
+    context.fleet = FleetView(
+        published=context.followed,
+        failure_domain="a",
+        regions={},
+        pool=ConnectionPool(max_idle=1),
+        limits=LIMITS,
+        rng=None,
+        processes=lambda: 1,
+        tell_sent=lambda runner_id, tokens: None,
+    )
+    take(context, b"ready", LISTED - 1)
+    assert context.followed.directory.may_receive(READY)
+    if way == "word":
+        context.fleet.on_answer_head(READY, WORD)
+    else:
+        take(context, b"draining", LISTED)
+    assert not context.followed.directory.routable("models")
+
+
+def take_both(context, first, second):
+    take(context, first)
+    take(context, second, LISTED + 2)
+
+
+FOLLOWING = {
+    "its entry, ready, at a newer revision": lambda c: take(c, b"ready"),
+    "its entry, draining, at a newer revision": lambda c: take(c, b"draining"),
+    "its entry, ready, at an older revision": lambda c: take(c, b"ready", 1),
+    "a later incarnation at a newer revision": lambda c: take(c, b"later"),
+    "a later incarnation at an older revision": lambda c: take(c, b"later", 1),
+    "an earlier incarnation at a newer revision": lambda c: take(c, b"earlier"),
+    "another address at a newer revision": lambda c: take(c, b"moved"),
+    "its removal and its entry": lambda c: take_both(c, None, b"ready"),
+    "its removal and an earlier incarnation": lambda c: take_both(c, None, b"earlier"),
+}
+
+
+def follows(context, event):
+    if event in FOLLOWING:
+        FOLLOWING[event](context)
+    elif event == "its removal while the platform is away":
+        context.followed.on_platform(False)
+        take(context, None)
+    elif event == "its agent's report of a free runner":
+        context.fleet.on_report(RunnerReport(runner="r-1", born_ms=5, is_reachable=True))
+    elif event == "an answer without the word":
+        context.fleet.on_answer_head(READY, AnswerFacts(request_id="later"))
+    else:
+        assert event == "its word and its entry", event
+        context.fleet.on_answer_head(READY, WORD)
+        take(context, b"ready")
+
+
+when("{event} follows")(follows)
+
+
+def assert_used(context, expected):
+    used = [found.id for found in context.followed.directory.routable("models")]
+    assert used == expected, used
+
+
+then("the runner that left is used")(lambda context: assert_used(context, ["r-1"]))
+then("the runner that left is not used")(lambda context: assert_used(context, []))
+
+
+@when("another runner is listed at its address")
+def other_listed(context):
+    take(context, b"other", runner_id="r-2")
+
+
+then("the other one is used")(lambda context: assert_used(context, ["r-2"]))
+
+
+@when("a later incarnation is listed and an answer of the earlier one says that it leaves")
+def late_word(context):
+    take(context, b"later")
+    context.fleet.on_answer_head(READY, WORD)
+
+
+@then("the agents count {count:d} members of its model")
+def members(context, count):
+    fleet = ModelFleet(
+        published=context.followed,
+        links=None,
+        service="models",
+        runner_address="127.0.0.1:9",
+        regions={},
+        links_port=1,
+    )
+    assert len(fleet.members()) == count, fleet.members()
+
+
+def lives():
+    """Return incarnations of two runners, some of which share an address."""
+    return st.builds(
+        lambda runner_id, born_ms, address, is_draining: runner(
+            id=runner_id, born_ms=born_ms, address=address, is_draining=is_draining
+        ),
+        st.sampled_from(["r-1", "r-2"]),
+        st.integers(1, 3),
+        st.sampled_from(["127.0.0.1:9", "127.0.0.2:9"]),
+        st.booleans(),
+    )
+
+
+# Entries arrive with newer revisions mostly, and with older ones from peers that lag.
+EVENTS = st.one_of(
+    st.tuples(st.just("listed"), lives(), st.sampled_from([1, 1, 1, -2])),
+    st.tuples(st.just("removed"), lives(), st.sampled_from([1, 1, 1, -2])),
+    st.tuples(st.just("word"), lives(), st.just(0)),
+    st.tuples(st.sampled_from(["lost", "regained", "expired", "restart"]), lives(), st.just(0)),
+)
+
+
+class History:
+    """A directory, and what was told to it since the process started."""
+
+    def __init__(self):
+        self.revision, self.moment = 10, 0.0
+        self.restart()
+
+    def restart(self):
+        self.directory = RunnerDirectory()
+        self.said, self.births, self.newest = set(), {}, {}
+
+    def play(self, kind, life: Runner, step):
+        self.moment += 1.0
+        revision = self.revision + step
+        self.revision = max(self.revision, revision)
+        before = {(r.id, r.incarnation) for r in self.directory if self.directory.may_receive(r)}
+        if kind == "listed":
+            self.directory.on_listed(life, revision)
+            self.check_listed(life, revision, before)
+        elif kind == "removed":
+            self.directory.on_removed(life.id, self.moment, revision)
+            if step < 0 and self.newest.get(life.id, -1) > revision:
+                self.check_unchanged(before)
+            self.newest[life.id] = max(self.newest.get(life.id, -1), revision)
+        elif kind == "word":
+            self.directory.on_word(life)
+            self.said.add((life.id, life.incarnation))
+        elif kind == "lost":
+            self.directory.on_platform_lost()
+        elif kind == "regained":
+            self.directory.on_platform_regained(self.moment)
+        elif kind == "expired":
+            self.directory.expire(self.moment)
+        else:
+            self.restart()
+        self.check()
+
+    def check_listed(self, life, revision, before):
+        if revision < self.newest.get(life.id, -1):
+            self.check_unchanged(before)
+            return
+        self.newest[life.id] = revision
+        is_latest = life.born_ms > self.births.get(life.id, 0)
+        has_said = (life.id, life.incarnation) in self.said
+        if is_latest and not has_said:
+            assert self.directory.may_receive(life) is not life.is_draining, life
+        self.births[life.id] = max(self.births.get(life.id, 0), life.born_ms)
+
+    def check_unchanged(self, before):
+        after = {(r.id, r.incarnation) for r in self.directory if self.directory.may_receive(r)}
+        assert after == before, (before, after)
+
+    def check(self):
+        used = {(r.id, r.incarnation) for r in self.directory.routable("models")}
+        assert not used & self.said, (used, self.said)
+        assert used == {
+            (r.id, r.incarnation) for r in self.directory if self.directory.may_receive(r)
+        }
+
+
+@then("in any history no incarnation that said it leaves is used, and a newer one is")
+def any_history(context):
+    @property_given(st.lists(EVENTS, max_size=25))
+    def check(events):
+        history = History()
+        for event in events:
+            history.play(*event)
+
+    check()
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -292,6 +292,18 @@
     assert seen == expected[outcome], seen
 
 
+@when('a runner answers with the word "{value}" of its leaving')
+def answers_with_word(context, value):
+    headers = HTTPHeaders({} if value == "-" else {"Server-Leaving": value})
+    head = Head(status=200, reason="", headers=headers)
+    context.answer = PlatformHeaders().read_answer(head, 0.0)
+
+
+@then("the runner counts as {state}")
+def counts_as_leaving(context, state):
+    assert context.answer.is_leaving == (state == "leaving"), context.answer
+
+
 class StoreStandIn:
     """Answers reads of the store as its script says."""
 
--- a/features/steps/scripted_runner.py
+++ b/features/steps/scripted_runner.py
@@ -7,6 +7,12 @@
 
 EVENTS = [f'id: {n}\ndata: {{"tokens":"t{n}"}}\n\n'.encode() for n in range(1, 6)]
 BODY = b"the whole body"
+LEAVES = " while leaving"
+REFUSED = b"Not-Run: 1\r\nRequest-Id: %s\r\n%sContent-Length: 0\r\n\r\n"
+REFUSALS = {
+    "refuse as full": b"HTTP/1.1 503 Busy\r\n" + REFUSED,
+    "refuse as another runner": b"HTTP/1.1 421 Misdirected\r\n" + REFUSED,
+}
 
 
 def chunk(data):
@@ -47,12 +53,19 @@
 
 
 class ScriptedRunner:
-    """Plays one behaviour for each request, the last one for all further ones."""
+    """Plays one behaviour for each request, the last one for all further ones.
+
+    With a behaviour that ends in `LEAVES` it begins to leave: this answer and all later ones say
+    so, and `late` counts the requests that reach it afterwards.
+    """
 
     def __init__(self, behaviours):
         self.behaviours = list(behaviours)
         self.requests, self.ran, self.closed_at = [], 0, None
         self.last, self.flooded = {}, 0
+        self.is_leaving, self.late = False, 0
+        # Connections that are open, now and when a step noted them.
+        self.serving = self.open_at_end = 0
         self.server = None
         self.writers = []
 
@@ -69,6 +82,7 @@
 
     async def serve(self, reader, writer):
         self.writers.append(writer)
+        self.serving += 1
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -76,6 +90,7 @@
                 if length:
                     await reader.readexactly(int(length[1]))
                 self.requests.append(head)
+                self.late += self.is_leaving
                 play = self.behaviours.pop(0) if len(self.behaviours) > 1 else self.behaviours[0]
                 if not await self.play(play, head, reader, writer):
                     return
@@ -83,21 +98,22 @@
             pass
         finally:
             self.closed_at = asyncio.get_running_loop().time()
+            self.serving -= 1
             writer.close()
 
     async def play(self, play, head, reader, writer):
         """Answer one request; False ends the connection."""
+        if play.endswith(LEAVES):
+            play, self.is_leaving = play.removesuffix(LEAVES), True
+        word = b"Leaving: 1\r\n" if self.is_leaving else b""
         request_id = re.search(r"(?im)^request-id: (\S+)", head)[1]
         after = re.search(r"(?im)^last-event-id: (\d+)", head)
         events = EVENTS[int(after[1]) if after else 0 :]
         seal = b"" if play == "answer without a seal" else b"Seal: s\r\n"
-        start = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s" % (request_id.encode(), seal)
+        start = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s" % (request_id.encode(), seal + word)
         is_stream = head.startswith("POST /stream/")
-        if play == "refuse as full":
-            writer.write(
-                b"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n"
-                % request_id.encode()
-            )
+        if play in REFUSALS:
+            writer.write(REFUSALS[play] % (request_id.encode(), word))
             return True
         if play == "wait without an answer":
             await reader.read(1)
--- a/packages/wasabilb-core/src/wasabilb_core/forwarding.py
+++ b/packages/wasabilb-core/src/wasabilb_core/forwarding.py
@@ -73,9 +73,12 @@
         Whether it is the runner's own answer to a request that it ran.
     load : LoadReport or None
         Load of the runner, when it tells it.
+    is_leaving : bool
+        Whether the runner says that it leaves.
     """
 
     request_id: str = ""
     is_not_run: bool = False
     is_sealed: bool = False
     load: LoadReport | None = None
+    is_leaving: bool = False
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -144,6 +144,8 @@
         self.moves = LoadMoves(free_places=self._free_places)
         # Runners of model services whose load this process hears of, by service.
         self._followed: dict[str, set[str]] = {}
+        # Idle connections to a leaving runner take places that others need.
+        published.on_runner_leaving.append(lambda runner: self.pool.drop(runner.address))
 
     @property
     def catalog(self) -> Catalog | None:
@@ -226,6 +228,15 @@
         """Count its end."""
         self.book.on_ended(runner)
 
+    def may_send(self, runner: Runner) -> bool:
+        """Return whether a request may still be sent where it was placed a moment ago."""
+        return self.directory.may_receive(runner)
+
+    def on_answer_head(self, runner: Runner, facts: AnswerFacts) -> None:
+        """Learn from the head of any answer of a runner, also to an earlier request."""
+        if facts.is_leaving:
+            self.published.on_runner_word(runner, facts.request_id)
+
     def on_attempt(self, runner: Runner, end: AttemptEnd, facts: AnswerFacts) -> None:
         """Learn from the end of an attempt."""
         moment = now()
@@ -239,6 +250,8 @@
             self.book.on_full(runner, moment)
         elif end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED):
             self.book.on_success(runner)
+        if not self.may_send(runner):
+            self.pool.drop(runner.address)
 
     def silence(self, service: str, route: Route) -> tuple[float, float]:
         """Return the longest silence before the first part of an answer and between parts."""
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -221,6 +221,8 @@
             headers=self._protocol.write_request(work.req.headers, sent),
             relay=work.relay,
             limits=self._limits(work, runner),
+            may_send=partial(self._fleet.may_send, runner),
+            on_facts=partial(self._fleet.on_answer_head, runner),
             keeps_running_when_gone=route.kind is RequestKind.NON_IDEMPOTENT,
         )
         self._fleet.on_sent(runner, work.facts.prompt_tokens)
--- a/packages/wasabilb-entry/src/wasabilb_entry/held_places.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/held_places.py
@@ -5,7 +5,7 @@
 from functools import partial
 
 from attrs import frozen
-from wasabilb_core.overload import Held, HeldRequests
+from wasabilb_core.overload import HeldRequests
 from wasabilb_core.routing import RunnerView
 from wasabilb_node.clock import now
 
@@ -31,10 +31,18 @@
     views : callable
         Returns the runners that can be used now; they are the same for all held requests, as none
         of those was sent anywhere yet.
+    has_runner : callable
+        Returns whether a runner may receive requests, now or soon.
     """
 
-    def __init__(self, *, views: Callable[[], list[RunnerView]]) -> None:
+    def __init__(
+        self,
+        *,
+        views: Callable[[], list[RunnerView]],
+        has_runner: Callable[[], bool] = lambda: True,
+    ) -> None:
         self._views = views
+        self._has_runner = has_runner
         self._requests = HeldRequests()
         self._waiters: dict[int, _Waiter] = {}
         self._next = 0
@@ -93,18 +101,22 @@
 
     def _look(self) -> None:
         for held in self._requests.expired(now()):
-            self._wake(held, is_sent=False)
+            self._wake(held.key, is_sent=False)
+        if not self._has_runner():
+            for key in list(self._waiters):
+                self._wake(key, is_sent=False)
+            return
         views = self._views()
         for held in self._requests.sendable(now())[:MOST_LOOKED_AT]:
             if self._waiters[held.key].has_room(views):
                 # One request at a time, as its send changes what is known of the runners.
                 self._requests.on_sent(now())
-                self._wake(held, is_sent=True)
+                self._wake(held.key, is_sent=True)
                 break
 
-    def _wake(self, held: Held, *, is_sent: bool) -> None:
-        self._requests.remove(held.key)
-        waiter = self._waiters.pop(held.key, None)
+    def _wake(self, key: int, *, is_sent: bool) -> None:
+        self._requests.remove(key)
+        waiter = self._waiters.pop(key, None)
         if waiter is not None:
             _settle(waiter.fut, is_sent)
 
--- a/packages/wasabilb-entry/src/wasabilb_entry/relay.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/relay.py
@@ -1,7 +1,7 @@
 """Passes runners' answers on to one caller, whole or event by event."""
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 
 from attrs import define, field
 from tornado.httputil import HTTPHeaders
@@ -58,21 +58,25 @@
     events: EventBuffer = field(factory=EventBuffer)
     head: Head | None = None
     facts: AnswerFacts = field(factory=AnswerFacts)
+    _on_facts: Callable[[AnswerFacts], None] | None = None
     _parts: list[bytes] = field(factory=list)
     _size: int = 0
     _size_at_progress: int = 0
     _is_streaming: bool = False
     _is_fresh: bool = True
 
-    def begin(self, *, is_fresh: bool) -> None:
+    def begin(self, *, is_fresh: bool, on_facts: Callable[[AnswerFacts], None]) -> None:
         """Get ready for the answer of a new attempt.
 
         Parameters
         ----------
         is_fresh : bool
             Whether no other request was sent on the connection before.
+        on_facts : callable
+            Called with what the head of each answer on the connection says.
         """
         self.head = None
+        self._on_facts = on_facts
         self._is_fresh = is_fresh
         self._size = self._size_at_progress = 0
         self.facts = AnswerFacts()
@@ -89,6 +93,8 @@
     def on_head(self, head: Head) -> bool:
         """Take the head of an answer; False for one that answers an earlier request."""
         facts = self.protocol.read_answer(head, now())
+        if self._on_facts is not None:
+            self._on_facts(facts)
         # On a connection that was used before, an answer that names no request may be a late copy.
         is_own = facts.request_id == self.request_id
         if not is_own and (facts.request_id or not self._is_fresh):
--- a/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from typing import Any
 
 from attrs import define, field, frozen
@@ -9,6 +10,7 @@
 from tornado.iostream import StreamClosedError
 from wasabilb_core.attempts import AttemptEnd
 from wasabilb_core.directory import Runner
+from wasabilb_core.forwarding import AnswerFacts
 from wasabilb_node.clock import now
 from wasabilb_node.http_client import ConnectError, Connection, ConnectionPool, ReadEnd
 
@@ -60,6 +62,10 @@
         Where the answer goes.
     limits : AttemptLimits
         How long it may take.
+    may_send : callable
+        Returns whether the runner may still receive requests.
+    on_facts : callable
+        Called with what the head of each of its answers says.
     """
 
     pool: ConnectionPool
@@ -68,6 +74,8 @@
     headers: HTTPHeaders
     relay: Relay
     limits: AttemptLimits
+    may_send: Callable[[], bool]
+    on_facts: Callable[[AnswerFacts], None]
     keeps_running_when_gone: bool = False
     # Why the answer was refused, for the log.
     refused: str = ""
@@ -97,10 +105,11 @@
         if self.req.is_gone:
             self.pool.release(conn)
             return AttemptEnd.NOT_SENT
-        if now() >= self.limits.deadline:
+        # The runner may have begun to leave while the connection was made.
+        if now() >= self.limits.deadline or not self.may_send():
             self.pool.release(conn)
             return AttemptEnd.NOT_SENT
-        self.relay.begin(is_fresh=conn.requests == 0)
+        self.relay.begin(is_fresh=conn.requests == 0, on_facts=self.on_facts)
         if self.req.body or self.req.method in BODY_METHODS:
             self.headers["Content-Length"] = str(len(self.req.body))
         try:
