Leaving runners: the table of states as a test, and the bound on memory

The histories of the property test check what must never happen, not each row.

Change: one scenario plays each event in each state; another one shows that the word of a runner is remembered while 1199 others come and go, and that 1200 more push it out.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -116,6 +116,28 @@
       | entry | its word and its entry                     | not used |
       | entry | its agent's report of a free runner        | not used |
 
+  Scenario: Each state and what follows from it
+    # Guards against a state that an event brings back to use, or that never ends.
+    Then the states of one incarnation follow each other so
+      | state                  | ready           | draining               | word            | removed | expired | not back               |
+      | serving                | serving         | leaving-by-publication | leaving-by-word | gone    | assumed | serving                |
+      | assumed                | serving         | leaving-by-publication | gone            | gone    | assumed | gone                   |
+      | leaving-by-publication | serving         | leaving-by-publication | leaving-by-word | gone    | gone    | leaving-by-publication |
+      | leaving-by-word        | leaving-by-word | leaving-by-word        | leaving-by-word | gone    | gone    | leaving-by-word        |
+      | gone                   | serving         | leaving-by-publication | gone            | gone    | gone    | gone                   |
+      | gone, by word          | leaving-by-word | leaving-by-word        | gone            | gone    | gone    | gone                   |
+
+  Scenario: The memory of runners that left is bounded
+    # Guards against memory that grows with each runner that was ever there, and against a word that
+    # is forgotten while the runner still answers.
+    Given a listed runner that leaves by its word
+    When its entry is removed and 1199 other runners come and go
+    And a late entry lists it as ready
+    Then the runner that left is not used
+    When its entry is removed and 1200 other runners come and go
+    And a late entry lists it as ready
+    Then the runner that left is used
+
   Scenario: A runner that is only assumed to live says that it leaves
     # Guards against an entry that stays for ever because its removal came before the word.
     Given a listed runner whose entry is removed while the platform is away
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -16,7 +16,7 @@
 from wasabilb_core.directory import Runner, RunnerDirectory
 from wasabilb_core.forwarding import AnswerFacts
 from wasabilb_core.published import Item, PublishedState
-from wasabilb_core.runner_presence import PresenceState
+from wasabilb_core.runner_presence import PresenceState, RunnerPresence
 from wasabilb_entry.fleet_view import FleetView
 from wasabilb_entry.placer import ALL_LEAVING_RETURN_S, Demand, Placer
 from wasabilb_node.clock import now
@@ -307,6 +307,55 @@
 then("the runner that left is not used")(lambda context: assert_used(context, []))
 
 
+# What leads to each state from a runner that is listed as ready.
+WAYS = {
+    "serving": [],
+    "assumed": ["expired"],
+    "leaving-by-publication": ["draining"],
+    "leaving-by-word": ["word"],
+    "gone": ["removed"],
+    "gone, by word": ["word", "removed"],
+}
+PRESENCE_EVENTS = {
+    "ready": lambda p, inc: p.on_listed(inc, is_draining=False, revision=1),
+    "draining": lambda p, inc: p.on_listed(inc, is_draining=True, revision=1),
+    "word": lambda p, inc: p.on_word(inc),
+    "removed": lambda p, inc: p.on_removed(revision=1, is_trusted=True),
+    "expired": lambda p, inc: p.on_removed(revision=1, is_trusted=False),
+    "not back": lambda p, inc: p.on_not_returned(),
+}
+
+
+@then("the states of one incarnation follow each other so")
+def transitions(context):
+    incarnation = READY.incarnation
+    for row in context.table:
+        for event, expected in list(row.items())[1:]:
+            presence = RunnerPresence(incarnation=incarnation)
+            for before in ["ready", *WAYS[row["state"]]]:
+                PRESENCE_EVENTS[before](presence, incarnation)
+            assert row["state"].startswith(presence.state.value), (row, presence)
+            PRESENCE_EVENTS[event](presence, incarnation)
+            assert presence.state.value == expected, (row["state"], event, presence)
+
+
+@when("its entry is removed and {count:d} other runners come and go")
+def come_and_go(context, count):
+    directory = context.followed.directory
+    context.revision = getattr(context, "revision", LISTED) + 1
+    take(context, None, context.revision)
+    for number in range(count):
+        other = runner(id=f"x-{context.revision}-{number}")
+        directory.on_listed(other)
+        directory.on_removed(other.id, now())
+
+
+@when("a late entry lists it as ready")
+def late_entry(context):
+    context.revision += 1
+    take(context, b"ready", context.revision)
+
+
 @given("a listed runner whose entry is removed while the platform is away")
 def assumed(context):
     list_runner(context)
