--- /dev/null
+++ b/features/steps/leaving_steps.py
@@ -0,0 +1,497 @@
+"""Steps about runners that say they leave."""
+
+import asyncio
+import re
+from types import SimpleNamespace
+
+from attrs import evolve
+from behave import given, then, when
+from direct_forwarding_steps import ask, play, read_answer
+from forwarding_stage import LIMITS, PATHS, StoredValues, request
+from hypothesis import given as property_given
+from hypothesis import strategies as st
+from published_state_steps import runner
+from scripted_runner import BODY
+from wasabilb_agent._model_fleet import ModelFleet
+from wasabilb_core.directory import Runner, RunnerDirectory
+from wasabilb_core.forwarding import AnswerFacts
+from wasabilb_core.published import Item, PublishedState
+from wasabilb_core.runner_presence import PresenceState, RunnerPresence
+from wasabilb_entry.fleet_view import FleetView
+from wasabilb_entry.placer import ALL_LEAVING_RETURN_S, Demand, Placer
+from wasabilb_node.clock import now
+from wasabilb_node.followed_state import FollowedState
+from wasabilb_node.http_client import ConnectionPool
+from wasabilb_node.logs import EventLog
+from wasabilb_wire.messages import RunnerReport
+
+WORD = AnswerFacts(request_id="q", is_leaving=True)
+
+
+async def send_more(stage, count):
+    numbers = range(count)
+    return [
+        await ask(stage, request(PATHS["idempotent"], request_id=f"more-{number}"))
+        for number in numbers
+    ]
+
+
+@when("a caller sends a request on the {kind} route and {count:d} more on the idempotent one")
+def send_and_more(context, kind, count):
+    async def send(stage):
+        found = await ask(stage, request(PATHS[kind]))
+        context.more = await send_more(stage, count)
+        await stage.settle()
+        return found
+
+    play(context, send)
+
+
+@when("{count:d} requests on the idempotent route follow the head of a stream")
+def follow_head(context, count):
+    async def send(stage):
+        reader, writer = await stage.connect()
+        started = now()
+        writer.write(request(PATHS["stream"]))
+        while not any(scripted.is_leaving for scripted in stage.runners):
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.05)
+        context.more = await send_more(stage, count)
+        found = await read_answer(reader)
+        writer.close()
+        await stage.settle()
+        return (*found, now() - started)
+
+    play(context, send)
+
+
+@then("the {count:d} are answered whole and none of them reached the runner that leaves")
+def none_reached(context, count):
+    assert len(context.more) == count
+    for status, _, body, is_whole, _ in context.more:
+        assert status == 200 and is_whole and body.startswith(BODY), context.more
+    (leaving,) = [scripted for scripted in context.stage.runners if scripted.is_leaving]
+    assert leaving.late == 0, leaving.late
+
+
+@then("it sees the end of all its connections")
+def sees_all_ends(context):
+    (leaving,) = [scripted for scripted in context.stage.runners if scripted.is_leaving]
+    assert leaving.open_at_end == 0, leaving.open_at_end
+
+
+@then("the log names the runner and the request whose answer said so")
+def log_names_word(context):
+    lines = [fields for name, fields in context.stage.log.lines if name == "runner_leaving"]
+    (leaving,) = [n for n, scripted in enumerate(context.stage.runners) if scripted.is_leaving]
+    assert [line["runner"] for line in lines] == [f"r-{leaving}"], lines
+    assert lines[0]["state"] == "leaving-by-word", lines
+
+
+@given("one of the runners begins to leave after {count:d} answers")
+def answers_and_leaves(context, count):
+    context.behaviours = ["answer"] * count + ["answer while leaving", "answer"]
+
+
+@when("the entry of a runner with an idle connection {change}")
+def entry_changes(context, change):
+    async def send(stage):
+        await ask(stage, request(PATHS["idempotent"]))
+        (number,) = [n for n, scripted in enumerate(stage.runners) if scripted.requests]
+        context.idle = stage.runners[number]
+        await stage.settle()
+        assert context.idle.open_at_end == 1
+        leaving = evolve(stage.fleet.directory.get(f"r-{number}"), is_draining=True)
+        stage.values[b"leaving"] = leaving
+        body = b"leaving" if change == "tells that it leaves" else None
+        stage.fleet.published.take([Item(name=f"runner/r-{number}", revision=1, body=body)])
+        await stage.settle()
+
+    play(context, send)
+
+
+@then("the runner sees the end of that connection")
+def idle_ended(context):
+    assert context.idle.open_at_end == 0
+
+
+@when("{callers:d} callers send {count:d} requests each on kept connections")
+def many_callers(context, callers, count):
+    context.sent_at, context.word_at, context.bodies = {}, [], []
+
+    async def call(stage, number):
+        reader, writer = await stage.connect()
+        for turn in range(count):
+            name = f"c-{number}-{turn}"
+            context.sent_at[name] = now()
+            writer.write(request(PATHS["idempotent"], request_id=name))
+            _, head, body, is_whole = await read_answer(reader)
+            context.bodies.append(is_whole and body == BODY + name.encode())
+            if "Leaving: 1" in head:
+                context.word_at.append(now())
+        writer.close()
+
+    async def call_all(stage):
+        await asyncio.gather(*(call(stage, number) for number in range(callers)))
+        await stage.settle()
+
+    play(context, call_all)
+
+
+@then("all are answered whole")
+def all_whole(context):
+    assert len(context.bodies) == len(context.sent_at) and all(context.bodies), context.bodies
+
+
+@then("no request that was sent after a caller had the word reached the runner that leaves")
+def none_after_word(context):
+    (leaving,) = [scripted for scripted in context.stage.runners if scripted.is_leaving]
+    reached = [re.search(r"Request-Id: (\S+)", head)[1] for head in leaving.requests]
+    after = [name for name in context.sent_at if context.sent_at[name] > min(context.word_at)]
+    assert after and not set(after) & set(reached), set(after) & set(reached)
+
+
+@when("the chosen runner says that it leaves while the connection for a request is made")
+def word_while_connecting(context):
+    async def send(stage):
+        fleet, acquire = stage.fleet, stage.fleet.pool.acquire
+
+        async def slow(address, **limits):
+            conn = await acquire(address, **limits)
+            if not hasattr(context, "left"):
+                (chosen,) = [r for r in fleet.directory if r.address == address]
+                context.left = int(chosen.id.removeprefix("r-"))
+                fleet.published.on_runner_word(chosen, "other")
+            return conn
+
+        fleet.pool.acquire = slow
+        return await ask(stage, request(PATHS["idempotent"]))
+
+    play(context, send)
+
+
+@then("the runner that leaves received {count:d} requests")
+def received(context, count):
+    assert len(context.stage.runners[context.left].requests) == count
+
+
+@when("a caller sends two requests and then a third one on the at-most-once route")
+def send_three(context):
+    async def send(stage):
+        for number in range(2):
+            await ask(stage, request(PATHS["at-most-once"], request_id=f"q-{number}"))
+        return await ask(stage, request(PATHS["at-most-once"], request_id="q-3"))
+
+    play(context, send)
+
+
+@when("the runner says so")
+def last_says_so(context):
+    async def run():
+        context.fleet.pool = ConnectionPool(max_idle=1)
+        demand = Demand(
+            service="s",
+            prompt_tokens=100,
+            answer_tokens=50,
+            objective_at=now() + 0.5,
+            deadline=now() + 6.0,
+            is_returned=False,
+            is_first=True,
+            tried=frozenset(),
+        )
+        req = SimpleNamespace(is_gone=False, watch_gone=lambda callback: None)
+        waiting = asyncio.ensure_future(Placer(fleet=context.fleet).place(demand, req))
+        await asyncio.sleep(0.2)
+        assert not waiting.done()
+        context.fleet.on_answer_head(context.fleet.directory.get("r"), WORD)
+        said_at = now()
+        context.refusal = await waiting
+        context.refused_s = now() - said_at
+
+    asyncio.run(run())
+
+
+@then("the request is refused within {seconds:g} s and told the time of a new runner")
+def refused_soon(context, seconds):
+    assert context.refused_s <= seconds, context.refused_s
+    assert context.refusal.retry_after_s == ALL_LEAVING_RETURN_S, context.refusal
+
+
+READY, DRAINING = runner(born_ms=5), runner(born_ms=5, is_draining=True)
+VALUES = {
+    b"ready": READY,
+    b"draining": DRAINING,
+    b"later": runner(born_ms=6),
+    b"earlier": runner(born_ms=4),
+    b"moved": runner(born_ms=5, address="127.0.0.2:9"),
+    b"other": runner(id="r-2", born_ms=7),
+}
+LISTED = 10
+
+
+def take(context, body, revision=LISTED + 1, runner_id="r-1"):
+    context.followed.take([Item(name=f"runner/{runner_id}", revision=revision, body=body)])
+
+
+def list_runner(context):
+    """List the runner to a process whose platform answers."""
+    log = EventLog(process="t", role="entry", host="t", failure_domain="a", incarnation="1")
+    context.followed = FollowedState(items=PublishedState(), decoder=StoredValues(VALUES), log=log)
+    context.fleet = FleetView(
+        published=context.followed,
+        failure_domain="a",
+        regions={},
+        pool=ConnectionPool(max_idle=1),
+        limits=LIMITS,
+        rng=None,
+        processes=lambda: 1,
+        tell_sent=lambda runner_id, tokens: None,
+    )
+    take(context, b"ready", LISTED - 1)
+    assert context.followed.directory.may_receive(READY)
+
+
+@given("a listed runner that leaves by its {way}")
+def leaves_by(context, way):
+    list_runner(context)
+    if way == "word":
+        context.fleet.on_answer_head(READY, WORD)
+    else:
+        take(context, b"draining", LISTED)
+    assert not context.followed.directory.routable("models")
+
+
+def take_both(context, first, second):
+    take(context, first)
+    take(context, second, LISTED + 2)
+
+
+FOLLOWING = {
+    "its entry, ready, at a newer revision": lambda c: take(c, b"ready"),
+    "its entry, draining, at a newer revision": lambda c: take(c, b"draining"),
+    "its entry, ready, at an older revision": lambda c: take(c, b"ready", 1),
+    "a later incarnation at a newer revision": lambda c: take(c, b"later"),
+    "a later incarnation at an older revision": lambda c: take(c, b"later", 1),
+    "an earlier incarnation at a newer revision": lambda c: take(c, b"earlier"),
+    "another address at a newer revision": lambda c: take(c, b"moved"),
+    "its removal and its entry": lambda c: take_both(c, None, b"ready"),
+    "its removal and an earlier incarnation": lambda c: take_both(c, None, b"earlier"),
+}
+
+
+def follows(context, event):
+    if event in FOLLOWING:
+        FOLLOWING[event](context)
+    elif event == "its removal while the platform is away":
+        context.followed.on_platform(False)
+        take(context, None)
+    elif event == "its agent's report of a free runner":
+        context.fleet.on_report(RunnerReport(runner="r-1", born_ms=5, is_reachable=True))
+    elif event == "an answer without the word":
+        context.fleet.on_answer_head(READY, AnswerFacts(request_id="later"))
+    else:
+        assert event == "its word and its entry", event
+        context.fleet.on_answer_head(READY, WORD)
+        take(context, b"ready")
+
+
+when("{event} follows")(follows)
+
+
+def assert_used(context, expected):
+    used = [found.id for found in context.followed.directory.routable("models")]
+    assert used == expected, used
+
+
+then("the runner that left is used")(lambda context: assert_used(context, ["r-1"]))
+then("the runner that left is not used")(lambda context: assert_used(context, []))
+
+
+# What leads to each state from a runner that is listed as ready.
+WAYS = {
+    "serving": [],
+    "assumed": ["expired"],
+    "leaving-by-publication": ["draining"],
+    "leaving-by-word": ["word"],
+    "gone": ["removed"],
+    "gone, by word": ["word", "removed"],
+}
+PRESENCE_EVENTS = {
+    "ready": lambda p, inc: p.on_listed(inc, is_draining=False, revision=1),
+    "draining": lambda p, inc: p.on_listed(inc, is_draining=True, revision=1),
+    "word": lambda p, inc: p.on_word(inc),
+    "removed": lambda p, inc: p.on_removed(revision=1, is_trusted=True),
+    "expired": lambda p, inc: p.on_removed(revision=1, is_trusted=False),
+    "not back": lambda p, inc: p.on_not_returned(),
+}
+
+
+@then("the states of one incarnation follow each other so")
+def transitions(context):
+    incarnation = READY.incarnation
+    for row in context.table:
+        for event, expected in list(row.items())[1:]:
+            presence = RunnerPresence(incarnation=incarnation)
+            for before in ["ready", *WAYS[row["state"]]]:
+                PRESENCE_EVENTS[before](presence, incarnation)
+            assert row["state"].startswith(presence.state.value), (row, presence)
+            PRESENCE_EVENTS[event](presence, incarnation)
+            assert presence.state.value == expected, (row["state"], event, presence)
+
+
+@when("its entry is removed and {count:d} other runners come and go")
+def come_and_go(context, count):
+    directory = context.followed.directory
+    context.revision = getattr(context, "revision", LISTED) + 1
+    take(context, None, context.revision)
+    for number in range(count):
+        other = runner(id=f"x-{context.revision}-{number}")
+        directory.on_listed(other)
+        directory.on_removed(other.id, now())
+
+
+@when("a late entry lists it as ready")
+def late_entry(context):
+    context.revision += 1
+    take(context, b"ready", context.revision)
+
+
+@given("a listed runner whose entry is removed while the platform is away")
+def assumed(context):
+    list_runner(context)
+    context.followed.on_platform(False)
+    take(context, None)
+    assert context.followed.directory.may_receive(READY)
+
+
+@when("an answer says that it leaves")
+def assumed_says(context):
+    context.fleet.on_answer_head(READY, WORD)
+
+
+@then("the runner is forgotten")
+def is_forgotten(context):
+    assert not list(context.followed.directory)
+    assert context.followed.directory.state("r-1") is PresenceState.GONE
+
+
+@when("another runner is listed at its address")
+def other_listed(context):
+    take(context, b"other", runner_id="r-2")
+
+
+then("the other one is used")(lambda context: assert_used(context, ["r-2"]))
+
+
+@when("a later incarnation is listed and an answer of the earlier one says that it leaves")
+def late_word(context):
+    take(context, b"later")
+    context.fleet.on_answer_head(READY, WORD)
+
+
+@then("the agents count {count:d} members of its model")
+def members(context, count):
+    fleet = ModelFleet(
+        published=context.followed,
+        links=None,
+        service="models",
+        runner_address="127.0.0.1:9",
+        regions={},
+        links_port=1,
+    )
+    assert len(fleet.members()) == count, fleet.members()
+
+
+def lives():
+    """Return incarnations of two runners, some of which share an address."""
+    return st.builds(
+        lambda runner_id, born_ms, address, is_draining: runner(
+            id=runner_id, born_ms=born_ms, address=address, is_draining=is_draining
+        ),
+        st.sampled_from(["r-1", "r-2"]),
+        st.integers(1, 3),
+        st.sampled_from(["127.0.0.1:9", "127.0.0.2:9"]),
+        st.booleans(),
+    )
+
+
+# Entries arrive with newer revisions mostly, and with older ones from peers that lag.
+EVENTS = st.one_of(
+    st.tuples(st.just("listed"), lives(), st.sampled_from([1, 1, 1, -2])),
+    st.tuples(st.just("removed"), lives(), st.sampled_from([1, 1, 1, -2])),
+    st.tuples(st.just("word"), lives(), st.just(0)),
+    st.tuples(st.sampled_from(["lost", "regained", "expired", "restart"]), lives(), st.just(0)),
+)
+
+
+class History:
+    """A directory, and what was told to it since the process started."""
+
+    def __init__(self):
+        self.revision, self.moment = 10, 0.0
+        self.restart()
+
+    def restart(self):
+        self.directory = RunnerDirectory()
+        self.said, self.births, self.newest = set(), {}, {}
+
+    def play(self, kind, life: Runner, step):
+        self.moment += 1.0
+        revision = self.revision + step
+        self.revision = max(self.revision, revision)
+        before = {(r.id, r.incarnation) for r in self.directory if self.directory.may_receive(r)}
+        if kind == "listed":
+            self.directory.on_listed(life, revision)
+            self.check_listed(life, revision, before)
+        elif kind == "removed":
+            self.directory.on_removed(life.id, self.moment, revision)
+            if revision < self.newest.get(life.id, -1):
+                self.check_unchanged(before)
+            elif life.id in self.newest or life.id in {name for name, _ in self.said}:
+                # Only `PublishedState` remembers the removal of a runner that is not known at all.
+                self.newest[life.id] = revision
+        elif kind == "word":
+            self.directory.on_word(life)
+            self.said.add((life.id, life.incarnation))
+        elif kind == "lost":
+            self.directory.on_platform_lost()
+        elif kind == "regained":
+            self.directory.on_platform_regained(self.moment)
+        elif kind == "expired":
+            self.directory.expire(self.moment)
+        else:
+            self.restart()
+        self.check()
+
+    def check_listed(self, life, revision, before):
+        if revision < self.newest.get(life.id, -1):
+            self.check_unchanged(before)
+            return
+        self.newest[life.id] = revision
+        is_latest = life.born_ms > self.births.get(life.id, 0)
+        has_said = (life.id, life.incarnation) in self.said
+        if is_latest and not has_said:
+            assert self.directory.may_receive(life) is not life.is_draining, life
+        self.births[life.id] = max(self.births.get(life.id, 0), life.born_ms)
+
+    def check_unchanged(self, before):
+        after = {(r.id, r.incarnation) for r in self.directory if self.directory.may_receive(r)}
+        assert after == before, (before, after)
+
+    def check(self):
+        used = {(r.id, r.incarnation) for r in self.directory.routable("models")}
+        assert not used & self.said, (used, self.said)
+        assert used == {
+            (r.id, r.incarnation) for r in self.directory if self.directory.may_receive(r)
+        }
+
+
+@then("in any history no incarnation that said it leaves is used, and a newer one is")
+def any_history(context):
+    @property_given(st.lists(EVENTS, min_size=10, max_size=40))
+    def check(events):
+        history = History()
+        for event in events:
+            history.play(*event)
+
+    check()
