A runner that refuses with a time gets no request until its end

Cause: nothing read Retry-After of a runner's 503. A runner that refused was asked again after 0.1 s, and at once where it was the only one left of a plain service.

Ruled out: a second flag beside the pause after failures (placing and the fallback of plain services would have to ask both); reading the time at the end of the attempt (a refusal whose body comes slowly is heard 1.2 s late); keeping it in the load book (it is dropped with the list's entry, and the runner may be listed again within its time).

Change: core.runner_pauses says when a runner may next be tried; it takes over the pauses after failures and refusals from RunnerBook. Placing, retries, held requests, moves and, once a connection is there, the send itself ask it. core.asked_pause reads the value with its bounds. The platform decodes the header into AnswerFacts.pause. When all runners of a service have named a time, callers are refused at once and asked to come back after the first one's end; held requests that would be given up before are refused, too. A time of over a minute ends early only when the agent's report shows running requests after that minute.

--- /dev/null
+++ b/features/named_pauses.feature
@@ -0,0 +1,126 @@
+Feature: Runners that name a time for which they want no request
+  A runner that refuses a request with 503 may name a time. From half a second later until its end,
+  the entry process sends it nothing.
+
+  Scenario Outline: A runner that named a time is left alone until its end
+    # Guards against requests that reach a runner within the time that it named: new ones, and
+    # repeated ones after a failure elsewhere.
+    Given runners that in turn refuse and name 1.5 s, then <then>
+    When callers send a request on the <kind> route each 25 ms for 2.4 s
+    Then no request reaches a runner from half a second after its refusal to the end of its time
+    And the runner that named a time gets requests after its end
+
+    Examples:
+      | kind         | then                    |
+      | idempotent   | answer                  |
+      | at-most-once | answer                  |
+      | stream       | answer                  |
+      | idempotent   | reset without an answer |
+      | idempotent   | refuse as full          |
+
+  Scenario: All runners have named a time
+    # Guards against callers that wait, or that come back before anybody can serve them, and against
+    # the use of runners of a plain service that are only left out for a while.
+    Given runners that in turn refuse and name 1.2 s, refuse and name 1.6 s, then answer
+    When callers send a request on the idempotent route each 25 ms for 2.2 s
+    Then no request reaches a runner from half a second after its refusal to the end of its time
+    And each caller that was refused is told at once that its request did not run
+    And none of them is asked to come back before the first named time has ended
+
+  Scenario: A request gets its connection after the runner named a time
+    # Guards against a request that was placed before and is sent long after the refusal.
+    Given runners that in turn refuse and name 1.5 s, then answer
+    When a request that waits 0.6 s for its connection was placed before the runner refused one
+    Then no request reaches a runner from half a second after its refusal to the end of its time
+    And the caller of the request that waited gets the whole answer
+
+  Scenario: The body of the refusal comes slowly
+    # Guards against a time that counts only once the whole refusal was read.
+    Given runners that in turn refuse and name 1.5 s with a slow body, then answer
+    When callers send requests each 25 ms for 1.4 s while the other runner looks loaded
+    Then no request reaches a runner from half a second after its refusal to the end of its time
+
+  Scenario Outline: A runner that named a time leaves the list and comes back
+    # Guards against a time that is forgotten with the list's entry, and against a new incarnation
+    # that nobody uses because of what an earlier one said.
+    Given runners that in turn refuse and name 1.5 s, then answer
+    When the runner that refused is listed again <again> at 0.2 s while callers go on
+    Then it gets requests <when> the end of its time
+
+    Examples:
+      | again                             | when       |
+      | in the same incarnation           | only after |
+      | in a later incarnation            | before     |
+      | in a later and the same incarnation | only after |
+
+  Scenario: No stream moves to a runner that named a time
+    # Guards against moves to a runner that refuses, which break the stream off.
+    Given runners that in turn refuse and name 6 s, answer, then answer slowly
+    When the runner of a stream is to load a version after the other one has named a time
+    Then the caller gets all events once
+    And no request reaches a runner from half a second after its refusal to the end of its time
+
+  Scenario: Two entry processes are told different times
+    # Guards against a time that one entry process learns from another.
+    Given runners that in turn refuse and name 2.2 s, refuse and name 2.2 s, refuse and name 0.9 s, refuse and name 0.9 s, then answer
+    When two entry processes send requests each 25 ms for 2.6 s
+    Then each process keeps to the times that it was told and no longer
+
+  Scenario Outline: What a runner may say
+    # Guards against values that keep a runner out for good, for nothing, or end a process.
+    When a refusal names <text>
+    Then the runner is left alone for <seconds> s and the log says <reading>
+
+    Examples:
+      | text                          | seconds | reading    |
+      | nothing                       | 0       | nothing    |
+      | 2                             | 2       | exact      |
+      | 0.25                          | 0.25    | exact      |
+      | 0                             | 0       | over       |
+      | -5                            | 0       | over       |
+      | 3600                          | 3600    | exact      |
+      | 3601                          | 3600    | limited    |
+      | 400 nines                     | 3600    | limited    |
+      | Wed, 21 Oct 2026 07:28:00 GMT | 3       | unreadable |
+      | soon                          | 3       | unreadable |
+      | nan                           | 3       | unreadable |
+      | inf                           | 3       | unreadable |
+      | 1e9                           | 3       | unreadable |
+      | 1_0                           | 3       | unreadable |
+      | ٣                             | 3       | unreadable |
+      | 2, 7                          | 7       | exact      |
+      | 1, soon                       | 3       | unreadable |
+
+  Scenario: No sequence of events lets requests reach a runner in its time
+    # Guards against failures, lists, incarnations, reports or later refusals that end a named time.
+    When random requests, refusals, failures, lists and reports meet random delays of up to 0.2 s
+    Then no request reached an incarnation from half a second after its refusal to the end of its time
+    And each runner could be tried again soon after its time had ended
+
+  Scenario Outline: A runner that named an hour
+    # Guards against a runner that is lost although it serves others.
+    Given a runner that named 3600 s
+    When <word> comes after <age> s
+    Then the runner <may> be tried
+
+    Examples:
+      | word                                       | age  | may     |
+      | nothing                                    | 3599 | may not |
+      | nothing                                    | 3601 | may     |
+      | its agent's report of running requests     | 50   | may not |
+      | its agent's report of running requests     | 70   | may     |
+      | its agent's report of no running request   | 70   | may not |
+      | its agent's report of an order             | 70   | may not |
+      | a later incarnation                        | 1    | may     |
+
+  Scenario: Held requests when all runners have named a time
+    # Guards against callers who are held although nobody can serve them in time.
+    Given a full runner for which a request is held
+    When the runner names 5 s
+    Then the held request is refused within 0.2 s and told to come back after the runner's time
+
+  Scenario: Held requests when the named time ends soon
+    # Guards against a refusal of callers who can still be served.
+    Given a full runner for which a request is held
+    When the runner names 0.4 s and has room after it
+    Then the held request is sent after the runner's time
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -54,6 +54,18 @@
       | 429    | not executed   | not run |
       | 503    | nothing        | unknown |
 
+  Scenario Outline: The time that a runner names when it refuses
+    # Guards against a time that is not heard, and against one that was meant for something else.
+    When a runner answers <status> and names <text>
+    Then the time is <seconds> s
+
+    Examples:
+      | status | text | seconds |
+      | 503    | 1.5  | 1.5     |
+      | 503    | soon | 3       |
+      | 429    | 1.5  | none    |
+      | 200    | 1.5  | none    |
+
   Scenario: The store's readings
     # Guards against missed changes after the history was lost, and calls that hang.
     Given a stand-in of the store with two pages of items
--- a/features/steps/forwarding_stage.py
+++ b/features/steps/forwarding_stage.py
@@ -4,6 +4,7 @@
 import random
 
 from scripted_runner import ScriptedRunner
+from wasabilb_core.asked_pause import asked_pause
 from wasabilb_core.catalog import (
     Catalog,
     ClientAccount,
@@ -70,6 +71,7 @@
             request_id=head.headers.get("Request-Id", ""),
             is_not_run="Not-Run" in head.headers,
             is_sealed="Seal" in head.headers,
+            pause=asked_pause(head.headers.get("Retry-After")) if head.status == 503 else None,
         )
 
     def label_answer(self, headers, request_id):
@@ -117,10 +119,16 @@
 
 
 class Stage:
-    """A forwarder in front of scripted runners, on loopback."""
+    """A forwarder in front of scripted runners, on loopback.
 
-    def __init__(self, behaviours, *, connections=100):
-        self.connections = connections
+    Another stage's runners may be given, for two entry processes in front of the same ones.
+    """
+
+    def __init__(self, behaviours, *, connections=100, shared=None):
+        self.connections, self.shared = connections, shared
+        if shared is not None:
+            self.runners = shared.runners
+            return
         # One script for all runners: the first send plays the first behaviour wherever it goes.
         self.runners = [ScriptedRunner(behaviours) for _ in range(2 if behaviours else 0)]
         for other in self.runners[1:]:
@@ -142,13 +150,14 @@
         )
         published.catalog = catalog()
         for number, scripted in enumerate(self.runners):
-            address = await scripted.start()
+            if self.shared is None:
+                await scripted.start()
             self.fleet.directory.on_listed(
                 Runner(
                     id=f"r-{number}",
                     born_ms=1,
                     service="s",
-                    address=address,
+                    address=scripted.address,
                     failure_domain="a",
                     slots=4,
                 )
@@ -172,7 +181,7 @@
         self.server.stop_accepting()
         self.server.close_all()
         self.fleet.pool.close()
-        for scripted in self.runners:
+        for scripted in self.runners if self.shared is None else ():
             await scripted.stop()
 
     async def connect(self):
--- /dev/null
+++ b/features/steps/named_pause_steps.py
@@ -0,0 +1,221 @@
+"""Steps about runners that name a time for which they want no request, on real sockets."""
+
+import asyncio
+import re
+
+from attrs import evolve
+from behave import given, then, when
+from direct_forwarding_steps import ask, play
+from forwarding_stage import PATHS, Stage, request
+from scripted_runner import BODY
+from wasabilb_core.runner_pauses import MAX_SPREAD_S
+from wasabilb_node.clock import now
+from wasabilb_wire.messages import RunnerReport
+
+# A request may be on its way, or sent, while the refusal is.
+ON_THE_WAY_S = 0.5
+# Delay of a loaded machine.
+SLACK_S = 0.1
+
+
+@given("runners that in turn {behaviours}")
+def given_in_turn(context, behaviours):
+    parts = [part.strip().removeprefix("then ") for part in behaviours.split(",")]
+    context.behaviours = parts
+
+
+async def send_each(stage, path, interval_s, seconds, *, prefix="q"):
+    """Send requests at a steady rate and return each with the time at which it was sent."""
+    loop = asyncio.get_running_loop()
+    asked = []
+    for number in range(round(seconds / interval_s)):
+        data = request(path, request_id=f"{prefix}-{number}")
+        asked.append((loop.time(), asyncio.ensure_future(ask(stage, data))))
+        await asyncio.sleep(interval_s)
+    answers = await asyncio.gather(*(task for _, task in asked), return_exceptions=True)
+    return [(at, answer) for (at, _), answer in zip(asked, answers, strict=True)]
+
+
+@when("callers send a request on the {kind} route each {interval:d} ms for {seconds:g} s")
+def send_steadily(context, kind, interval, seconds):
+    play(context, lambda stage: send_each(stage, PATHS[kind], interval / 1000, seconds))
+
+
+def look_loaded(stage, address):
+    """Let routing prefer a runner to the other one."""
+    for runner in stage.fleet.directory:
+        if runner.address != address:
+            for _ in range(3):
+                stage.fleet.book.on_sent(runner, now())
+
+
+@when("callers send requests each 25 ms for {seconds:g} s while the other runner looks loaded")
+def send_to_one(context, seconds):
+    async def send(stage):
+        sending = asyncio.ensure_future(send_each(stage, PATHS["idempotent"], 0.025, seconds))
+        while not any(s.named for s in stage.runners):
+            await asyncio.sleep(0.005)
+        look_loaded(stage, next(s.address for s in stage.runners if s.named))
+        return await sending
+
+    play(context, send)
+
+
+def reached(scripted, at, seconds):
+    """Return the arrivals from half a second after a refusal to the end of the named time."""
+    return [t - at for t in scripted.arrivals if at + ON_THE_WAY_S <= t < at + seconds]
+
+
+@then("no request reaches a runner from half a second after its refusal to the end of its time")
+def nothing_reaches(context):
+    named = [(s, *name) for s in context.stage.runners for name in s.named]
+    assert named
+    for scripted, at, seconds in named:
+        assert not reached(scripted, at, seconds), reached(scripted, at, seconds)
+
+
+@then("the runner that named a time gets requests after its end")
+def gets_after(context):
+    (scripted,) = (s for s in context.stage.runners if s.named)
+    ((at, seconds),) = scripted.named
+    assert any(t >= at + seconds for t in scripted.arrivals), scripted.arrivals
+
+
+def refusals(context):
+    """Return when each refused request was sent, and its answer."""
+    found = [(at, answer) for at, answer in context.result if answer[0] == 503]
+    assert found
+    return found
+
+
+@then("each caller that was refused is told at once that its request did not run")
+def told_at_once(context):
+    for _, (_, _, body, _, took_s) in refusals(context):
+        assert b'"outcome": "not-run"' in body, body
+        assert took_s <= 0.2, took_s
+
+
+@then("none of them is asked to come back before the first named time has ended")
+def told_true_time(context):
+    first = min(at + seconds for s in context.stage.runners for at, seconds in s.named)
+    for at, (_, head, _, _, took_s) in refusals(context):
+        after = float(re.search(r"(?im)^retry-after: ([0-9.]+)", head)[1])
+        assert at + took_s + after >= first - 0.01, (at, after, first)
+
+
+@when(
+    "a request that waits {seconds:g} s for its connection was placed before the runner refused one"
+)
+def slow_connection(context, seconds):
+    async def cross(stage):
+        acquire, waits = stage.fleet.pool.acquire, [seconds]
+
+        async def slowly(address, *, timeout_s):
+            # Only the first connection is slow, and only to the runner that refuses.
+            if waits:
+                context.slow = address
+                await asyncio.sleep(waits.pop())
+            return await acquire(address, timeout_s=timeout_s)
+
+        stage.fleet.pool.acquire = slowly
+        waiting = asyncio.ensure_future(ask(stage, request(PATHS["idempotent"], request_id="w")))
+        while not hasattr(context, "slow"):
+            await asyncio.sleep(0.005)
+        # The next request goes to the same runner.
+        look_loaded(stage, context.slow)
+        await ask(stage, request(PATHS["idempotent"], request_id="r"))
+        return await waiting
+
+    play(context, cross)
+    (scripted,) = (s for s in context.stage.runners if s.named)
+    assert scripted.address == context.slow
+
+
+@then("the caller of the request that waited gets the whole answer")
+def waited_answer(context):
+    assert context.result[0] == 200 and context.result[2] == BODY + b"w", context.result
+
+
+@when("the runner that refused is listed again {again} at {seconds:g} s while callers go on")
+def listed_again(context, again, seconds):
+    async def relist(stage):
+        asking = asyncio.ensure_future(send_each(stage, PATHS["idempotent"], 0.025, 2.4))
+        await asyncio.sleep(seconds)
+        number = next(n for n, s in enumerate(stage.runners) if s.named)
+        fleet = stage.fleet
+        runner = fleet.directory.get(f"r-{number}")
+        later = evolve(runner, born_ms=runner.born_ms + 1)
+        fleet.directory.on_removed(runner.id, now())
+        fleet.book.forget(runner.id, now())
+        await asyncio.sleep(0.1)
+        entries = {
+            "in the same incarnation": [runner],
+            "in a later incarnation": [later],
+            "in a later and the same incarnation": [later, runner],
+        }
+        for entry in entries[again]:
+            fleet.directory.on_listed(entry)
+            fleet.views("s", context.any_request)
+        return await asking
+
+    from wasabilb_core.routing import RouteRequest
+
+    context.any_request = RouteRequest()
+    play(context, relist)
+
+
+@then("it gets requests {when_} the end of its time")
+def gets_requests(context, when_):
+    (scripted,) = (s for s in context.stage.runners if s.named)
+    ((at, seconds),) = scripted.named
+    within = reached(scripted, at, seconds)
+    assert bool(within) == (when_ == "before"), within
+    assert any(t >= at + seconds for t in scripted.arrivals)
+
+
+@when("the runner of a stream is to load a version after the other one has named a time")
+def move_to_paused(context):
+    async def load(stage):
+        await ask(stage, request(PATHS["idempotent"]))
+        asking = asyncio.ensure_future(ask(stage, request(PATHS["stream"], request_id="s")))
+        await asyncio.sleep(0.6)
+        number = next(n for n, s in enumerate(stage.runners) if not s.named)
+        for _ in range(12):
+            stage.fleet.on_report(RunnerReport(runner=f"r-{number}", born_ms=1, is_busy=True))
+            await asyncio.sleep(0.1)
+        return await asking
+
+    play(context, load)
+
+
+@when("two entry processes send requests each {interval:d} ms for {seconds:g} s")
+def two_processes(context, interval, seconds):
+    async def both(first):
+        async with Stage(context.behaviours, shared=first) as second:
+            # The first process is told its times before the second one asks.
+            await ask(first, request(PATHS["idempotent"], request_id="a-0"))
+            await ask(second, request(PATHS["idempotent"], request_id="b-0"))
+            await asyncio.gather(
+                *(
+                    send_each(stage, PATHS["idempotent"], interval / 1000, seconds, prefix=prefix)
+                    for stage, prefix in ((first, "a"), (second, "b"))
+                )
+            )
+
+    play(context, both)
+
+
+@then("each process keeps to the times that it was told and no longer")
+def own_times(context):
+    for scripted in context.stage.runners:
+        assert [seconds for _, seconds in scripted.named] == [2.2, 0.9], scripted.named
+        for prefix, (at, seconds) in zip("ab", scripted.named, strict=True):
+            own = [
+                t - at
+                for t, head in zip(scripted.arrivals, scripted.requests, strict=True)
+                if f"Request-Id: {prefix}-" in head
+            ]
+            later = [t for t in own if t >= ON_THE_WAY_S]
+            assert all(t >= seconds for t in later), (prefix, later)
+            latest = seconds + MAX_SPREAD_S + SLACK_S
+            assert any(t < latest for t in later), (prefix, later)
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -292,6 +292,19 @@
     assert seen == expected[outcome], seen
 
 
+@when("a runner answers {status:d} and names {text}")
+def runner_names(context, status, text):
+    headers = HTTPHeaders({"Retry-After": text})
+    head = Head(status=status, reason="", headers=headers)
+    context.answer = PlatformHeaders().read_answer(head, 0.0)
+
+
+@then("the time is {seconds} s")
+def time_is(context, seconds):
+    pause = context.answer.pause
+    assert (pause and pause.seconds) == (None if seconds == "none" else float(seconds)), pause
+
+
 class StoreStandIn:
     """Answers reads of the store as its script says."""
 
--- a/features/steps/scripted_runner.py
+++ b/features/steps/scripted_runner.py
@@ -53,12 +53,15 @@
         self.behaviours = list(behaviours)
         self.requests, self.ran, self.closed_at = [], 0, None
         self.last, self.flooded = {}, 0
-        self.server = None
+        # When each request arrived, and each time that was named, at its refusal.
+        self.arrivals, self.named = [], []
+        self.server = self.address = None
         self.writers = []
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        return self.address
 
     async def stop(self):
         self.server.close()
@@ -76,6 +79,7 @@
                 if length:
                     await reader.readexactly(int(length[1]))
                 self.requests.append(head)
+                self.arrivals.append(asyncio.get_running_loop().time())
                 play = self.behaviours.pop(0) if len(self.behaviours) > 1 else self.behaviours[0]
                 if not await self.play(play, head, reader, writer):
                     return
@@ -99,6 +103,8 @@
                 % request_id.encode()
             )
             return True
+        if play.startswith("refuse and name "):
+            return await self.refuse(play.split()[3], "slow body" in play, request_id, writer)
         if play == "wait without an answer":
             await reader.read(1)
             return False
@@ -143,6 +149,18 @@
             await writer.drain()
             self.flooded += len(part)
 
+    async def refuse(self, seconds, is_slow, request_id, writer):
+        """Refuse a request and name a time for which no other one is wanted."""
+        self.named.append((asyncio.get_running_loop().time(), float(seconds)))
+        writer.write(
+            b"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: %s\r\nRetry-After: %s\r\n"
+            b"Content-Length: %d\r\n\r\n"
+            % (request_id.encode(), seconds.encode(), 12 if is_slow else 0)
+        )
+        if is_slow:
+            await self.trickle(b"x" * 12, writer)
+        return True
+
     async def trickle(self, data, writer):
         for n in range(len(data)):
             writer.write(data[n : n + 1])
--- a/packages/wasabilb-core/src/wasabilb_core/attempts.py
+++ b/packages/wasabilb-core/src/wasabilb_core/attempts.py
@@ -18,6 +18,8 @@
 
     ANSWERED = "answered"
     NOT_SENT = "not-sent"
+    # The runner named a time for which it wants no request while this one got ready to be sent.
+    WITHHELD = "withheld"
     REFUSED = "refused"
     FAILED = "failed"
     BROKEN = "broken"
@@ -30,12 +32,12 @@
     @property
     def has_reached_runner(self) -> bool:
         """Return whether bytes of the request may have reached the runner."""
-        return self is not AttemptEnd.NOT_SENT
+        return self not in (AttemptEnd.NOT_SENT, AttemptEnd.WITHHELD)
 
     @property
     def is_not_run(self) -> bool:
         """Return whether the runner certainly did not and will not run the request."""
-        return self in (AttemptEnd.NOT_SENT, AttemptEnd.REFUSED)
+        return self in (AttemptEnd.NOT_SENT, AttemptEnd.WITHHELD, AttemptEnd.REFUSED)
 
 
 @frozen(kw_only=True)
--- a/packages/wasabilb-core/src/wasabilb_core/errors.py
+++ b/packages/wasabilb-core/src/wasabilb_core/errors.py
@@ -132,6 +132,8 @@
         One line for a person; never holds a secret.
     retry_after_s : float or None
         Seconds after which a retry may succeed.
+    is_earliest : bool
+        Whether no earlier retry can succeed.
     outcome : Outcome or None
         Replaces the outcome of the table where the reporter knows better.
     """
@@ -139,6 +141,7 @@
     kind: ErrorKind
     detail: str
     retry_after_s: float | None = None
+    is_earliest: bool = False
     outcome: Outcome | None = None
 
     @property
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -132,6 +132,10 @@
         "A request was answered without being sent to a runner.",
         "request status error detail catalog revision",
     ),
+    "runner_paused": _spec(
+        "A runner refused a request with 503 and named a time for which it wants no other one.",
+        "request runner asked reading pause_ms",
+    ),
     "request_moved": _spec("A request goes on with another runner.", "request host reason tokens"),
     "hedge_sent": _spec("A second attempt was sent.", "request host"),
     "once_unknown": _spec("It is unknown whether a call ran.", "request service host detail"),
--- a/packages/wasabilb-core/src/wasabilb_core/forwarding.py
+++ b/packages/wasabilb-core/src/wasabilb_core/forwarding.py
@@ -2,6 +2,7 @@
 
 from attrs import frozen
 
+from wasabilb_core.asked_pause import AskedPause
 from wasabilb_core.runner_book import LoadReport
 
 
@@ -73,9 +74,12 @@
         Whether it is the runner's own answer to a request that it ran.
     load : LoadReport or None
         Load of the runner, when it tells it.
+    pause : AskedPause or None
+        For how long a runner that refuses the request wants no other one, when it tells it.
     """
 
     request_id: str = ""
     is_not_run: bool = False
     is_sealed: bool = False
     load: LoadReport | None = None
+    pause: AskedPause | None = None
--- a/packages/wasabilb-core/src/wasabilb_core/overload.py
+++ b/packages/wasabilb-core/src/wasabilb_core/overload.py
@@ -227,6 +227,10 @@
         """Forget a request that is sent, refused or whose caller has left."""
         self._held.pop(key, None)
 
+    def hopeless(self, earliest: float) -> list[Held]:
+        """Return the requests that are given up before the earliest time of a free place."""
+        return [held for held in self._held.values() if held.give_up_at < earliest]
+
     def expired(self, now: float) -> list[Held]:
         """Return the requests that have waited too long."""
         late = [held for held in self._held.values() if now >= held.give_up_at]
--- a/packages/wasabilb-core/src/wasabilb_core/runner_book.py
+++ b/packages/wasabilb-core/src/wasabilb_core/runner_book.py
@@ -9,6 +9,7 @@
 from wasabilb_core._routing_base import RunnerView
 from wasabilb_core.catalog import EngineSpec
 from wasabilb_core.directory import Runner
+from wasabilb_core.runner_pauses import RunnerPauses
 
 # A report says nothing of requests that were sent after it was taken; with the time that the
 # report itself was under way, sends of this age are not yet in it, seconds.
@@ -18,12 +19,6 @@
 PACE_SMOOTHING_S = 1.0
 # Load that nobody has confirmed for this long is forgotten, seconds.
 REPORT_MAX_AGE_S = 2.0
-# A runner that refused or broke connections is left out for this time, twice as long with each
-# further failure in a row. The platform's list needs three heartbeats to drop a dead one.
-FIRST_AVOID_S = 0.4
-MAX_AVOID_S = 3.0
-# A runner that declared itself full is asked again after about one request of a batch has ended.
-FULL_AVOID_S = 0.1
 # Sends that no report has confirmed; without reports only the newest count.
 MAX_UNSEEN = 64
 # Mean time of one plain request; only the order of runners depends on it, seconds.
@@ -70,8 +65,6 @@
     in_flight: int = 0
     sent: deque[float] = field(factory=lambda: deque(maxlen=MAX_UNSEEN))
     report: LoadReport | None = None
-    avoid_until: float = -math.inf
-    failures: int = 0
     prompts_s: float = 0.0
     prompts_at: float = -math.inf
     pace: float = 1.0
@@ -91,10 +84,17 @@
 
 
 class RunnerBook:
-    """Load and health of runners, from reports and from this process's own requests."""
+    """Load and health of runners, from reports and from this process's own requests.
+
+    Attributes
+    ----------
+    pauses : RunnerPauses
+        When each runner may next be tried.
+    """
 
     def __init__(self) -> None:
         self._known: dict[str, _Known] = {}
+        self.pauses = RunnerPauses()
 
     def on_sent(self, runner: Runner, now: float, prompt_s: float = 0.0) -> None:
         """Count a request of this process that is being sent.
@@ -105,6 +105,7 @@
             Time that the runner's engine takes to read its prompt, seconds.
         """
         self._of(runner).in_flight += 1
+        self.pauses.on_sent(runner, now)
         self.on_told(runner, now, prompt_s)
 
     def on_told(self, runner: Runner, now: float, prompt_s: float) -> None:
@@ -133,25 +134,10 @@
         """Return how many times longer than usual the runner has lately taken."""
         return self._of(runner).pace
 
-    def on_success(self, runner: Runner) -> None:
-        """Note an answer."""
-        self._of(runner).failures = 0
-
-    def on_failure(self, runner: Runner, now: float) -> None:
-        """Note a broken connection or silence; the runner is left out for a while."""
-        known = self._of(runner)
-        pause = min(MAX_AVOID_S, FIRST_AVOID_S * 2.0**known.failures)
-        known.failures = min(known.failures + 1, 8)
-        known.avoid_until = max(known.avoid_until, now + pause)
-
-    def on_full(self, runner: Runner, now: float) -> None:
-        """Note that the runner refused a request for want of room."""
-        known = self._of(runner)
-        known.avoid_until = max(known.avoid_until, now + FULL_AVOID_S)
-
-    def forget(self, runner_id: str) -> None:
+    def forget(self, runner_id: str, now: float) -> None:
         """Drop a runner that is gone."""
         self._known.pop(runner_id, None)
+        self.pauses.forget(runner_id, now)
 
     def is_usable(self, runner: Runner, now: float) -> bool:
         """Return whether a request may be sent to the runner now."""
@@ -160,7 +146,7 @@
         is_current = report is not None and now - report.at <= REPORT_MAX_AGE_S
         if is_current and report is not None and (report.is_busy or not report.is_reachable):
             return False
-        return now >= known.avoid_until
+        return self.pauses.may_try(runner, now)
 
     def view(
         self,
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Collection
 
 from attrs import frozen
+from wasabilb_core.asked_pause import AskedPause
 from wasabilb_core.attempts import AttemptEnd
 from wasabilb_core.catalog import Catalog, EngineSpec, RequestKind, Route
 from wasabilb_core.directory import Runner
@@ -177,6 +178,8 @@
                 is_easing=report.is_easing,
             ),
         )
+        if report.is_reachable and report.running > 0 and not report.is_busy:
+            self.book.pauses.on_serving(runner, now())
         self.moves.on_report(runner.id, is_busy=report.is_busy and report.is_reachable)
 
     def follow(self, own: EntryPlace, places: Collection[EntryPlace]) -> list[Runner]:
@@ -232,13 +235,21 @@
         if facts.load is not None and self.engine(runner.service) is None:
             self.book.on_report(runner, facts.load)
         if end in (AttemptEnd.NOT_SENT, AttemptEnd.BROKEN, AttemptEnd.SILENT):
-            self.book.on_failure(runner, moment)
+            self.book.pauses.on_failure(runner, moment)
             if end is not AttemptEnd.BROKEN:
                 self.pool.drop(runner.address)
         elif end is AttemptEnd.REFUSED:
-            self.book.on_full(runner, moment)
+            self.book.pauses.on_full(runner, moment)
         elif end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED):
-            self.book.on_success(runner)
+            self.book.pauses.on_success(runner)
+
+    def on_pause(self, runner: Runner, pause: AskedPause) -> None:
+        """Take the time for which a runner that refused a request wants no other one."""
+        self.book.pauses.on_named(runner, pause.seconds, now(), spread=self._rng.random())
+
+    def may_send(self, runner: Runner) -> bool:
+        """Return whether a request that was placed at a runner may still be sent."""
+        return not self.book.pauses.is_named(runner, now())
 
     def silence(self, service: str, route: Route) -> tuple[float, float]:
         """Return the longest silence before the first part of an answer and between parts."""
@@ -252,23 +263,35 @@
         """Return the runners to which a request may be sent now."""
         moment = now()
         engine = self.engine(service)
-        version = self._demanded_version(engine, moment)
-        able = [
-            runner
-            for runner in self.directory.routable(service)
-            if runner.id not in request.excluded and self._can_serve(runner, engine, version)
-        ]
+        able = [r for r in self._able(service, moment) if r.id not in request.excluded]
         usable = [r for r in able if self.book.is_usable(r, moment)]
         followed = self._followed.get(service)
         if followed is not None:
             # Without their reports, the load of the others is a guess.
             usable = [r for r in usable if r.id in followed] or usable
         if engine is None:
-            return [self._view(runner, engine, moment) for runner in usable or able]
+            limited = self.book.pauses.is_limited
+            usable = usable or [r for r in able if not limited(r, moment)]
+            return [self._view(runner, engine, moment) for runner in usable]
         long_ids = self._long_runners(service)
         views = [(r, self._view(r, engine, moment, is_for_long=r.id in long_ids)) for r in usable]
         return [v for r, v in views if self._begins_in_time(r, v, engine)]
 
+    def named_s(self, service: str) -> float | None:
+        """Return the seconds until the first runner of a service ends the time that it named.
+
+        None unless all runners that could serve have named one.
+        """
+        moment = now()
+        return self.book.pauses.named_s(self._able(service, moment), moment)
+
+    def _able(self, service: str, moment: float) -> list[Runner]:
+        """Return the runners that hold what a service needs."""
+        engine = self.engine(service)
+        version = self._demanded_version(engine, moment)
+        routable = self.directory.routable(service)
+        return [runner for runner in routable if self._can_serve(runner, engine, version)]
+
     def _long_runners(self, service: str) -> set[str]:
         """Return every second runner at the usual pace, so that each failure domain has some."""
         routable = self.directory.routable(service)
@@ -340,9 +363,15 @@
         if runner is None:
             return 0
         views = self.views(runner.service, RouteRequest(excluded={runner_id}))
-        free = sum(max(0, view.slots - load_of(view) - SPARE_PLACES) for view in views)
+        free = sum(self._free_at(view) for view in views)
         return math.ceil(free / self._sharers(runner.service))
 
+    def _free_at(self, view: RunnerView) -> float:
+        """Return the free places of a runner, no more than it may get requests now."""
+        runner = self.directory.get(view.host)
+        most = self.book.pauses.allowance(runner, now()) if runner is not None else 0.0
+        return min(most, max(0, view.slots - load_of(view) - SPARE_PLACES))
+
     def _sharers(self, service: str) -> float:
         """Return the entry processes that share the followed runners of a service."""
         total = len(self.directory.routable(service))
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -16,7 +16,7 @@
 from wasabilb_core.catalog import Catalog, ClientAccount, RequestKind, Route, key_digest
 from wasabilb_core.directory import Runner
 from wasabilb_core.errors import Error, ErrorKind, Outcome
-from wasabilb_core.forwarding import RequestFacts, SendFacts
+from wasabilb_core.forwarding import AnswerFacts, RequestFacts, SendFacts
 from wasabilb_node.clock import now
 from wasabilb_node.logs import EventLog
 
@@ -37,6 +37,8 @@
 MIN_MOVE_S = 1.0
 # Callers come back at most after a third of their time, so that longer pauses are of no use.
 RETRY_AFTER_SHARE = 1 / 3
+# Callers who cannot be served before a known time come back between it and so many times as late.
+LATEST_RETURN = 1.4
 
 
 @define(kw_only=True, eq=False)
@@ -221,8 +223,10 @@
             headers=self._protocol.write_request(work.req.headers, sent),
             relay=work.relay,
             limits=self._limits(work, runner),
+            may_send=partial(self._fleet.may_send, runner),
             keeps_running_when_gone=route.kind is RequestKind.NON_IDEMPOTENT,
         )
+        work.relay.on_facts = partial(self._on_facts, work, runner)
         self._fleet.on_sent(runner, work.facts.prompt_tokens)
         move = partial(self._move, work, attempt)
         if route.kind is RequestKind.STREAM and route.is_repeatable:
@@ -256,6 +260,20 @@
             work.failed_reply = work.relay.reply()
         return end
 
+    def _on_facts(self, work: _Work, runner: Runner, facts: AnswerFacts) -> None:
+        """Learn from the head of an answer what cannot wait for its end."""
+        if facts.pause is None:
+            return
+        self._fleet.on_pause(runner, facts.pause)
+        self._log.event(
+            "runner_paused",
+            request=work.facts.id,
+            runner=runner.id,
+            asked=facts.pause.text,
+            reading=facts.pause.reading.value,
+            pause_ms=facts.pause.seconds * 1000,
+        )
+
     def _move(self, work: _Work, attempt: RunnerAttempt) -> bool:
         """Take a stream off a runner that loads a version; it goes on at another one."""
         if attempt.is_moving or work.left_s < MIN_MOVE_S:
@@ -311,14 +329,14 @@
         if work.history.may_have_run or error is None:
             kind = final_error(work.history, work.last_end)
             outcome = Outcome.UNKNOWN if work.history.may_have_run else Outcome.NOT_RUN
+            again = self._placer.retry_after(work.service)
             error = Error(
                 kind=kind,
                 detail=f"{work.history.sent} attempts, the last one: "
                 f"{work.last_end.value if work.last_end else 'none'}",
                 outcome=outcome,
-                retry_after_s=(
-                    None if work.history.may_have_run else self._placer.return_after_s(work.service)
-                ),
+                retry_after_s=None if work.history.may_have_run else again.seconds,
+                is_earliest=again.is_earliest,
             )
         self._send_error(work.req, work.facts, error)
         self._done(work, outcome=error.told_outcome.value, error=error.kind)
@@ -341,12 +359,14 @@
         headers = HTTPHeaders({"Content-Type": "application/problem+json"})
         self._protocol.label_answer(headers, facts.id)
         if error.retry_after_s is not None:
-            headers["Retry-After"] = f"{self._spread_s(error.retry_after_s, facts):.3f}"
+            headers["Retry-After"] = f"{self._spread_s(error, error.retry_after_s, facts):.3f}"
         body = json.dumps(to_problem(error, request_id=facts.id)).encode()
         req.answer(error.answer.status, headers, body)
 
-    def _spread_s(self, pause_s: float, facts: RequestFacts) -> float:
+    def _spread_s(self, error: Error, pause_s: float, facts: RequestFacts) -> float:
         """Return a pause that differs between callers, within what a caller honours."""
+        if error.is_earliest:
+            return pause_s * self._rng.uniform(1.0, LATEST_RETURN)
         spread = pause_s * self._rng.uniform(0.8, 1.2)
         longest = (facts.timeout_s or spread) * RETRY_AFTER_SHARE
         return min(spread, longest)
--- a/packages/wasabilb-entry/src/wasabilb_entry/held_places.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/held_places.py
@@ -31,10 +31,16 @@
     views : callable
         Returns the runners that can be used now; they are the same for all held requests, as none
         of those was sent anywhere yet.
+    named_s : callable
+        Returns the seconds until the first runner ends the time for which it wants no request,
+        None while others may be tried.
     """
 
-    def __init__(self, *, views: Callable[[], list[RunnerView]]) -> None:
+    def __init__(
+        self, *, views: Callable[[], list[RunnerView]], named_s: Callable[[], float | None]
+    ) -> None:
         self._views = views
+        self._named_s = named_s
         self._requests = HeldRequests()
         self._waiters: dict[int, _Waiter] = {}
         self._next = 0
@@ -94,6 +100,11 @@
     def _look(self) -> None:
         for held in self._requests.expired(now()):
             self._wake(held, is_sent=False)
+        named_s = self._named_s()
+        if named_s is not None:
+            for held in self._requests.hopeless(now() + named_s):
+                self._wake(held, is_sent=False)
+            return
         views = self._views()
         for held in self._requests.sendable(now())[:MOST_LOOKED_AT]:
             if self._waiters[held.key].has_room(views):
--- a/packages/wasabilb-entry/src/wasabilb_entry/placer.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/placer.py
@@ -8,6 +8,7 @@
 from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.overload import (
     HOLD_S,
+    MIN_RETURN_S,
     SPARE_PLACES,
     Decision,
     HeldLimit,
@@ -63,6 +64,22 @@
     tried: frozenset[str]
 
 
+@frozen(kw_only=True)
+class RetryAfter:
+    """When a caller who was refused should come back.
+
+    Parameters
+    ----------
+    seconds : float
+        Time from now.
+    is_earliest : bool
+        Whether nobody can be served before.
+    """
+
+    seconds: float
+    is_earliest: bool = False
+
+
 @define(kw_only=True, eq=False)
 class Placer:
     """Finds a runner for each request.
@@ -95,14 +112,26 @@
         placed = self.fleet.placement(demand.service, chosen) if chosen is not None else None
         if placed is not None:
             return placed
-        detail = f"{len(views)} usable runners, {len(demand.tried)} tried"
-        return Error(kind=ErrorKind.NO_BACKEND, detail=detail, retry_after_s=NO_RUNNER_RETURN_S)
+        again = self._after_named(demand.service) or RetryAfter(seconds=NO_RUNNER_RETURN_S)
+        return Error(
+            kind=ErrorKind.NO_BACKEND,
+            detail=f"{len(views)} usable runners, {len(demand.tried)} tried",
+            retry_after_s=again.seconds,
+            is_earliest=again.is_earliest,
+        )
 
-    def return_after_s(self, service: str) -> float:
+    def retry_after(self, service: str) -> RetryAfter:
         """Return when a caller of a service should come back."""
+        again = self._after_named(service)
+        if again is not None:
+            return again
         if self.fleet.engine(service) is None:
-            return NO_RUNNER_RETURN_S
-        return self._return_after_s(service, len(self.fleet.views(service, RouteRequest())))
+            return RetryAfter(seconds=NO_RUNNER_RETURN_S)
+        runners = len(self.fleet.views(service, RouteRequest()))
+        if not runners:
+            return RetryAfter(seconds=NO_RUNNER_RETURN_S)
+        limit = self._limit(service, runners)
+        return RetryAfter(seconds=limit.return_after_s(len(self._places(service))))
 
     def _decide(
         self,
@@ -156,23 +185,28 @@
         lately = self._places(service).rate
         return self.fleet.held_limit(service, runners=runners, lately=lately)
 
-    def _return_after_s(self, service: str, runners: int) -> float:
-        if not runners:
-            return NO_RUNNER_RETURN_S
-        return self._limit(service, runners).return_after_s(len(self._places(service)))
+    def _after_named(self, service: str) -> RetryAfter | None:
+        """Return when the first runner may be tried, None unless all have named a time."""
+        named_s = self.fleet.named_s(service)
+        if named_s is None:
+            return None
+        return RetryAfter(seconds=max(named_s, MIN_RETURN_S), is_earliest=True)
 
     def _overloaded(self, service: str, runners: int, reason: str) -> Error:
+        again = self.retry_after(service)
         return Error(
             kind=ErrorKind.OVERLOADED,
             detail=f"{reason}: {runners} runners, {len(self._places(service))} held",
-            retry_after_s=self._return_after_s(service, runners),
+            retry_after_s=again.seconds,
+            is_earliest=again.is_earliest,
         )
 
     def _places(self, service: str) -> HeldPlaces:
         places = self._held.get(service)
         if places is None:
             places = self._held[service] = HeldPlaces(
-                views=lambda: self.fleet.views(service, RouteRequest())
+                views=lambda: self.fleet.views(service, RouteRequest()),
+                named_s=lambda: self.fleet.named_s(service),
             )
         return places
 
--- a/packages/wasabilb-entry/src/wasabilb_entry/relay.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/relay.py
@@ -1,7 +1,7 @@
 """Passes runners' answers on to one caller, whole or event by event."""
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 
 from attrs import define, field
 from tornado.httputil import HTTPHeaders
@@ -48,12 +48,15 @@
         Reads the heads of answers.
     is_stream : bool
         Whether successes are event streams.
+    on_facts : callable or None
+        Called with what the head of an attempt's answer says, before its body is read.
     """
 
     req: ReceivedRequest
     request_id: str
     protocol: CallerProtocol
     is_stream: bool
+    on_facts: Callable[[AnswerFacts], None] | None = None
     progress_at: float = field(factory=now)
     events: EventBuffer = field(factory=EventBuffer)
     head: Head | None = None
@@ -94,6 +97,8 @@
         if not is_own and (facts.request_id or not self._is_fresh):
             return False
         self.head, self.facts = head, facts
+        if self.on_facts is not None:
+            self.on_facts(facts)
         is_plain_body = "Content-Encoding" not in head.headers
         self._is_streaming = (
             self.is_stream and head.status == OK and self.facts.is_sealed and is_plain_body
--- a/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from typing import Any
 
 from attrs import define, field, frozen
@@ -60,6 +61,8 @@
         Where the answer goes.
     limits : AttemptLimits
         How long it may take.
+    may_send : callable
+        Returns whether the request may be sent, when a connection is there.
     """
 
     pool: ConnectionPool
@@ -68,6 +71,7 @@
     headers: HTTPHeaders
     relay: Relay
     limits: AttemptLimits
+    may_send: Callable[[], bool] = lambda: True
     keeps_running_when_gone: bool = False
     # Why the answer was refused, for the log.
     refused: str = ""
@@ -100,6 +104,9 @@
         if now() >= self.limits.deadline:
             self.pool.release(conn)
             return AttemptEnd.NOT_SENT
+        if not self.may_send():
+            self.pool.release(conn)
+            return AttemptEnd.WITHHELD
         self.relay.begin(is_fresh=conn.requests == 0)
         if self.req.body or self.req.method in BODY_METHODS:
             self.headers["Content-Length"] = str(len(self.req.body))
