Requests return in growing numbers after a runner's named time

Cause: callers who were refused while all runners wanted nothing were asked to come back within 0.48 to 0.72 s, whatever the runners had said, and all requests returned to a runner at the same moment; a runner that is full then refuses again.

Requests to a model are held meanwhile. Callers come back up to 1 s after the earliest time. The model of full runners gets runners that name times; its capacity for requests of a process counts their end there.

--- a/features/named_pauses.feature
+++ b/features/named_pauses.feature
@@ -124,3 +124,43 @@
     Given a full runner for which a request is held
     When the runner names 0.4 s and has room after it
     Then the held request is sent after the runner's time
+
+  Scenario Outline: Requests return in growing numbers
+    # Guards against a crowd at a runner whose time has ended, which makes it refuse again.
+    Given a runner that refuses for want of room after interval <full>
+    When 100 requests want to go to a runner each 0.11 s after its time has ended
+    Then <numbers> go in the intervals
+
+    Examples:
+      | full | numbers             |
+      | 9    | 2, 2, 4, 8, 16, 100 |
+      | 2    | 2, 2, 4, 0, 2, 2    |
+
+  Scenario: A request that comes while few return is held
+    # Guards against a refusal of callers who can be served a moment later.
+    Given a runner whose time has ended and which got its first requests
+    When another request comes
+    Then it is held and sent within 0.3 s
+
+  Scenario Outline: Callers while runners want no request
+    # Load: 10 runners behind 7 entry processes, some of which want no request from 4 to 5.5 s;
+    # callers come back once after a refusal, and what is counted is those who come from 4 to 9 s.
+    # Guards against attempts that are spent on runners that refuse, and callers who are asked to
+    # come back too early.
+    When <paused> of 10 runners want no request for 1.5 s at <rate> times the load
+    Then no request reaches a runner within its time, where some did before
+    And callers get at least as much as before, and no more of them are lost
+
+    Examples:
+      | paused | rate |
+      | 3      | 0.8  |
+      | 10     | 0.8  |
+      | 4      | 1.0  |
+
+  Scenario: Runners that name a time when they are full
+    # Load: as above at 1.3 times what the runners can do; a runner with 6 waiting requests names 1 s.
+    # Guards against requests that all return at once, so that the runner is full again.
+    When full runners name 1 s at 1.3 times the load
+    Then no request reaches a runner within its time, where some did before
+    And callers get at least as much as before, and no more of them are lost
+    And runners are full less often than before, and than when all requests return at once
--- a/features/steps/overload_model.py
+++ b/features/steps/overload_model.py
@@ -204,6 +204,9 @@
             self.jobs.append(job)
         request, views = self.request(job, now), self.views(process, now)
         best = self.routing.choose(request, views, now, self.rng)
+        if best is None:
+            self.no_runner(now, job, process, is_returned)
+            return
         if self.policy == "send all":
             self.send(now, job, process, best.host)
             return
@@ -236,11 +239,16 @@
         elif decision is Decision.REFUSE:
             self.refuse(now, job, limit.return_after_s(len(held)), is_returned)
         else:
-            self.order += 1
-            held.hold(
-                self.order, is_returned=is_returned, now=now, deadline=job.arrived + DEADLINE_S
-            )
-            self.waiting[process][self.order] = job
+            self.hold(now, job, process, is_returned)
+
+    def hold(self, now, job, process, is_returned):
+        self.order += 1
+        deadline = job.arrived + DEADLINE_S
+        self.held[process].hold(self.order, is_returned=is_returned, now=now, deadline=deadline)
+        self.waiting[process][self.order] = job
+
+    def no_runner(self, now, job, process, is_returned):
+        self.refuse(now, job, 1.0, is_returned)
 
     def refuse(self, now, job, after_s, is_returned):
         job.refused, job.back_after = now, after_s
@@ -278,6 +286,9 @@
             for book in self.books:
                 if book is not self.books[process]:
                     self.at(now + NOTICE_S, self.tell, book, runner, need_s)
+        self.take(now, job, process, name)
+
+    def take(self, now, job, process, name):
         self.engines[name].waiting.append(job)
 
     def tell(self, now, book, runner, need_s):
--- /dev/null
+++ b/features/steps/pause_model_steps.py
@@ -0,0 +1,66 @@
+"""Steps that play loads on a model of runners that name times, without a network."""
+
+from unittest.mock import patch
+
+from behave import then, when
+from overload_model import ENGINE
+from overload_steps import worth
+from pause_model import PausingFleet, summary
+from wasabilb_core import runner_pauses
+
+RUNNERS = [f"r-{n}" for n in range(10)]
+SPAN = (4.0, 9.0)
+SEEDS = (1, 2, 3)
+
+
+def play(rate, paused, *, hears=True, first=runner_pauses.RETURN_FIRST):
+    """Play a load of so many times the capacity and add up what the seeds show."""
+    total = {"worth": 0.0}
+    with patch.object(runner_pauses, "RETURN_FIRST", first):
+        for seed in SEEDS:
+            fleet = PausingFleet(
+                paces=[1.0] * len(RUNNERS),
+                seed=seed,
+                pauses=[(RUNNERS[:paused], 4.0, 5.5)],
+                hears=hears,
+            )
+            fleet.play(rate * len(RUNNERS) / ENGINE.turn_s, 10, 18)
+            for name, value in summary(fleet, *SPAN).items():
+                total[name] = total.get(name, 0) + value
+            total["worth"] += worth([j for j in fleet.jobs if SPAN[0] <= j.arrived < SPAN[1]])
+    return total
+
+
+@when("{paused:d} of 10 runners want no request for 1.5 s at {rate:g} times the load")
+def play_paused(context, paused, rate):
+    context.before = play(rate, paused, hears=False)
+    context.after = play(rate, paused)
+    print(f"\n{paused} paused, load {rate}: before {context.before}, after {context.after}")
+
+
+@when("full runners name 1 s at {rate:g} times the load")
+def play_full(context, rate):
+    context.before = play(rate, 0, hears=False)
+    context.after = play(rate, 0)
+    context.at_once = play(rate, 0, first=float("inf"))
+    print(f"\nfull, load {rate}: before {context.before}, after {context.after}")
+    print(f"full, load {rate}, all return at once: {context.at_once}")
+
+
+@then("no request reaches a runner within its time, where some did before")
+def none_within(context):
+    assert context.before["reached"] > 0, context.before
+    assert context.after["reached"] == 0, context.after
+
+
+@then("callers get at least as much as before, and no more of them are lost")
+def callers_get(context):
+    assert context.after["worth"] >= context.before["worth"], (context.before, context.after)
+    assert context.after["lost"] <= context.before["lost"], (context.before, context.after)
+
+
+@then("runners are full less often than before, and than when all requests return at once")
+def less_often_full(context):
+    assert context.after["full"] < context.before["full"], (context.before, context.after)
+    assert context.after["full"] < context.at_once["full"], (context.at_once, context.after)
+    assert context.after["worth"] >= context.at_once["worth"], (context.at_once, context.after)
--- /dev/null
+++ b/features/steps/pause_placing_steps.py
@@ -0,0 +1,166 @@
+"""Steps about requests that are placed while runners have named times, without a network."""
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+from attrs import evolve
+from behave import given, then, when
+from forwarding_stage import StoredValues
+from overload_model import DEADLINE_S, ENGINE
+from pause_process import RUNNER
+from wasabilb_core.catalog import Catalog, Service
+from wasabilb_core.published import PublishedState
+from wasabilb_core.runner_book import LoadReport
+from wasabilb_entry.fleet_view import FleetLimits, FleetView
+from wasabilb_entry.placer import Demand, Placer
+from wasabilb_node import clock
+from wasabilb_node.followed_state import FollowedState
+from wasabilb_node.logs import EventLog
+from wasabilb_wire.messages import RunnerReport
+
+
+def fleet_of(*runners):
+    """Return what an entry process knows of some model runners."""
+    log = EventLog(process="t", role="entry", host="t", failure_domain="a", incarnation="1")
+    published = FollowedState(items=PublishedState(), decoder=StoredValues({}), log=log)
+    published.catalog = Catalog(
+        version=1, routes=(), services={"s": Service(name="s", engine=ENGINE)}
+    )
+    for runner in runners:
+        published.directory.on_listed(runner)
+    return FleetView(
+        published=published,
+        failure_domain="a",
+        regions={"a": "r"},
+        pool=None,
+        limits=FleetLimits(retry_ratio=0.2, retry_slack=1, retry_window_s=10, version_s=8),
+        rng=random.Random(1),
+        processes=lambda: 1,
+        tell_sent=lambda runner_id, tokens: None,
+    )
+
+
+@given("a runner that named {seconds:g} s")
+def named_hour(context, seconds):
+    context.seconds = seconds
+
+
+@when("{word} comes after {age:g} s")
+def word_comes(context, word, age):
+    fleet = fleet_of(RUNNER)
+    # As if it had been named so long ago.
+    fleet.book.pauses.on_named(RUNNER, context.seconds, clock.now() - age, spread=0.0)
+    runner = RUNNER
+    reports = {
+        "running requests": {"running": 3},
+        "no running request": {},
+        "an order": {"running": 3, "is_busy": True},
+    }
+    report = reports.get(word.removeprefix("its agent's report of "))
+    if word == "a later incarnation":
+        runner = evolve(RUNNER, born_ms=2)
+        fleet.directory.on_listed(runner)
+    elif report is not None:
+        said = RunnerReport(runner="r", born_ms=1, version=1, layer_to=1, **report)
+
+        async def tell():
+            # An order sets a timer on the event loop.
+            fleet.on_report(said)
+
+        asyncio.run(tell())
+    context.may_try = fleet.book.pauses.may_try(runner, clock.now())
+
+
+@then("the runner {may} be tried")
+def may_be_tried(context, may):
+    assert context.may_try == (may == "may"), context.may_try
+
+
+CALLER = SimpleNamespace(is_gone=False, watch_gone=lambda callback: None)
+
+
+def demand():
+    """Return a short request that comes now."""
+    moment = clock.now()
+    return Demand(
+        service="s",
+        prompt_tokens=100,
+        answer_tokens=50,
+        objective_at=moment + 0.4,
+        deadline=moment + DEADLINE_S,
+        is_returned=False,
+        is_first=True,
+        tried=frozenset(),
+    )
+
+
+@given("a full runner for which a request is held")
+def full_runner(context):
+    context.fleet = fleet_of(RUNNER)
+    report = LoadReport(running=16, waiting=4, at=clock.now(), slots=16)
+    context.fleet.book.on_report(RUNNER, report)
+
+
+@when("the runner names {seconds:g} s{room}")
+def held_meanwhile(context, seconds, room):
+    async def play():
+        waiting = asyncio.ensure_future(Placer(fleet=context.fleet).place(demand(), CALLER))
+        await asyncio.sleep(0.1)
+        assert not waiting.done()
+        context.named_at = clock.now()
+        context.fleet.book.pauses.on_named(RUNNER, seconds, context.named_at, spread=0.0)
+        if room:
+            report = LoadReport(running=0, waiting=0, at=clock.now(), slots=16)
+            context.fleet.book.on_report(RUNNER, report)
+        context.seconds = seconds
+        context.placed = await waiting
+        context.placed_at = clock.now()
+
+    asyncio.run(play())
+
+
+when("the runner names {seconds:g} s")(
+    lambda context, seconds: held_meanwhile(context, seconds, "")
+)
+
+
+@then(
+    "the held request is refused within {limit:g} s and told to come back after the runner's time"
+)
+def refused_held(context, limit):
+    took_s = context.placed_at - context.named_at
+    assert took_s <= limit, took_s
+    assert context.placed.is_earliest
+    assert took_s + context.placed.retry_after_s >= context.seconds - 0.01, context.placed
+
+
+@then("the held request is sent after the runner's time")
+def sent_held(context):
+    assert context.placed.runner == RUNNER, context.placed
+    assert context.placed_at - context.named_at >= context.seconds
+
+
+@given("a runner whose time has ended and which got its first requests")
+def returned_runner(context):
+    context.fleet = fleet_of(RUNNER)
+    pauses = context.fleet.book.pauses
+    pauses.on_named(RUNNER, 1.0, clock.now() - 1.01, spread=0.0)
+    while pauses.may_try(RUNNER, clock.now()):
+        pauses.on_sent(RUNNER, clock.now())
+
+
+@when("another request comes")
+def another_comes(context):
+    async def play():
+        began = clock.now()
+        context.placed = await Placer(fleet=context.fleet).place(demand(), CALLER)
+        context.took_s = clock.now() - began
+
+    asyncio.run(play())
+
+
+@then("it is held and sent within {limit:g} s")
+def held_and_sent(context, limit):
+    assert context.placed.runner == RUNNER, context.placed
+    assert 0 < context.took_s <= limit, context.took_s
--- /dev/null
+++ b/features/steps/pause_process.py
@@ -0,0 +1,97 @@
+"""One entry process and the runner before it, on a virtual clock, with delays on the way."""
+
+import heapq
+import itertools
+import random
+
+from attrs import evolve
+from wasabilb_core.directory import Runner
+from wasabilb_core.runner_pauses import RELEASE_AFTER_S, RunnerPauses
+
+RUNNER = Runner(
+    id="r",
+    born_ms=1,
+    service="s",
+    address="x:1",
+    failure_domain="a",
+    slots=16,
+    version=1,
+    layer_to=1,
+)
+# Half a second in which a request may still be on its way.
+ON_THE_WAY_S = 0.5
+
+
+class Process:
+    """Keeps to the rules of pauses and records what reaches the runner."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.pauses = RunnerPauses()
+        self.runner = RUNNER
+        self.now, self.events, self.numbers = 0.0, [], itertools.count()
+        self.arrivals, self.named = [], []
+
+    def at(self, delay_s, call, *args):
+        heapq.heappush(self.events, (self.now + delay_s, next(self.numbers), call, args))
+
+    def delay_s(self):
+        return self.rng.uniform(0.0, 0.2)
+
+    def place(self, says):
+        """Send a request when that is allowed, perhaps some time after it was placed."""
+        limited = self.pauses.is_limited(self.runner, self.now)
+        if self.pauses.may_try(self.runner, self.now) or (self.rng.random() < 0.5 and not limited):
+            self.at(self.rng.choice((0.0, 0.6)), self.send, self.runner, says)
+
+    def send(self, runner, says):
+        if not self.pauses.is_named(runner, self.now):
+            self.pauses.on_sent(runner, self.now)
+            self.at(self.delay_s(), self.arrive, runner, says)
+
+    def arrive(self, runner, says):
+        self.arrivals.append((runner.born_ms, self.now))
+        if isinstance(says, float):
+            self.named.append((runner.born_ms, self.now, says))
+        self.at(self.delay_s(), self.hear, runner, says)
+
+    def hear(self, runner, says):
+        if isinstance(says, float):
+            self.pauses.on_named(runner, says, self.now, spread=self.rng.random())
+        if says != "answer":
+            self.pauses.on_full(runner, self.now)
+        else:
+            self.pauses.on_success(runner)
+
+    def act(self, action):
+        if action == "fails":
+            self.pauses.on_failure(self.runner, self.now)
+        elif action == "is gone":
+            self.pauses.forget(self.runner.id, self.now)
+        elif action == "serves":
+            self.pauses.on_serving(self.runner, self.now)
+        elif action == "later incarnation":
+            self.runner = evolve(RUNNER, born_ms=self.runner.born_ms + 1)
+        elif action == "first incarnation":
+            self.runner = RUNNER
+        else:
+            self.place(action)
+
+    def play(self, steps):
+        delay_s = 0.0
+        for step_s, action in steps:
+            delay_s += step_s
+            self.at(delay_s, self.act, action)
+        while self.events:
+            self.now, _, call, args = heapq.heappop(self.events)
+            call(*args)
+
+    def reached(self):
+        """Return the arrivals in the spans in which there should be none."""
+        return [
+            (at - named_at, seconds)
+            for born_ms, named_at, seconds in self.named
+            for other_ms, at in self.arrivals
+            if born_ms == other_ms
+            and named_at + ON_THE_WAY_S < at < named_at + min(seconds, RELEASE_AFTER_S)
+        ]
--- a/packages/wasabilb-core/src/wasabilb_core/runner_pauses.py
+++ b/packages/wasabilb-core/src/wasabilb_core/runner_pauses.py
@@ -164,6 +164,12 @@
         """Return whether the runner must not get a request now, whoever else is left."""
         return self.allowance(runner, now) < 1
 
+    def returning(self, runners: Iterable[Runner], now: float) -> int:
+        """Return how many of some runners get no request now, but the next ones soon."""
+        return sum(
+            self.is_limited(runner, now) and not self.is_named(runner, now) for runner in runners
+        )
+
     def allowance(self, runner: Runner, now: float) -> float:
         """Return the requests that a runner may get at once, infinite for an ordinary one."""
         return self._of(runner).allowance(now)
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -285,6 +285,11 @@
         moment = now()
         return self.book.pauses.named_s(self._able(service, moment), moment)
 
+    def returning(self, service: str) -> int:
+        """Return how many runners of a service get their next requests soon, but none now."""
+        moment = now()
+        return self.book.pauses.returning(self._able(service, moment), moment)
+
     def _able(self, service: str, moment: float) -> list[Runner]:
         """Return the runners that hold what a service needs."""
         engine = self.engine(service)
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -37,8 +37,9 @@
 MIN_MOVE_S = 1.0
 # Callers come back at most after a third of their time, so that longer pauses are of no use.
 RETRY_AFTER_SHARE = 1 / 3
-# Callers who cannot be served before a known time come back between it and so many times as late.
-LATEST_RETURN = 1.4
+# Callers who cannot be served before a known time come back within so long after it, seconds. They
+# are late already, and the requests of others begin in time between them.
+RETURN_SPREAD_S = 1.0
 
 
 @define(kw_only=True, eq=False)
@@ -366,7 +367,8 @@
     def _spread_s(self, error: Error, pause_s: float, facts: RequestFacts) -> float:
         """Return a pause that differs between callers, within what a caller honours."""
         if error.is_earliest:
-            return pause_s * self._rng.uniform(1.0, LATEST_RETURN)
+            longest = (facts.timeout_s or RETURN_SPREAD_S) * RETRY_AFTER_SHARE
+            return pause_s + self._rng.uniform(0.0, min(RETURN_SPREAD_S, longest))
         spread = pause_s * self._rng.uniform(0.8, 1.2)
         longest = (facts.timeout_s or spread) * RETRY_AFTER_SHARE
         return min(spread, longest)
--- a/packages/wasabilb-entry/src/wasabilb_entry/placer.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/placer.py
@@ -8,7 +8,6 @@
 from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.overload import (
     HOLD_S,
-    MIN_RETURN_S,
     SPARE_PLACES,
     Decision,
     HeldLimit,
@@ -144,7 +143,10 @@
         """Return what is done with a new request of a model, given the best runner now."""
         places = self._places(demand.service)
         wait_s = expected_wait_s(best) if best is not None else math.inf
-        ends_s = ends_after_s(best, request) if best is not None else math.inf
+        # A request without a runner is held while one gets its next requests soon.
+        returning = self.fleet.returning(demand.service) if best is None else 0
+        no_end_s = 0.0 if returning else math.inf
+        ends_s = ends_after_s(best, request) if best is not None else no_end_s
         own_s = (best.pace if best is not None else 1.0) * engine.prompt_s(demand.prompt_tokens)
         on_time = partial(
             begins_on_time,
@@ -153,9 +155,10 @@
             left_s=demand.objective_at - now(),
         )
         is_on_time = on_time(wait_s=wait_s)
-        # A prompt that no idle runner reads in time says nothing of the load, and the answer to a
-        # caller who came back is late already.
-        if on_time(wait_s=0.0) and not is_on_time and not demand.is_returned:
+        # A prompt that no idle runner reads in time says nothing of the load, nor does a runner
+        # that gets its next requests soon; the answer to a caller who came back is late already.
+        is_missed = on_time(wait_s=0.0) and not is_on_time and not returning
+        if is_missed and not demand.is_returned:
             places.on_missed()
         return decide(
             is_on_time=is_on_time,
@@ -164,7 +167,7 @@
             wait_s=wait_s,
             is_returned=demand.is_returned,
             held=len(places),
-            limit=self._limit(demand.service, len(views)),
+            limit=self._limit(demand.service, len(views) + returning),
         )
 
     async def _hold(self, demand: Demand, request: RouteRequest, req: ReceivedRequest) -> bool:
@@ -190,7 +193,7 @@
         named_s = self.fleet.named_s(service)
         if named_s is None:
             return None
-        return RetryAfter(seconds=max(named_s, MIN_RETURN_S), is_earliest=True)
+        return RetryAfter(seconds=named_s, is_earliest=True)
 
     def _overloaded(self, service: str, runners: int, reason: str) -> Error:
         again = self.retry_after(service)
