--- /dev/null
+++ b/features/steps/pause_rules_steps.py
@@ -0,0 +1,92 @@
+"""Steps about the rules of named times, without a network."""
+
+from behave import given, then, when
+from hypothesis import given as property_given
+from hypothesis import strategies as st
+from pause_process import RUNNER, Process
+from wasabilb_core.asked_pause import MAX_PAUSE_S, asked_pause
+from wasabilb_core.runner_pauses import MAX_AVOID_S, MAX_SPREAD_S, RunnerPauses
+
+
+@when("a refusal names {text}")
+def refusal_names(context, text):
+    context.pause = asked_pause({"nothing": None, "400 nines": "9" * 400}.get(text, text))
+
+
+@then("the runner is left alone for {seconds:g} s and the log says {reading}")
+def left_alone(context, seconds, reading):
+    pause = context.pause
+    if reading == "nothing":
+        assert pause is None
+        return
+    assert (pause.seconds, pause.reading.value) == (seconds, reading), pause
+    pauses = RunnerPauses()
+    pauses.on_named(RUNNER, pause.seconds, 10.0, spread=0.0)
+    assert pauses.is_named(RUNNER, 10.0 + seconds * 0.999) == (seconds > 0)
+    assert not pauses.is_named(RUNNER, 10.0 + seconds)
+
+
+@when("random requests, refusals, failures, lists and reports meet random delays of up to 0.2 s")
+def random_events(context):
+    says = st.sampled_from(["answer", "full"]) | st.floats(0.1, 9.0) | st.just(MAX_PAUSE_S)
+    others = st.sampled_from(
+        ["fails", "is gone", "serves", "later incarnation", "first incarnation"]
+    )
+    # Requests that are sent at once can be refused with different times.
+    steps_s = st.just(0.0) | st.floats(0.0, 0.5) | st.floats(0.0, 70.0)
+    steps = st.tuples(steps_s, says | says | others)
+    context.reached, context.lost, context.refusals = [], [], 0
+
+    @property_given(st.lists(steps, max_size=60), st.integers(0, 2**32))
+    def check(events, seed):
+        process = Process(seed)
+        process.play(events)
+        context.refusals += len(process.named)
+        found = process.reached()
+        context.reached += found
+        ends = [at + 0.2 + seconds + MAX_SPREAD_S for _, at, seconds in process.named]
+        soon = max([process.now, *ends]) + MAX_AVOID_S
+        if not process.pauses.may_try(process.runner, soon):
+            context.lost.append(soon)
+        assert not found and not context.lost
+
+    check()
+
+
+@then(
+    "no request reached an incarnation from half a second after its refusal to the end of its time"
+)
+def none_reached(context):
+    assert context.refusals > 100, context.refusals
+    assert not context.reached, context.reached
+
+
+@then("each runner could be tried again soon after its time had ended")
+def none_lost(context):
+    assert not context.lost, context.lost
+
+
+@when("{count:d} requests want to go to a runner each {interval:g} s after its time has ended")
+def want_to_go(context, count, interval):
+    pauses = RunnerPauses()
+    pauses.on_named(RUNNER, 1.0, 0.0, spread=0.0)
+    context.sent = []
+    for step in range(6):
+        moment = 1.0 + step * interval
+        sent = 0
+        while sent < count and pauses.may_try(RUNNER, moment):
+            pauses.on_sent(RUNNER, moment)
+            sent += 1
+        context.sent.append(sent)
+        if step == context.full_at:
+            pauses.on_full(RUNNER, moment + 0.02)
+
+
+@given("a runner that refuses for want of room after interval {number:d}")
+def full_after(context, number):
+    context.full_at = number
+
+
+@then("{numbers} go in the intervals")
+def go_in_intervals(context, numbers):
+    assert context.sent == [int(n) for n in numbers.split(", ")], context.sent
--- a/packages/wasabilb-entry/src/wasabilb_entry/held_places.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/held_places.py
@@ -33,16 +33,21 @@
         of those was sent anywhere yet.
     has_runner : callable
         Returns whether a runner may receive requests, now or soon.
+    named_s : callable
+        Returns the seconds until the first runner ends the time for which it wants no request,
+        None while others may be tried.
     """
 
     def __init__(
         self,
         *,
         views: Callable[[], list[RunnerView]],
-        has_runner: Callable[[], bool] = lambda: True,
+        has_runner: Callable[[], bool],
+        named_s: Callable[[], float | None],
     ) -> None:
         self._views = views
         self._has_runner = has_runner
+        self._named_s = named_s
         self._requests = HeldRequests()
         self._waiters: dict[int, _Waiter] = {}
         self._next = 0
@@ -106,6 +111,11 @@
             for key in list(self._waiters):
                 self._wake(key, is_sent=False)
             return
+        named_s = self._named_s()
+        if named_s is not None:
+            for held in self._requests.hopeless(now() + named_s):
+                self._wake(held.key, is_sent=False)
+            return
         views = self._views()
         for held in self._requests.sendable(now())[:MOST_LOOKED_AT]:
             if self._waiters[held.key].has_room(views):
--- a/packages/wasabilb-entry/src/wasabilb_entry/placer.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/placer.py
@@ -66,6 +66,22 @@
     tried: frozenset[str]
 
 
+@frozen(kw_only=True)
+class RetryAfter:
+    """When a caller who was refused should come back.
+
+    Parameters
+    ----------
+    seconds : float
+        Time from now.
+    is_earliest : bool
+        Whether nobody can be served before.
+    """
+
+    seconds: float
+    is_earliest: bool = False
+
+
 @define(kw_only=True, eq=False)
 class Placer:
     """Finds a runner for each request.
@@ -98,18 +114,26 @@
         placed = self.fleet.placement(demand.service, chosen) if chosen is not None else None
         if placed is not None:
             return placed
-        detail = f"{len(views)} usable runners, {len(demand.tried)} tried"
+        again = self._after_named(demand.service) or self._without_runner(demand.service)
         return Error(
             kind=ErrorKind.NO_BACKEND,
-            detail=detail,
-            retry_after_s=self._no_runner_return_s(demand.service),
+            detail=f"{len(views)} usable runners, {len(demand.tried)} tried",
+            retry_after_s=again.seconds,
+            is_earliest=again.is_earliest,
         )
 
-    def return_after_s(self, service: str) -> float:
+    def retry_after(self, service: str) -> RetryAfter:
         """Return when a caller of a service should come back."""
+        again = self._after_named(service)
+        if again is not None:
+            return again
         if self.fleet.engine(service) is None:
-            return self._no_runner_return_s(service)
-        return self._return_after_s(service, len(self.fleet.views(service, RouteRequest())))
+            return self._without_runner(service)
+        runners = len(self.fleet.views(service, RouteRequest()))
+        if not runners:
+            return self._without_runner(service)
+        limit = self._limit(service, runners)
+        return RetryAfter(seconds=limit.return_after_s(len(self._places(service))))
 
     def _decide(
         self,
@@ -122,7 +146,10 @@
         """Return what is done with a new request of a model, given the best runner now."""
         places = self._places(demand.service)
         wait_s = expected_wait_s(best) if best is not None else math.inf
-        ends_s = ends_after_s(best, request) if best is not None else math.inf
+        # A request without a runner is held while one gets its next requests soon.
+        returning = self.fleet.returning(demand.service) if best is None else 0
+        no_end_s = 0.0 if returning else math.inf
+        ends_s = ends_after_s(best, request) if best is not None else no_end_s
         own_s = (best.pace if best is not None else 1.0) * engine.prompt_s(demand.prompt_tokens)
         on_time = partial(
             begins_on_time,
@@ -131,9 +158,10 @@
             left_s=demand.objective_at - now(),
         )
         is_on_time = on_time(wait_s=wait_s)
-        # A prompt that no idle runner reads in time says nothing of the load, and the answer to a
-        # caller who came back is late already.
-        if on_time(wait_s=0.0) and not is_on_time and not demand.is_returned:
+        # A prompt that no idle runner reads in time says nothing of the load, nor does a runner
+        # that gets its next requests soon; the answer to a caller who came back is late already.
+        is_missed = on_time(wait_s=0.0) and not is_on_time and not returning
+        if is_missed and not demand.is_returned:
             places.on_missed()
         return decide(
             is_on_time=is_on_time,
@@ -142,7 +170,7 @@
             wait_s=wait_s,
             is_returned=demand.is_returned,
             held=len(places),
-            limit=self._limit(demand.service, len(views)),
+            limit=self._limit(demand.service, len(views) + returning),
         )
 
     async def _hold(self, demand: Demand, request: RouteRequest, req: ReceivedRequest) -> bool:
@@ -163,20 +191,24 @@
         lately = self._places(service).rate
         return self.fleet.held_limit(service, runners=runners, lately=lately)
 
-    def _return_after_s(self, service: str, runners: int) -> float:
-        if not runners:
-            return self._no_runner_return_s(service)
-        return self._limit(service, runners).return_after_s(len(self._places(service)))
+    def _after_named(self, service: str) -> RetryAfter | None:
+        """Return when the first runner may be tried, None unless all have named a time."""
+        named_s = self.fleet.named_s(service)
+        if named_s is None:
+            return None
+        return RetryAfter(seconds=named_s, is_earliest=True)
 
-    def _no_runner_return_s(self, service: str) -> float:
+    def _without_runner(self, service: str) -> RetryAfter:
         is_leaving = self.fleet.directory.is_leaving(service)
-        return ALL_LEAVING_RETURN_S if is_leaving else NO_RUNNER_RETURN_S
+        return RetryAfter(seconds=ALL_LEAVING_RETURN_S if is_leaving else NO_RUNNER_RETURN_S)
 
     def _overloaded(self, service: str, runners: int, reason: str) -> Error:
+        again = self.retry_after(service)
         return Error(
             kind=ErrorKind.OVERLOADED,
             detail=f"{reason}: {runners} runners, {len(self._places(service))} held",
-            retry_after_s=self._return_after_s(service, runners),
+            retry_after_s=again.seconds,
+            is_earliest=again.is_earliest,
         )
 
     def _places(self, service: str) -> HeldPlaces:
@@ -185,6 +217,7 @@
             places = self._held[service] = HeldPlaces(
                 views=lambda: self.fleet.views(service, RouteRequest()),
                 has_runner=lambda: bool(self.fleet.directory.routable(service)),
+                named_s=lambda: self.fleet.named_s(service),
             )
         return places
 
--- a/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
@@ -63,7 +63,7 @@
     limits : AttemptLimits
         How long it may take.
     may_send : callable
-        Returns whether the runner may still receive requests.
+        Returns whether the request may be sent, when a connection is there.
     on_facts : callable
         Called with what the head of each of its answers says.
     """
@@ -105,10 +105,13 @@
         if self.req.is_gone:
             self.pool.release(conn)
             return AttemptEnd.NOT_SENT
-        # The runner may have begun to leave while the connection was made.
-        if now() >= self.limits.deadline or not self.may_send():
+        if now() >= self.limits.deadline:
             self.pool.release(conn)
             return AttemptEnd.NOT_SENT
+        # The runner may have begun to leave, or named a time, while the connection was made.
+        if not self.may_send():
+            self.pool.release(conn)
+            return AttemptEnd.WITHHELD
         self.relay.begin(is_fresh=conn.requests == 0, on_facts=self.on_facts)
         if self.req.body or self.req.method in BODY_METHODS:
             self.headers["Content-Length"] = str(len(self.req.body))
