--- a/features/steps/scripted_runner.py
+++ b/features/steps/scripted_runner.py
@@ -66,12 +66,15 @@
         self.is_leaving, self.late = False, 0
         # Connections that are open, now and when a step noted them.
         self.serving = self.open_at_end = 0
-        self.server = None
+        # When each request arrived, and each time that was named, at its refusal.
+        self.arrivals, self.named = [], []
+        self.server = self.address = None
         self.writers = []
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        return self.address
 
     async def stop(self):
         self.server.close()
@@ -91,6 +94,7 @@
                     await reader.readexactly(int(length[1]))
                 self.requests.append(head)
                 self.late += self.is_leaving
+                self.arrivals.append(asyncio.get_running_loop().time())
                 play = self.behaviours.pop(0) if len(self.behaviours) > 1 else self.behaviours[0]
                 if not await self.play(play, head, reader, writer):
                     return
@@ -112,9 +116,8 @@
         seal = b"" if play == "answer without a seal" else b"Seal: s\r\n"
         start = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s" % (request_id.encode(), seal + word)
         is_stream = head.startswith("POST /stream/")
-        if play in REFUSALS:
-            writer.write(REFUSALS[play] % (request_id.encode(), word))
-            return True
+        if play.startswith("refuse "):
+            return await self.refuse(play, request_id.encode(), word, writer)
         if play == "wait without an answer":
             await reader.read(1)
             return False
@@ -159,6 +162,22 @@
             await writer.drain()
             self.flooded += len(part)
 
+    async def refuse(self, play, request_id, word, writer):
+        """Refuse a request, with a time for which no other one is wanted if the play names one."""
+        if play in REFUSALS:
+            writer.write(REFUSALS[play] % (request_id, word))
+            return True
+        seconds, is_slow = play.split()[3], "slow body" in play
+        self.named.append((asyncio.get_running_loop().time(), float(seconds)))
+        writer.write(
+            b"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: %s\r\n%sRetry-After: %s\r\n"
+            b"Content-Length: %d\r\n\r\n"
+            % (request_id, word, seconds.encode(), 12 if is_slow else 0)
+        )
+        if is_slow:
+            await self.trickle(b"x" * 12, writer)
+        return True
+
     async def trickle(self, data, writer):
         for n in range(len(data)):
             writer.write(data[n : n + 1])
--- a/packages/wasabilb-core/src/wasabilb_core/forwarding.py
+++ b/packages/wasabilb-core/src/wasabilb_core/forwarding.py
@@ -2,6 +2,7 @@
 
 from attrs import frozen
 
+from wasabilb_core.asked_pause import AskedPause
 from wasabilb_core.runner_book import LoadReport
 
 
@@ -75,6 +76,8 @@
         Load of the runner, when it tells it.
     is_leaving : bool
         Whether the runner says that it leaves.
+    pause : AskedPause or None
+        For how long a runner that refuses the request wants no other one, when it tells it.
     """
 
     request_id: str = ""
@@ -82,3 +85,4 @@
     is_sealed: bool = False
     load: LoadReport | None = None
     is_leaving: bool = False
+    pause: AskedPause | None = None
