A scenario checks the log line of a named time

Cause: nothing checked that each refusal with a time leaves a line. Change: the scenario in which all runners have named a time compares the lines with what the runners named.

--- a/features/named_pauses.feature
+++ b/features/named_pauses.feature
@@ -26,6 +26,7 @@
     Then no request reaches a runner from half a second after its refusal to the end of its time
     And each caller that was refused is told at once that its request did not run
     And none of them is asked to come back before the first named time has ended
+    And the log has one line for each refusal with its time
 
   Scenario: A request gets its connection after the runner named a time
     # Guards against a request that was placed before and is sent long after the refusal.
--- a/features/steps/named_pause_steps.py
+++ b/features/steps/named_pause_steps.py
@@ -103,6 +103,14 @@
         assert at + took_s + after >= first - 0.01, (at, after, first)
 
 
+@then("the log has one line for each refusal with its time")
+def logged(context):
+    lines = [fields for name, fields in context.stage.log.lines if name == "runner_paused"]
+    named = [seconds for s in context.stage.runners for _, seconds in s.named]
+    assert sorted(line["pause_ms"] for line in lines) == sorted(1000 * s for s in named), lines
+    assert all(line["reading"] == "exact" and line["request"] for line in lines), lines
+
+
 @when(
     "a request that waits {seconds:g} s for its connection was placed before the runner refused one"
 )
