--- a/features/steps/pause_model.py
+++ b/features/steps/pause_model.py
@@ -34,7 +34,7 @@
         super().__init__(policy=policy, tells=not is_plain, **options)
         self.hears, self.is_plain = hears, is_plain
         self.quiet_until = dict.fromkeys(self.engines, 0.0)
-        self.sent_by, self.tried, self.full = {}, {}, 0
+        self.tried, self.full = {}, 0
         # Arrivals after half a second within a time, by process, runner and end of the time.
         self.reached, self.told = {}, {}
         for names, start, end in pauses:
@@ -121,7 +121,6 @@
             seconds = self.quiet_until[name] - now
             self.at(now + HOP_S, self.turned_away, job, process, name, seconds)
             return
-        self.sent_by[job] = (process, name)
         engine.waiting.append(job)
 
     def turned_away(self, now, job, process, name, seconds):
@@ -142,13 +141,6 @@
         else:
             self.no_runner(now, job, process, is_back)
 
-    def step(self, now, name):
-        before = list(self.engines[name].running)
-        super().step(now, name)
-        for job in set(before) - set(self.engines[name].running):
-            process, _ = self.sent_by.pop(job)
-            self.books[process].on_ended(self.runners[name])
-
 
 def summary(fleet, start, end):
     """Return what callers that came in a span of time got."""
