--- a/packages/wasabilb-standins/src/wasabilb_standins/soak/_kept_callers.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_kept_callers.py
@@ -81,6 +81,8 @@
             rec.problem = str(exc)
         rec.end = time.monotonic()
         if stream is not None and answer.is_whole and not answer.is_last:
+            # An idle stream notices the far end's close only while it has a callback for it.
+            stream.set_close_callback(lambda: None)
             self._idle[rec.entry].append(stream)
         elif stream is not None:
             stream.close()
--- /dev/null
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_platform_faults.py
@@ -0,0 +1,120 @@
+"""Faults of what the platform provides: configuration service, store, engines and services."""
+
+from typing import TYPE_CHECKING, Any, ClassVar
+
+from wasabilb_standins.soak._faults import CALLS, RUNNER, SERVICE, TICKETS, Fault, fault
+
+if TYPE_CHECKING:
+    from wasabilb_standins.fleet import LocalHost
+    from wasabilb_standins.soak._ground import Ground
+
+
+class StandinFault(Fault):
+    """A setting of a stand-in's faults for a time.
+
+    Parameters
+    ----------
+    part : str
+        `config_service` or `store` of the fleet, `engine` or `service` of a host.
+    on, off : dict
+        Settings while it lasts and after it.
+    """
+
+    part: ClassVar[str] = ""
+    on: ClassVar[dict[str, Any]] = {}
+    off: ClassVar[dict[str, Any]] = {}
+    roles = ()
+    weight = 0.5
+
+    async def begin(self, ground: "Ground", host: "LocalHost | None") -> None:
+        """Set the fault."""
+        getattr(host or ground.fleet, self.part).set_faults(**self.on)
+
+    async def end(self, ground: "Ground", host: "LocalHost | None") -> None:
+        """Clear it."""
+        getattr(host or ground.fleet, self.part).set_faults(**self.off)
+
+
+class ConfigFault(StandinFault):
+    """A fault of the configuration service: tickets are late, answers are not."""
+
+    part = "config_service"
+    excuses = frozenset({TICKETS})
+    # A reader looks again this long after a failed read.
+    after_s = 2.0
+
+
+@fault("config-down")
+class ConfigDown(ConfigFault):
+    """The configuration service answers 503."""
+
+    on, off = {"down": "503"}, {"down": ""}
+
+
+@fault("config-stale")
+class ConfigStale(ConfigFault):
+    """The configuration service shows the state before the last ticket."""
+
+    on, off = {"stale_tickets": 1}, {"stale_tickets": 0}
+
+
+@fault("config-slow")
+class ConfigSlow(ConfigFault):
+    """Each read of the configuration service takes a second longer."""
+
+    on, off = {"delay_s": 1.0}, {"delay_s": 0.0}
+
+
+class StoreFault(StandinFault):
+    """A fault of the store: a rollout takes longer, nothing else."""
+
+    part = "store"
+    excuses = frozenset()
+
+
+@fault("store-down")
+class StoreDown(StoreFault):
+    """The store closes each connection."""
+
+    on, off = {"down": "drop"}, {"down": ""}
+
+
+@fault("store-stalled")
+class StoreStalled(StoreFault):
+    """The store sends nothing, also in answers that have begun."""
+
+    on, off = {"stall": True}, {"stall": False}
+
+
+@fault("store-corrupt")
+class StoreCorrupt(StoreFault):
+    """Each third chunk has a wrong bit."""
+
+    on, off = {"corrupt_every": 3}, {"corrupt_every": 0}
+
+
+@fault("engine-slow")
+class EngineSlow(StandinFault):
+    """An engine takes six times as long."""
+
+    roles = (RUNNER,)
+    part = "engine"
+    excuses = frozenset({CALLS})
+    on, off = {"slow": 6.0}, {"slow": 1.0}
+
+
+@fault("engine-dies")
+class EngineDies(EngineSlow):
+    """An engine closes one answer's connection after some tokens."""
+
+    on, off = {"die_after_tokens": 20, "die_answers": 1}, {"die_after_tokens": None}
+
+
+@fault("service-drops")
+class ServiceDrops(StandinFault):
+    """A service executes and closes the connection without an answer."""
+
+    roles = (SERVICE,)
+    part = "service"
+    excuses = frozenset({CALLS})
+    on, off = {"drop": "after"}, {"drop": ""}
