Scenarios for the checks of the soak; a flood excuses no broken answer

Cause: the checks of the soak had no test; a cut answer beside a flood of its entry host was not reported (scenario 'a cut while its entry host is flooded', red before this commit: any fault of the entry host passed, not only those that excuse calls). Change: the checks take an Evidence without a fleet, so that features/soak.feature shows each of them one broken promise beside a fault, and one case that the fault may cause. An answer that breaks is looked at under promise 6 only when it falls into its entry host's shutdown.

--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,150 @@
+"""Steps about the plans and checks of the soak."""
+
+from attrs import evolve
+from behave import given, then, when
+from wasabilb_standins.call_records import CallRecord
+from wasabilb_standins.promises import EngineRun, Execution, FleetRecord, Shutdown, Sighting
+from wasabilb_standins.soak import _run  # noqa: F401, fills the registry
+from wasabilb_standins.soak._checks import Evidence, findings
+from wasabilb_standins.soak._faults import FAULTS
+from wasabilb_standins.soak._history import Impairment, Running, Stay
+from wasabilb_standins.soak._kept_callers import NOT_CONNECTED
+from wasabilb_standins.soak._plan import draw_plan
+
+HOSTS = {"entry-1": "entry", "entry-2": "entry", "runner-1": "runner", "bookings-1": "service"}
+CALL = CallRecord(
+    kind="short", entry="a1", number=1, prompt="p", start=10.0, end=12.0, version="draft@v1"
+)
+CALL = evolve(CALL, verdict="whole", is_match=True, tokens=8, wanted_tokens=8, status=200)
+CUT = evolve(CALL, verdict="broken", tokens=3, problem="the connection was closed")
+TOLD = evolve(CUT, error_event='{"title": "no runner"}')
+LATE = evolve(CALL, end=27.0)
+REFUSED = evolve(CUT, status=0, version="", is_match=None, problem=f"{NOT_CONNECTED}: refused")
+RUN = Execution(host="bookings-1", key="k", body_digest="b", at=11.0)
+WORK = EngineRun(host="runner-1", prompt="q", received=14.0)
+STOP = Shutdown(host="entry-1", entry="a1", at=9.0, ended=12.5)
+SEEN = Sighting(process="entry-1/1", at=18.0, newest=2)
+PROBE = CallRecord(kind="get", entry="a1", number=1, start=18.0, end=18.1, verdict="whole")
+DENIED = evolve(PROBE, verdict="refused", status=401)
+
+
+def impaired(kind, host):
+    """Return a fault of a kind that lasts from 9 s to 12 s."""
+    fault = FAULTS.create(kind).unwrap()
+    return Impairment(
+        kind=kind,
+        host=host,
+        begin=9.0,
+        end=12.0,
+        excuses=fault.excuses,
+        after_s=fault.after_s,
+    )
+
+
+def changed(*faults, call=CALL, record=None, **changes):
+    """Return a function that changes the evidence."""
+
+    def change(evidence):
+        return evolve(
+            evidence,
+            record=evolve(evidence.record, calls=(call,), **(record or {})),
+            impairments=[impaired(kind, host) for kind, host in faults],
+            **changes,
+        )
+
+    return change
+
+
+LEAVES = {"leaving": [Stay(host="runner-1", begin=9.0, by="signal")]}
+BY_TICKET = {"leaving": [Stay(host="runner-1", begin=9.0, by="ticket")]}
+RETURNED = {"leaving": [Stay(host="runner-1", begin=9.0, end=13.0, by="ticket")]}
+WORKED = {"engine_runs": (WORK,)}
+TWICE = {"executions": (RUN, evolve(RUN, at=11.5))}
+TICKET = {"published": {2: 10.0}, "sightings": (SEEN,), "until": 30.0}
+HELD = {"running": {"entry-1": Running(process="entry-1/1", since=0.0)}}
+GONE, BACK = {"key_changes": [(10.0, False)]}, {"key_changes": [(10.0, True)]}
+SOON = evolve(PROBE, start=16.0, end=16.1)
+CHANGES = {
+    "nothing": changed(),
+    "a cut while nothing is impaired": changed(call=CUT),
+    "a cut while its entry host is paused": changed(("pause", "entry-1"), call=CUT),
+    "a cut while another entry host is paused": changed(("pause", "entry-2"), call=CUT),
+    "a cut while its entry host is flooded": changed(("flood-callers", "entry-1"), call=CUT),
+    "a cut while a runner is killed": changed(("kill", "runner-1"), call=CUT),
+    "an error event while a runner is killed": changed(("kill", "runner-1"), call=TOLD),
+    "an error event while nothing is impaired": changed(call=TOLD),
+    "an error event while the store is down": changed(("store-down", ""), call=TOLD),
+    "an answer 17 s after the start while a runner is killed": changed(
+        ("kill", "runner-1"), call=LATE
+    ),
+    "a second execution while all hosts are paused": changed(
+        *(("pause", host) for host in HOSTS), record=TWICE
+    ),
+    "late work on a leaving runner that is paused": changed(
+        ("pause", "runner-1"), record=WORKED, **LEAVES
+    ),
+    "late work on a runner that leaves by ticket": changed(record=WORKED, **BY_TICKET),
+    "late work on a runner that has returned": changed(record=WORKED, **RETURNED),
+    "a cut while its entry host shuts down": changed(
+        ("terminate", "entry-1"), call=CUT, shutdowns=[STOP]
+    ),
+    "a refused connection while its entry host shuts down": changed(
+        ("terminate", "entry-1"), call=REFUSED, shutdowns=[STOP]
+    ),
+    "a cut while a runner shuts down": changed(
+        ("terminate", "runner-1"),
+        call=CUT,
+        shutdowns=[Shutdown(host="runner-1", at=9.0, ended=10.5)],
+    ),
+    "a shutdown that cuts a request off": changed(shutdowns=[evolve(STOP, cut_off=1)]),
+    "a shutdown that is killed on its way": changed(
+        ("kill", "entry-1"), shutdowns=[evolve(STOP, cut_off=1)]
+    ),
+    "a ticket 8 s after its publication": changed(record=TICKET, **HELD),
+    "a ticket 8 s after its publication, of a host paused 2 s": changed(
+        ("pause", "entry-1"), record=TICKET, **HELD
+    ),
+    "a withdrawn key that works after 8 s": changed(probes=[PROBE], **GONE),
+    "a withdrawn key that works on a restarted host": changed(
+        ("kill", "entry-1"), probes=[PROBE], **GONE
+    ),
+    "a withdrawn key that works after 6 s": changed(probes=[SOON], **GONE),
+    "a returned key that is refused after 8 s": changed(probes=[DENIED], **BACK),
+}
+
+
+@then("seed {seed:d} gives the same plan twice, and seed {other:d} another one")
+def step_same_plan(context, seed, other):
+    def plan(number):
+        return draw_plan(seed=number, seconds=30.0, hosts=HOSTS)
+
+    assert plan(seed) and plan(seed) == plan(seed) != plan(other)
+
+
+@then("the plans of seeds {first:d} to {last:d} hold every kind of fault")
+def step_all_kinds(context, first, last):
+    plans = [draw_plan(seed=n, seconds=18.0, hosts=HOSTS) for n in range(first, last + 1)]
+    assert {step.kind for plan in plans for step in plan} == set(FAULTS.names())
+
+
+@given("a run without faults in which one call was answered")
+def step_clean(context):
+    context.evidence = Evidence(
+        record=FleetRecord(calls=(CALL,)),
+        entries={"entry-1": "a1", "entry-2": "a2"},
+        backends=("runner-1", "bookings-1"),
+    )
+    assert findings(context.evidence) == []
+
+
+@when("{what} happens")
+def step_change(context, what):
+    context.evidence = CHANGES[what](context.evidence)
+
+
+@then("the soak reports {promises}")
+def step_reports(context, promises):
+    found = findings(context.evidence)
+    wanted = {int(number) for number in promises.split(" and ") if number.isdigit()}
+    assert wanted or promises == "nothing", promises
+    assert {violation.promise for violation in found} == wanted, found
--- a/packages/wasabilb-standins/src/wasabilb_standins/soak/_checks.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_checks.py
@@ -17,13 +17,15 @@
     TICKET_BOUND_S,
     FleetRecord,
     Leaving,
+    Shutdown,
     Violation,
     violations,
 )
 from wasabilb_standins.soak._faults import CALLS, TICKETS
-from wasabilb_standins.soak._ground import DEADLINE_MS, Ground, Impairment
+from wasabilb_standins.soak._history import Impairment, Running, Stay
 from wasabilb_standins.soak._kept_callers import NOT_CONNECTED
 
+DEADLINE_S = 15.0
 # An answer at the deadline still has to be sent and read on a busy machine.
 ANSWER_SLACK_S = 1.0
 UNAUTHORIZED = 401
@@ -39,18 +41,38 @@
     ----------
     record : FleetRecord
         Everything that was seen.
+    entries : dict of str to str
+        Callers' addresses of the entry hosts by name.
+    backends : tuple of str
+        Names of the backend servers.
+    running : dict of str to Running
+        The process that each host has at the end.
+    impairments, leaving
+        Faults, and times in which backend servers were leaving.
+    shutdowns : list of Shutdown
+        Graceful shutdowns.
+    key_changes : list of tuple
+        Time of publication, and whether the probed key is good from then on.
+    probes : list of CallRecord
+        Calls with the probed key.
     checked : Counter
         Cases by promise, filled by the checks.
     """
 
-    ground: Ground
     record: FleetRecord
+    entries: dict[str, str]
+    backends: tuple[str, ...] = ()
+    running: dict[str, Running] = field(factory=dict)
+    impairments: list[Impairment] = field(factory=list)
+    leaving: list[Stay] = field(factory=list)
+    shutdowns: list[Shutdown] = field(factory=list)
+    key_changes: list[tuple[float, bool]] = field(factory=list)
+    probes: list[CallRecord] = field(factory=list)
     checked: Counter[int] = field(factory=Counter)
 
     def entry_of(self, rec: CallRecord) -> str:
         """Return the name of the entry host that a call went to."""
-        hosts = self.ground.fleet.entry_hosts
-        return next(host.name for host in hosts if host.callers == rec.entry)
+        return next(name for name, address in self.entries.items() if address == rec.entry)
 
     def touching(
         self, begin: float, end: float, *, hosts: Iterable[str], excuses: str = ""
@@ -59,15 +81,23 @@
         names = set(hosts)
         return [
             fault
-            for fault in self.ground.impairments
+            for fault in self.impairments
             if fault.host in names
             and fault.touches(begin, end)
             and (not excuses or excuses in fault.excuses)
         ]
 
-    def backends(self) -> list[str]:
-        """Return the hosts whose faults may end an answer with an error, and the platform."""
-        return ["", *(h.name for h in self.ground.fleet.hosts.values() if h.role != "entry")]
+    def is_shut_down(self, rec: CallRecord, entry: str) -> bool:
+        """Return whether a call broke in its entry host's shutdown, or found it gone after one."""
+        if rec.problem.startswith(NOT_CONNECTED):
+            # The fault lasts until the next process is ready.
+            faults = self.touching(rec.start, rec.end, hosts=[entry])
+            return any(fault.kind == "terminate" for fault in faults)
+        # What breaks in a shutdown is looked at under promise 6.
+        return any(
+            shutdown.host == entry and rec.start <= shutdown.ended and rec.end >= shutdown.at
+            for shutdown in self.shutdowns
+        )
 
     def bound_from(
         self, at: float, host: str, bound_s: float, *, but: frozenset[str] = frozenset()
@@ -76,7 +106,7 @@
 
         Faults of the kinds in `but` do not count.
         """
-        faults = [f for f in self.ground.impairments if TICKETS in f.excuses and f.kind not in but]
+        faults = [f for f in self.impairments if TICKETS in f.excuses and f.kind not in but]
         for fault in sorted(faults, key=lambda fault: fault.begin):
             if fault.host in ("", host) and fault.touches(at, at + bound_s):
                 at = max(at, fault.end + fault.after_s)
@@ -119,15 +149,16 @@
         entry, name = evidence.entry_of(rec), f"{rec.kind} {rec.number} through {rec.entry}"
         if evidence.touching(rec.start, rec.end, hosts=[entry], excuses=CALLS):
             continue
-        if rec.end - rec.start > DEADLINE_MS / 1000 + ANSWER_SLACK_S:
+        if rec.end - rec.start > DEADLINE_S + ANSWER_SLACK_S:
             detail = f"{name} had its final answer {rec.end - rec.start:.1f} s after its start"
             yield Violation(promise=2, detail=detail)
-        # A shutdown of the entry host is looked at under promise 6.
-        if rec.verdict != "broken" or evidence.touching(rec.start, rec.end, hosts=[entry]):
+        if rec.verdict != "broken" or evidence.is_shut_down(rec, entry):
             continue
         if not rec.error_event:
             yield Violation(promise=2, detail=f"{name} was cut off: {rec.problem}")
-        elif not evidence.touching(rec.start, rec.end, hosts=evidence.backends(), excuses=CALLS):
+        elif not evidence.touching(
+            rec.start, rec.end, hosts=["", *evidence.backends], excuses=CALLS
+        ):
             detail = f"{name} broke off without a fault: {rec.error_event[:200]}"
             yield Violation(promise=2, detail=detail)
 
@@ -135,7 +166,7 @@
 @check
 def late_work(evidence: Evidence) -> Iterator[Violation]:
     """Check that a leaving backend server gets no work after the bound."""
-    for stay in evidence.ground.leaving:
+    for stay in evidence.leaving:
         at = stay.begin
         # An agent that got a signal knows by itself that it leaves.
         if stay.by != "signal":
@@ -153,8 +184,8 @@
 @check
 def shutdowns(evidence: Evidence) -> Iterator[Violation]:
     """Check that a graceful shutdown cuts nothing off, as logs and as callers tell."""
-    backends = evidence.backends()
-    for shutdown in evidence.ground.shutdowns:
+    backends = ["", *evidence.backends]
+    for shutdown in evidence.shutdowns:
         evidence.checked[6] += 1
         is_hard = evidence.touching(
             shutdown.at, shutdown.ended, hosts=[shutdown.host], excuses=CALLS
@@ -175,23 +206,22 @@
 @check
 def tickets(evidence: Evidence) -> Iterator[Violation]:
     """Check that every process holds each ticket in time, never goes back, and all agree."""
-    rec, ground = evidence.record, evidence.ground
+    rec = evidence.record
     yield from violations(FleetRecord(sightings=rec.sightings))
-    for host in ground.fleet.hosts.values():
-        events = ground.observer.events(host)
-        if not events or host.process is None or host.process.poll() is not None:
-            continue
-        process = f"{host.name}/{events[-1].incarnation}"
-        started = min(ground.observer.at(e) for e in events if e.process == events[-1].process)
+    for host, running in evidence.running.items():
         evidence.checked[7] += len(rec.published)
         yield from violations(
             FleetRecord(
-                sightings=tuple(attrs.evolve(s, digest="") for s in rec.sightings),
+                sightings=tuple(
+                    attrs.evolve(s, digest="")
+                    for s in rec.sightings
+                    if s.process == running.process
+                ),
                 published={
-                    number: evidence.bound_from(max(at, started), host.name, TICKET_BOUND_S)
+                    number: evidence.bound_from(max(at, running.since), host, TICKET_BOUND_S)
                     for number, at in rec.published.items()
                 },
-                processes=(process,),
+                processes=(running.process,),
                 until=rec.until,
             )
         )
@@ -200,10 +230,9 @@
 @check
 def keys(evidence: Evidence) -> Iterator[Violation]:
     """Check that a withdrawn key is refused in time, also by restarted hosts, and works again."""
-    ground = evidence.ground
-    for turn, (at, is_good) in enumerate(ground.key_changes):
-        end = ([at for at, _ in ground.key_changes[turn + 1 :]] or [float("inf")])[0]
-        for rec in ground.prober.records:
+    for turn, (at, is_good) in enumerate(evidence.key_changes):
+        end = ([at for at, _ in evidence.key_changes[turn + 1 :]] or [float("inf")])[0]
+        for rec in evidence.probes:
             entry = evidence.entry_of(rec)
             but = frozenset() if is_good else RESTARTS
             limit = evidence.bound_from(at, entry, TICKET_BOUND_S, but=but) + TICKET_BOUND_S
--- a/packages/wasabilb-standins/src/wasabilb_standins/soak/_ground.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_ground.py
@@ -4,16 +4,15 @@
 import time
 from pathlib import Path
 
-from attrs import define
-
 from wasabilb_standins.call_records import CallRecord
 from wasabilb_standins.fleet import FleetShape, LocalFleet, LocalHost
 from wasabilb_standins.observer import Observer
 from wasabilb_standins.promises import Shutdown
+from wasabilb_standins.soak._checks import DEADLINE_S, Evidence
+from wasabilb_standins.soak._history import Impairment, Running, Stay
 from wasabilb_standins.soak._kept_callers import KeptCallers
 
 MODEL = "draft"
-DEADLINE_MS = 15_000
 RATE_PER_S = 12.0
 MIX = {"short": 4.0, "long": 1.0, "chat": 1.0, "booking": 2.0, "issued": 2.0, "get": 1.0}
 REPEAT_SHARE = 0.2
@@ -22,42 +21,6 @@
 PROBE_S = 0.5
 
 
-@define(kw_only=True, eq=False)
-class Impairment:
-    """One injected fault.
-
-    Parameters
-    ----------
-    host : str
-        Host that it concerned; empty for the whole platform.
-    begin, end : float
-        Monotonic seconds; `end` is infinite while it lasts.
-    excuses, after_s
-        See `Fault`.
-    """
-
-    kind: str
-    host: str
-    begin: float
-    end: float = float("inf")
-    excuses: frozenset[str] = frozenset()
-    after_s: float = 0.0
-
-    def touches(self, begin: float, end: float) -> bool:
-        """Return whether it or its consequences fall into a time."""
-        return self.begin <= end and self.end + self.after_s >= begin
-
-
-@define(kw_only=True, eq=False)
-class Stay:
-    """A time in which a backend server was leaving."""
-
-    host: str
-    begin: float
-    by: str
-    end: float = float("inf")
-
-
 def new_shape(entries: int, runners: int) -> FleetShape:
     """Return a fleet in three failure domains with a relay before each host."""
     services = {"bookings": 2, "portal": 1}
@@ -112,7 +75,7 @@
             rate_per_s=RATE_PER_S,
             mix=MIX,
             model=MODEL,
-            deadline_ms=DEADLINE_MS,
+            deadline_ms=int(DEADLINE_S * 1000),
             booking_repeats=2,
             repeat_share=REPEAT_SHARE,
             long_tokens=(150, 400),
@@ -194,6 +157,29 @@
                 return
             await asyncio.sleep(LOOK_S)
 
+    def evidence(self) -> Evidence:
+        """Return what was seen and done so far."""
+        running = {}
+        for host in self.fleet.hosts.values():
+            pid = str(host.process.pid) if host.process and host.process.poll() is None else ""
+            events = [event for event in self.observer.events(host) if event.process == pid]
+            if events:
+                running[host.name] = Running(
+                    process=f"{host.name}/{events[-1].incarnation}",
+                    since=self.observer.at(events[0]),
+                )
+        return Evidence(
+            record=self.observer.record(self.callers.records),
+            entries={host.name: host.callers for host in self.fleet.entry_hosts},
+            backends=tuple(h.name for h in self.fleet.hosts.values() if h.role != "entry"),
+            running=running,
+            impairments=self.impairments,
+            leaving=self.leaving,
+            shutdowns=self.shutdowns,
+            key_changes=self.key_changes,
+            probes=self.prober.records,
+        )
+
     def _next(self) -> int:
         self.number += 1
         return self.number
--- a/packages/wasabilb-standins/src/wasabilb_standins/soak/_report.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_report.py
@@ -7,7 +7,7 @@
 
 from wasabilb_standins.call_records import CallRecord
 from wasabilb_standins.promises import Violation
-from wasabilb_standins.soak._ground import Impairment
+from wasabilb_standins.soak._history import Impairment
 from wasabilb_standins.soak._plan import Step
 
 # A call that fails later than this after a fault is not counted as a consequence of it.
--- a/packages/wasabilb-standins/src/wasabilb_standins/soak/_run.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_run.py
@@ -12,9 +12,10 @@
     _platform_faults,
     _process_faults,
 )
-from wasabilb_standins.soak._checks import Evidence, findings
+from wasabilb_standins.soak._checks import findings
 from wasabilb_standins.soak._faults import FAULTS
-from wasabilb_standins.soak._ground import Ground, Impairment
+from wasabilb_standins.soak._ground import Ground
+from wasabilb_standins.soak._history import Impairment
 from wasabilb_standins.soak._plan import Step, draw_plan
 from wasabilb_standins.soak._report import SoakResult, counted, trace, worst_recovery
 
@@ -48,7 +49,7 @@
         await ground.start()
         started = time.monotonic()
         settled_s, unsettled = await _play(ground, plan, seconds)
-        evidence = Evidence(ground=ground, record=ground.observer.record(ground.callers.records))
+        evidence = ground.evidence()
         found = [*unsettled, *findings(evidence)]
     finally:
         await ground.stop()
@@ -65,7 +66,7 @@
         recovery_s=worst_recovery(
             ground.impairments,
             ground.callers.records,
-            {host.name: host.callers for host in ground.fleet.entry_hosts},
+            evidence.entries,
         ),
         violations=tuple(found),
         trace=trace(ground.impairments, ground.callers.records, started),
