--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SOURCES = packages features bench tools platform
 export PYTHONPATH := $(subst $() ,:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/wasabilb-$(p)/src)):$(CURDIR)/tools
 
-.PHONY: setup test demo soak fleet bench matrix fuzz capacity format lint types checks docs clean
+.PHONY: setup test demo soak soak-short fleet bench matrix fuzz capacity format lint types checks docs clean
 .PHONY: check-model check-model-small platform-day
 
 setup: $(VENV)/.ready
@@ -32,9 +32,15 @@
 bench: setup
 	$(BIN)/python -m bench.all --seed=$(SEED)
 
-# Faults on real processes from a seeded plan, with the promises checked; SEEDS=1-50 MINUTES=0.5.
+# Faults on real processes from a seeded plan, with the promises checked: SEEDS=1-50 MINUTES=0.5, or
+# PLANS=FILE for a plan that was kept.
 soak: setup
-	$(BIN)/python -m wasabilb_standins.soak --seeds=$(or $(SEEDS),1) --minutes=$(or $(MINUTES),0.5)
+	$(BIN)/python -m wasabilb_standins.soak --seeds="$(or $(SEEDS),$(if $(PLANS),,1))" \
+		--minutes=$(or $(MINUTES),0.5) --plans="$(PLANS)"
+
+# One seed whose plan holds signals, a rollout, a drain and a withdrawn key; under 60 s.
+soak-short: setup
+	$(BIN)/python -m wasabilb_standins.soak --seeds=140 --minutes=0.2 --folder=out/soak-short
 
 # A fleet to try the pages' commands on, until Ctrl-C.
 fleet: setup
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -5,6 +5,10 @@
     Guards against failures that cannot be played again by their seed.
     Then seed 7 gives the same plan twice, and seed 8 another one
 
+  Scenario: A plan that failed can be kept
+    Guards against a regression case that plays other faults than those that failed.
+    Then the plan of seed 7 is the same after it was written and read
+
   Scenario: Plans of some seeds hold every kind of fault
     Guards against a fault that is registered and never injected.
     Then the plans of seeds 1 to 60 hold every kind of fault
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,5 +1,8 @@
 """Steps about the plans and checks of the soak."""
 
+import tempfile
+from pathlib import Path
+
 from attrs import evolve
 from behave import given, then, when
 from wasabilb_standins.call_records import CallRecord
@@ -9,7 +12,7 @@
 from wasabilb_standins.soak._faults import FAULTS
 from wasabilb_standins.soak._history import Impairment, Running, Stay
 from wasabilb_standins.soak._kept_callers import NOT_CONNECTED
-from wasabilb_standins.soak._plan import draw_plan
+from wasabilb_standins.soak._plan import draw_plan, read_plan
 
 HOSTS = {"entry-1": "entry", "entry-2": "entry", "runner-1": "runner", "bookings-1": "service"}
 CALL = CallRecord(
@@ -118,13 +121,22 @@
     def plan(number):
         return draw_plan(seed=number, seconds=30.0, hosts=HOSTS)
 
-    assert plan(seed) and plan(seed) == plan(seed) != plan(other)
+    assert plan(seed).steps and plan(seed) == plan(seed) != plan(other)
+
+
+@then("the plan of seed {seed:d} is the same after it was written and read")
+def step_read_plan(context, seed):
+    plan = evolve(draw_plan(seed=seed, seconds=30.0, hosts=HOSTS), cause="a cut, not traced")
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "plan.txt"
+        path.write_text(plan.to_text(), encoding="utf-8")
+        assert read_plan(path) == plan
 
 
 @then("the plans of seeds {first:d} to {last:d} hold every kind of fault")
 def step_all_kinds(context, first, last):
     plans = [draw_plan(seed=n, seconds=18.0, hosts=HOSTS) for n in range(first, last + 1)]
-    assert {step.kind for plan in plans for step in plan} == set(FAULTS.names())
+    assert {step.kind for plan in plans for step in plan.steps} == set(FAULTS.names())
 
 
 @given("a run without faults in which one call was answered")
--- a/packages/wasabilb-standins/src/wasabilb_standins/soak/__main__.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/__main__.py
@@ -5,13 +5,15 @@
 import json
 import signal
 import sys
-from collections.abc import Iterator
+from collections.abc import Coroutine, Iterator
 from pathlib import Path
+from typing import Any
 
 import fire
 
+from wasabilb_standins.soak._plan import read_plan
 from wasabilb_standins.soak._report import SoakResult, to_json, to_text
-from wasabilb_standins.soak._run import run
+from wasabilb_standins.soak._run import run_plan, run_seed
 
 EXIT_BROKEN, EXIT_USAGE, EXIT_INTERRUPTED = 1, 2, 130
 MAX_MINUTES = 60.0
@@ -34,27 +36,43 @@
     return folder
 
 
-async def _run_until_signal(seed: int, seconds: float, folder: Path, **size: int) -> SoakResult:
+async def _run_until_signal(running: Coroutine[Any, Any, SoakResult]) -> SoakResult:
     # SIGTERM ends the run as an interrupt does, so that no process is left behind.
-    task = asyncio.ensure_future(run(seed=seed, seconds=seconds, folder=folder, **size))
+    task = asyncio.ensure_future(running)
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     return await task
 
 
-def _runs(seeds: list[int], seconds: float, folder: Path, **size: int) -> Iterator[SoakResult]:
+def _report(result: SoakResult, folder: Path) -> None:
+    (folder / "report.txt").write_text(to_text(result), encoding="utf-8")
+    (folder / "report.json").write_text(json.dumps(to_json(result), indent=1), encoding="utf-8")
+    (folder / "plan.txt").write_text(result.plan.to_text(), encoding="utf-8")
+    print(to_text(result), end="", flush=True)
+
+
+def _runs(
+    seeds: list[int], plans: list[Path], seconds: float, folder: Path, size: dict[str, int]
+) -> Iterator[tuple[str, bool]]:
+    """Run everything in turn; yield the name of each run and whether it kept the promises."""
     for seed in seeds:
         place = _prepared(folder / f"seed-{seed}")
-        result = asyncio.run(_run_until_signal(seed, seconds, place, **size))
-        (place / "report.txt").write_text(to_text(result), encoding="utf-8")
-        (place / "report.json").write_text(json.dumps(to_json(result), indent=1), encoding="utf-8")
-        print(to_text(result), end="", flush=True)
-        yield result
+        running = run_seed(seed=seed, seconds=seconds, folder=place, **size)
+        result = asyncio.run(_run_until_signal(running))
+        _report(result, place)
+        yield str(seed), not result.violations
+    for path in plans:
+        place = _prepared(folder / path.stem)
+        running = run_plan(plan=read_plan(path), folder=place, **size)
+        result = asyncio.run(_run_until_signal(running))
+        _report(result, place)
+        yield path.name, not result.violations
 
 
 def main(
-    seeds: str = "1",
+    seeds: str = "",
     minutes: float = 0.5,
+    plans: str = "",
     folder: str = "out/soak",
     entries: int = 3,
     runners: int = 4,
@@ -67,24 +85,28 @@
         Seeds to run one after the other: `7`, `1,5` or `1-50`.
     minutes : float
         Time of each seed within which faults are injected.
+    plans : str
+        File of a plan, or a directory of them, to run after the seeds.
     folder : str
-        Directory for settings, logs and reports, one folder for each seed.
+        Directory for settings, logs and reports, one folder for each run.
     entries, runners : int
         Numbers of processes; three more serve plain services.
     """
     try:
-        wanted = read_seeds(str(seeds))
+        wanted = read_seeds(str(seeds)) if seeds else []
         seconds = 60.0 * float(minutes)
         if not 0 < seconds <= 60.0 * MAX_MINUTES or min(entries, runners) < 2:
             raise ValueError("out of range")
     except ValueError:
         print("soak: expected --seeds 1-50, --minutes up to 60, 2 entries and runners or more")
         sys.exit(EXIT_USAGE)
+    kept = Path(plans)
+    files = sorted(kept.glob("*.txt")) if kept.is_dir() else [kept]
+    size = {"entries": entries, "runners": runners}
     with contextlib.suppress(asyncio.CancelledError, KeyboardInterrupt):
-        size = {"entries": entries, "runners": runners}
-        results = list(_runs(wanted, seconds, Path(str(folder)), **size))
-        failed = [str(result.seed) for result in results if result.violations]
-        print(f"soak: {len(results)} seeds, failed: {', '.join(failed) or 'none'}")
+        results = list(_runs(wanted, files if plans else [], seconds, Path(str(folder)), size))
+        failed = [name for name, is_kept in results if not is_kept]
+        print(f"soak: {len(results)} runs, failed: {', '.join(failed) or 'none'}")
         sys.exit(EXIT_BROKEN if failed else 0)
     print("soak: interrupted; all processes have ended", file=sys.stderr)
     sys.exit(EXIT_INTERRUPTED)
--- a/packages/wasabilb-standins/src/wasabilb_standins/soak/_plan.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_plan.py
@@ -1,8 +1,12 @@
-"""The plan of one run: which fault begins when, on which host and for how long."""
+"""The plan of one run: which fault begins when, on which host and for how long.
+
+A plan that failed is kept as a text file, so that it can be played after the generator has changed.
+"""
 
 import random
+from pathlib import Path
 
-from attrs import frozen
+from attrs import field, frozen
 
 from wasabilb_standins.soak._faults import FAULTS, Fault
 
@@ -10,6 +14,8 @@
 MEAN_GAP_S = 1.6
 # A fault that ends later than this before the end of the faults is cut short.
 SHORTEST_S = 0.2
+# Host of a step that concerns the whole platform.
+PLATFORM = "platform"
 
 
 @frozen(kw_only=True)
@@ -34,12 +40,56 @@
     lasts_s: float
 
     def to_line(self) -> str:
-        """Return the step as a line of a report."""
-        host = self.host or "platform"
-        return f"{self.at_s:6.2f} s  {self.kind:<16} {host:<12} {self.lasts_s:.2f} s"
+        """Return the step as a line of a plan."""
+        return f"{self.at_s:.2f} {self.kind} {self.host or PLATFORM} {self.lasts_s:.2f}"
+
+
+@frozen(kw_only=True)
+class Plan:
+    """The faults of one run.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the traffic, and of the steps when they were drawn.
+    seconds : float
+        Time within which all faults begin.
+    cause : str
+        Why the plan is kept.
+    """
+
+    seed: int
+    seconds: float
+    steps: tuple[Step, ...]
+    cause: str = field(default="")
+
+    def to_text(self) -> str:
+        """Return the plan as the text of a file."""
+        head = [f"seed {self.seed}", f"seconds {self.seconds:.1f}", f"cause {self.cause}"]
+        return "\n".join([*head, *(step.to_line() for step in self.steps)]) + "\n"
+
+
+def read_plan(path: Path) -> Plan:
+    """Read the file of a plan; a line that is none raises ValueError."""
+    seed, seconds, cause, *lines = path.read_text(encoding="utf-8").splitlines()
+    words = [line.split() for line in lines]
+    return Plan(
+        seed=int(seed.removeprefix("seed ")),
+        seconds=float(seconds.removeprefix("seconds ")),
+        cause=cause.removeprefix("cause").strip(),
+        steps=tuple(
+            Step(
+                at_s=float(at_s),
+                kind=kind,
+                host="" if host == PLATFORM else host,
+                lasts_s=float(lasts_s),
+            )
+            for at_s, kind, host, lasts_s in words
+        ),
+    )
 
 
-def draw_plan(*, seed: int, seconds: float, hosts: dict[str, str]) -> list[Step]:
+def draw_plan(*, seed: int, seconds: float, hosts: dict[str, str]) -> Plan:
     """Return the plan that a seed gives.
 
     Parameters
@@ -63,7 +113,7 @@
             Step(at_s=round(at_s, 2), kind=fault.name, host=host, lasts_s=round(lasts_s, 2))
         )
         at_s += rng.expovariate(1.0 / MEAN_GAP_S)
-    return steps
+    return Plan(seed=seed, seconds=seconds, steps=tuple(steps))
 
 
 def _draw_host(rng: random.Random, fault: Fault, hosts: dict[str, str]) -> str:
--- a/packages/wasabilb-standins/src/wasabilb_standins/soak/_report.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_report.py
@@ -8,7 +8,7 @@
 from wasabilb_standins.call_records import CallRecord
 from wasabilb_standins.promises import Violation
 from wasabilb_standins.soak._history import Impairment
-from wasabilb_standins.soak._plan import Step
+from wasabilb_standins.soak._plan import Plan
 
 # A call that fails later than this after a fault is not counted as a consequence of it.
 RECOVERY_WINDOW_S = 15.0
@@ -20,8 +20,6 @@
 
     Parameters
     ----------
-    seconds : float
-        Time within which faults were injected.
     settled_s : float
         Seconds after the last fault until the newest ticket was carried out everywhere.
     checked : dict of int to int
@@ -32,10 +30,8 @@
         Faults and calls that were not served, in the order of their beginnings.
     """
 
-    seed: int
-    seconds: float
+    plan: Plan
     processes: int
-    plan: tuple[Step, ...]
     faults: dict[str, int]
     requests: dict[str, dict[str, int]]
     connections: dict[str, int]
@@ -105,8 +101,8 @@
 def to_json(result: SoakResult) -> dict[str, Any]:
     """Return a result as a JSON object."""
     return {
-        "seed": result.seed,
-        "seconds": result.seconds,
+        "seed": result.plan.seed,
+        "seconds": result.plan.seconds,
         "processes": result.processes,
         "faults": result.faults,
         "requests": result.requests,
@@ -116,7 +112,7 @@
         "recovery_s": result.recovery_s,
         "violations": [{"promise": v.promise, "detail": v.detail} for v in result.violations],
         "trace": list(result.trace),
-        "plan": [step.to_line() for step in result.plan],
+        "plan": [step.to_line() for step in result.plan.steps],
     }
 
 
@@ -126,7 +122,8 @@
     checked = ", ".join(f"{number}: {count}" for number, count in sorted(result.checked.items()))
     recovery = ", ".join(f"{kind} {s:.1f}" for kind, s in result.recovery_s.items() if s)
     lines = [
-        f"seed {result.seed}: {result.processes} processes, faults for {result.seconds:.0f} s",
+        f"seed {result.plan.seed}: {result.processes} processes,"
+        f" faults for {result.plan.seconds:.0f} s",
         f"  faults: {faults}",
         *(
             f"  {kind}: " + ", ".join(f"{n} {verdict}" for verdict, n in sorted(counts.items()))
--- a/packages/wasabilb-standins/src/wasabilb_standins/soak/_run.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_run.py
@@ -16,7 +16,7 @@
 from wasabilb_standins.soak._faults import FAULTS
 from wasabilb_standins.soak._ground import Ground
 from wasabilb_standins.soak._history import Impairment
-from wasabilb_standins.soak._plan import Step, draw_plan
+from wasabilb_standins.soak._plan import Plan, Step, draw_plan
 from wasabilb_standins.soak._report import SoakResult, counted, trace, worst_recovery
 
 # Traffic after the last fault, in which the bounds on tickets run out.
@@ -25,39 +25,40 @@
 SETTLE_LIMIT_S = 30.0
 
 
-async def run(
-    *, seed: int, seconds: float, folder: Path, entries: int = 3, runners: int = 4
-) -> SoakResult:
-    """Run a seed's plan; all processes and stand-ins are gone when it returns or raises.
+async def run_seed(*, seed: int, seconds: float, folder: Path, **size: int) -> SoakResult:
+    """Draw the plan of a seed and run it, see `run_plan`."""
+    ground = Ground(folder=folder, seed=seed, **size)
+    hosts = {host.name: host.role for host in ground.fleet.hosts.values()}
+    return await _run(ground, draw_plan(seed=seed, seconds=seconds, hosts=hosts))
+
+
+async def run_plan(*, plan: Plan, folder: Path, **size: int) -> SoakResult:
+    """Run a plan; all processes and stand-ins are gone when it returns or raises.
 
     Parameters
     ----------
-    seed : int
-        Seed of the plan and of the traffic.
-    seconds : float
-        Time within which faults are injected.
+    plan : Plan
+        Faults to inject.
     folder : Path
         For settings and logs.
-    entries, runners : int
-        Numbers of processes; three more serve plain services.
+    **size : int
+        Numbers of `entries` and `runners`; three more processes serve plain services.
     """
-    ground = Ground(folder=folder, seed=seed, entries=entries, runners=runners)
-    plan = draw_plan(
-        seed=seed, seconds=seconds, hosts={h.name: h.role for h in ground.fleet.hosts.values()}
-    )
+    return await _run(Ground(folder=folder, seed=plan.seed, **size), plan)
+
+
+async def _run(ground: Ground, plan: Plan) -> SoakResult:
     try:
         await ground.start()
         started = time.monotonic()
-        settled_s, unsettled = await _play(ground, plan, seconds)
+        settled_s, unsettled = await _play(ground, plan)
         evidence = ground.evidence()
         found = [*unsettled, *findings(evidence)]
     finally:
         await ground.stop()
     return SoakResult(
-        seed=seed,
-        seconds=seconds,
         processes=len(ground.fleet.hosts),
-        plan=tuple(plan),
+        plan=plan,
         faults=dict(Counter(fault.kind for fault in ground.impairments)),
         requests=counted(ground.callers.records),
         connections={"opened": ground.callers.connections, "reused": ground.callers.reused},
@@ -73,14 +74,14 @@
     )
 
 
-async def _play(ground: Ground, plan: list[Step], seconds: float) -> tuple[float, list[Violation]]:
+async def _play(ground: Ground, plan: Plan) -> tuple[float, list[Violation]]:
     """Play the plan under traffic; return the seconds until the fleet is in order after it."""
     watching = asyncio.ensure_future(ground.observer.run())
     probing = asyncio.ensure_future(ground.probe_keys())
-    sending = asyncio.ensure_future(ground.callers.run(10 * seconds + 100.0))
+    sending = asyncio.ensure_future(ground.callers.run(10 * plan.seconds + 100.0))
     unsettled = []
     try:
-        await asyncio.gather(*(_inject(ground, step) for step in plan))
+        await asyncio.gather(*(_inject(ground, step) for step in plan.steps))
         ended = time.monotonic()
         try:
             await ground.settle(SETTLE_LIMIT_S)
