A host that leaves by a ticket runs no new call under a key that names it

A key names the only host that may run its call, so that entry hosts send such calls there without regard to its state, and the agent refused new calls only after SIGTERM, not when a ticket lets it leave. Ruled out: late tickets (the agent had accepted the ticket 3 s before) and work accepted earlier. Plain calls and model calls of entry hosts with an older ticket are refused as draining.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -34,6 +34,12 @@
     Then every stream is whole before its deadline
     And no promise is broken
 
+  Scenario: A booking host leaves by a ticket while keys name it
+    Guards against bookings that a leaving host executes because only it may run their keys.
+    When a booking host leaves by a ticket and keys that name it are used after 3 s
+    Then their callers are told that nothing ran, and the one that ran before gets its answer again
+    And no promise is broken
+
   Scenario: Links go silent for good
     Guards against calls that wait for their deadline on a dead connection.
     When 12 long streams run and the links to the busiest agent go silent
--- /dev/null
+++ b/features/steps/leaving_steps.py
@@ -0,0 +1,62 @@
+"""Steps about a backend server that leaves by a ticket, on real processes."""
+
+import asyncio
+import hashlib
+import json
+import time
+
+from behave import then, when
+from wasabilb_standins.call_records import CallRecord
+from wasabilb_standins.promises import LEAVE_BOUND_S
+
+KEYS = 4
+
+
+async def issued_key(stage, host):
+    """Ask entry hosts for keys until one names the host, and return it."""
+    entry = stage.fleet.entry_hosts[0].callers
+    while True:
+        rec = CallRecord(kind="issued", entry=entry, number=0)
+        key = await stage.callers._issued_key(rec)
+        # wl1.SERVICE.HOST.INCARNATION.CREATED.RANDOM
+        if key.split(".")[2] == host.name:
+            return key
+
+
+async def book(stage, key, number):
+    """Send a booking under a key and return what its caller saw."""
+    body = json.dumps({"booking": f"{key} {number}"}).encode()
+    rec = CallRecord(
+        kind="issued", entry=stage.fleet.entry_hosts[0].callers, number=number, key=key
+    )
+    rec.body_digest = hashlib.sha256(body).hexdigest()
+    await stage.callers._plain(rec, method="POST", body=body)
+    return rec
+
+
+@when("a booking host leaves by a ticket and keys that name it are used after 3 s")
+def step_leave(context):
+    async def scene():
+        stage = context.stage
+        host = stage.fleet.service_hosts("bookings")[0]
+        used, *unused = [await issued_key(stage, host) for _ in range(KEYS)]
+        context.first = await book(stage, used, 0)
+        spec = {**host.to_spec(), "state": "leaving"}
+        version = stage.versions[-1]
+        stage.publish(version, hosts=[spec], models=[], services=[], accounts=[])
+        stage.observer.leavings.append(stage.leaving_now(host))
+        limit = time.monotonic() + LEAVE_BOUND_S
+        await stage.until(lambda: time.monotonic() > limit, "the host has left")
+        context.late = await asyncio.gather(
+            *(book(stage, key, number) for number, key in enumerate(unused, 1))
+        )
+        context.again = await book(stage, used, 0)
+
+    context.stage.run(scene())
+
+
+@then("their callers are told that nothing ran, and the one that ran before gets its answer again")
+def step_told(context):
+    assert context.first.outcome == "ran" and context.first.is_match, context.first
+    assert {rec.outcome for rec in context.late} == {"not-run"}, context.late
+    assert context.again.outcome == "ran" and context.again.is_match, context.again
--- a/packages/wasabilb-agent/src/wasabilb_agent/process.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/process.py
@@ -63,6 +63,7 @@
         self._answers: dict[tuple[int, int], OutgoingAnswer] = {}
         self._is_leaving = False
         self._leaving_since = 0.0
+        self._ticket_leaving_since: float | None = None
         self._last_report = Report()
         self._models: ModelCalls | None = None
         self._services: ServiceCalls | None = None
@@ -115,6 +116,16 @@
         """Return the seconds for which a leaving host still takes calls."""
         return self._cfg.timeouts.leave_s * INTAKE_SHARE
 
+    @property
+    def _has_left_by_ticket(self) -> bool:
+        """Return whether a ticket has let the host leave for longer than it takes calls.
+
+        Entry hosts choose other hosts by themselves, but a key names its only host, and one of them
+        may have an older ticket.
+        """
+        since = self._ticket_leaving_since
+        return since is not None and now() - since >= self._intake_s
+
     @property
     def _in_progress(self) -> int:
         models = self._models.in_progress if self._models else 0
@@ -194,11 +205,12 @@
         answer = OutgoingAnswer(peer=peer, call=call, log=self.log)
         is_late = now() - self._leaving_since >= self._intake_s
         is_draining = self._is_leaving and is_late
+        has_left = self._has_left_by_ticket
         self._answers[(id(peer.link), call.id)] = answer
         answer.on_ended = partial(self._answers.pop, (id(peer.link), call.id), None)
         if self._services is not None:
-            self._services.on_call(answer, is_draining=is_draining)
-        elif self._models is not None and not is_draining:
+            self._services.on_call(answer, is_draining=is_draining, has_left=has_left)
+        elif self._models is not None and not is_draining and not has_left:
             self._models.on_call(answer)
         else:
             answer.fail(Error(kind=ErrorKind.DRAINING, detail="the host is leaving"))
@@ -249,6 +261,11 @@
         self._send_report()
 
     def _on_fleet_changed(self, keys: frozenset[str]) -> None:
+        own = self.node.fleet.host(self._cfg.host)
+        if own is None or own.takes_work:
+            self._ticket_leaving_since = None
+        elif self._ticket_leaving_since is None:
+            self._ticket_leaving_since = now()
         if self._reconciler is not None:
             self._reconciler.wake()
         self._send_report()
--- a/packages/wasabilb-agent/src/wasabilb_agent/service_calls.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/service_calls.py
@@ -96,16 +96,27 @@
         """Return the number of keys in the ledger."""
         return len(self._ledger)
 
-    def on_call(self, answer: OutgoingAnswer, *, is_draining: bool) -> None:
-        """Run a call or refuse it at once."""
+    def on_call(self, answer: OutgoingAnswer, *, is_draining: bool, has_left: bool = False) -> None:
+        """Run a call or refuse it at once.
+
+        Parameters
+        ----------
+        answer : OutgoingAnswer
+            The call and the way for its answer.
+        is_draining : bool
+            Whether the process ends soon and takes no call at all.
+        has_left : bool
+            Whether a ticket lets the host take no new work. It still answers for keys that ran.
+        """
         call = answer.call
         spec = self._fleet.service(self._name)
         is_once = spec is not None and spec.is_once(call.method, call.path.partition("?")[0])
-        error = self._refusal(call, is_once=is_once, is_draining=is_draining)
+        is_refused = is_draining or (has_left and not is_once)
+        error = self._refusal(call, is_once=is_once, is_draining=is_refused)
         if error is not None:
             answer.fail(error)
         elif is_once:
-            self._begin(answer)
+            self._begin(answer, has_left=has_left)
         else:
             self._spawn(self._stream(answer))
 
@@ -129,7 +140,7 @@
             return Error(kind=ErrorKind.DEADLINE_PASSED, detail=detail, outcome=outcome)
         return None
 
-    def _begin(self, answer: OutgoingAnswer) -> None:
+    def _begin(self, answer: OutgoingAnswer, *, has_left: bool) -> None:
         call = answer.call
         created = str(call.key_created_ms) if call.key_created_ms else None
         parsed = parse_key(call.key, created)
@@ -145,7 +156,9 @@
             entry_wall=call.wall_ms / 1000,
             sent_after=call.sent_after,
         )
-        begin = self._ledger.begin(request, now(), wall_ms() / 1000)
+        # A key that is refused for good lets the caller be told that nothing ran.
+        resolve = self._ledger.cancel if has_left else self._ledger.begin
+        begin = resolve(request, now(), wall_ms() / 1000)
         if isinstance(begin, Execute):
             self._joined[(mark.account, key.text)] = [answer]
             self._spawn(self._execute(call, key, mark))
