--- a/features/soak.feature
+++ b/features/soak.feature
@@ -13,6 +13,20 @@
     Guards against a fault that is registered and never injected.
     Then the plans of seeds 1 to 60 hold every kind of fault
 
+  Scenario Outline: A status and the log of a process are compared in the right order
+    Guards against a process that starts being reported as going back, because the answer to a status is
+    newer than its question, and against a reversal that goes unseen.
+    Given a process logged ticket 1 at 10.010 s and ticket 2 at 10.020 s
+    When a status that was asked for at <asked> s tells ticket <newest>
+    Then the process <verdict>
+
+    Examples:
+      | asked  | newest | verdict       |
+      | 10.005 | 2      | only advanced |
+      | 10.015 | 1      | only advanced |
+      | 10.030 | 2      | only advanced |
+      | 10.030 | 1      | went back     |
+
   Scenario Outline: A fault excuses only what it may cause
     Guards against a soak that puts a broken promise down to a fault nearby, or reports what a fault
     may cause.
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -2,11 +2,21 @@
 
 import tempfile
 from pathlib import Path
+from types import SimpleNamespace
+from unittest.mock import patch
 
 from attrs import evolve
 from behave import given, then, when
 from wasabilb_standins.call_records import CallRecord
-from wasabilb_standins.promises import EngineRun, Execution, FleetRecord, Shutdown, Sighting
+from wasabilb_standins.observer import Observer
+from wasabilb_standins.promises import (
+    EngineRun,
+    Execution,
+    FleetRecord,
+    Shutdown,
+    Sighting,
+    violations,
+)
 from wasabilb_standins.soak import _run  # noqa: F401, fills the registry
 from wasabilb_standins.soak._checks import Evidence, findings
 from wasabilb_standins.soak._faults import FAULTS
@@ -139,6 +149,37 @@
     assert {step.kind for plan in plans for step in plan.steps} == set(FAULTS.names())
 
 
+@given("a process logged ticket 1 at {first:g} s and ticket 2 at {second:g} s")
+def step_logged(context, first, second):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    host = SimpleNamespace(name="entry-1", service=None, engine=None)
+    fleet = SimpleNamespace(hosts={"entry-1": host}, runners=[], folder=Path(folder.name))
+    with patch(
+        "wasabilb_standins.observer.time", SimpleNamespace(time=lambda: 0.0, monotonic=float)
+    ):
+        context.observer = Observer(fleet=fleet)
+    lines = [
+        f"ts=x mono=0 hlc={round(at * 1000) - 1}.0 level=INFO event=ticket_accepted process=7"
+        f" role=entry hostname=entry-1 failure_domain=d incarnation=5 ticket={number} source=s"
+        for number, at in ((1, first), (2, second))
+    ]
+    (fleet.folder / "entry-1.log").write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+
+@when("a status that was asked for at {asked:g} s tells ticket {newest:d}")
+def step_status(context, asked, newest):
+    seen = Sighting(process="entry-1/5", at=asked, newest=newest, digest="x")
+    context.observer.sightings.append(seen)
+    found = violations(context.observer.record([]))
+    context.verdict = "went back" if found else "only advanced"
+
+
+@then("the process {verdict}")
+def step_verdict(context, verdict):
+    assert context.verdict == verdict, context.verdict
+
+
 @given("a run without faults in which one call was answered")
 def step_clean(context):
     context.evidence = Evidence(
