An entry process without a ticket tells nothing of a repeat and calls no key wrong

Ruled out: the host's ledger; the refusal came from the entry process alone (no send in its log). Change: until the newest ticket is known, an unknown account key is refused with 503 and Retry-After, and each call with an idempotency key is doubtful: its refusal tells 'unknown'. A refusal of a doubtful call keeps its Retry-After.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -40,6 +40,13 @@
     Then their callers are told that nothing ran, and the one that ran before gets its answer again
     And no promise is broken
 
+  Scenario: A booking is repeated through an entry process that knows no ticket yet
+    Guards against a "not run" for a booking that ran, and against a good account key that is called
+    wrong, by a process that has no state to tell from.
+    When a booking ran and is repeated through an entry process that starts and reads no ticket
+    Then the callers are told to come again, and nothing of the outcome of the repeat
+    And no promise is broken
+
   Scenario: Links go silent for good
     Guards against calls that wait for their deadline on a dead connection.
     When 12 long streams run and the links to the busiest agent go silent
--- a/features/steps/leaving_steps.py
+++ b/features/steps/booking_keys_steps.py
@@ -1,8 +1,9 @@
-"""Steps about a backend server that leaves by a ticket, on real processes."""
+"""Steps about bookings under keys that have run or name a leaving host, on real processes."""
 
 import asyncio
 import hashlib
 import json
+import signal
 import time
 
 from behave import then, when
@@ -23,11 +24,11 @@
             return key
 
 
-async def book(stage, key, number):
-    """Send a booking under a key and return what its caller saw."""
+async def book(stage, key, number, entry=0):
+    """Send a booking under a key through an entry host and return what its caller saw."""
     body = json.dumps({"booking": f"{key} {number}"}).encode()
     rec = CallRecord(
-        kind="issued", entry=stage.fleet.entry_hosts[0].callers, number=number, key=key
+        kind="issued", entry=stage.fleet.entry_hosts[entry].callers, number=number, key=key
     )
     rec.body_digest = hashlib.sha256(body).hexdigest()
     await stage.callers._plain(rec, method="POST", body=body)
@@ -60,3 +61,32 @@
     assert context.first.outcome == "ran" and context.first.is_match, context.first
     assert {rec.outcome for rec in context.late} == {"not-run"}, context.late
     assert context.again.outcome == "ran" and context.again.is_match, context.again
+
+
+@when("a booking ran and is repeated through an entry process that starts and reads no ticket")
+def step_repeat_starting(context):
+    async def scene():
+        stage = context.stage
+        key = await issued_key(stage, stage.fleet.service_hosts("bookings")[0])
+        context.first = await book(stage, key, 0, entry=1)
+        starting = stage.fleet.entry_hosts[0]
+        others = [host for host in stage.fleet.hosts.values() if host is not starting]
+        stage.fleet.config_service.set_faults(down="503")
+        for host in others:
+            stage.interrupt(host, signal.SIGSTOP)
+        stage.interrupt(starting, signal.SIGKILL)
+        await stage.fleet.restart(starting)
+        await stage.until(lambda: stage.events(starting, "process_started"), "it has started")
+        context.again = await book(stage, key, 0)
+        context.new = await book(stage, "", 1)
+        for host in others:
+            stage.fleet.signal(host, signal.SIGCONT)
+
+    context.stage.run(scene())
+
+
+@then("the callers are told to come again, and nothing of the outcome of the repeat")
+def step_told_starting(context):
+    assert context.first.outcome == "ran", context.first
+    assert (context.again.status, context.again.outcome) == (503, "unknown"), context.again
+    assert (context.new.status, context.new.outcome) == (503, "not-run"), context.new
--- a/packages/wasabilb-entry/src/wasabilb_entry/entry.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/entry.py
@@ -17,7 +17,7 @@
 
 from wasabilb_entry.attempts import AttemptTable
 from wasabilb_entry.model_requests import ModelRouter
-from wasabilb_entry.requests import CallerRequest, RequestRecord, fail
+from wasabilb_entry.requests import CallerRequest, RequestFailedError, RequestRecord, fail
 from wasabilb_entry.service_requests import ServiceRouter
 
 MAX_WRONG_KEYS_PER_S = 20.0
@@ -69,7 +69,8 @@
         Raises
         ------
         RequestFailedError
-            When the key is missing, wrong, or too many wrong keys came before it.
+            When the key is missing, wrong, or too many wrong keys came before it, and when this
+            process does not know all accounts yet.
         """
         scheme, _, key = authorization.partition(" ")
         if scheme.lower() != "bearer" or not key:
@@ -82,9 +83,19 @@
         known = self.keys.account_of(key, accounts, is_cached_only=left > MAX_WRONG_KEYS_PER_S)
         if known is None:
             self.wrong_keys += 1
+            if not self.node.is_synced:
+                raise self._not_ready(None)
             raise fail(ErrorKind.UNAUTHENTICATED, "the account key is wrong")
         return known
 
+    def _not_ready(self, outcome: Outcome | None) -> RequestFailedError:
+        return fail(
+            ErrorKind.NOT_READY,
+            "the entry host has not learned the newest ticket yet",
+            retry_after_s=NOT_READY_RETRY_S,
+            outcome=outcome,
+        )
+
     def admit(self, req: CallerRequest, *, expected_s: float, is_doubtful: bool) -> None:
         """Admit a request, to be ended by `on_done`.
 
@@ -105,12 +116,7 @@
         if self.is_closed:
             raise fail(ErrorKind.DRAINING, "the entry host is leaving", outcome=outcome)
         if not self.node.is_synced:
-            raise fail(
-                ErrorKind.NOT_READY,
-                "the entry host has not learned the newest ticket yet",
-                retry_after_s=NOT_READY_RETRY_S,
-                outcome=outcome,
-            )
+            raise self._not_ready(outcome)
         moment = now()
         refused = self.limiter.take(req.account.name, 1.0, moment)
         if not isinstance(refused, Failure):
--- a/packages/wasabilb-entry/src/wasabilb_entry/handlers.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/handlers.py
@@ -183,7 +183,8 @@
             key_text=key_text,
             key_created=headers.get("Idempotency-Key-Created"),
         )
-        is_once = self.entry.services.is_once(call)
+        # Which calls run at most once is not known before the newest ticket is.
+        is_once = self.entry.services.is_once(call) or not self.entry.node.is_synced
         is_doubtful = is_once and bool(key_text)
         try:
             req = self.to_request()
@@ -209,7 +210,13 @@
         """Tell nothing of the outcome where an earlier attempt under the key may have run."""
         if not is_doubtful:
             return exc
-        return fail(exc.error.kind, exc.error.detail, outcome=Outcome.UNKNOWN)
+        error = exc.error
+        return fail(
+            error.kind,
+            error.detail,
+            retry_after_s=error.retry_after_s,
+            outcome=Outcome.UNKNOWN,
+        )
 
     async def _send(self, part: Head | bytes) -> None:
         if isinstance(part, Head):
