--- a/packages/wasabilb-standins/src/wasabilb_standins/soak/_ground.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_ground.py
@@ -61,6 +61,8 @@
         self.impairments: list[Impairment] = []
         self.leaving: list[Stay] = []
         self.shutdowns: list[Shutdown] = []
+        # Processes that got SIGTERM, by their ids.
+        self.draining: set[int] = set()
         # Time of publication, and whether the probed account's key is good from then on.
         self.key_changes: list[tuple[float, bool]] = []
         self.asking: set[asyncio.Future[CallRecord]] = set()
