--- a/packages/wasabilb-standins/src/wasabilb_standins/soak/_faults.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_faults.py
@@ -1,12 +1,11 @@
 """The registry of faults, and what a fault may use."""
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, ClassVar
+from typing import TYPE_CHECKING, Any, ClassVar
 
 from wasabilb_core.registry import Registry
 
 if TYPE_CHECKING:
-    from wasabilb_standins.fleet import LocalHost
     from wasabilb_standins.soak._ground import Ground
 
 ENTRY, RUNNER, SERVICE = "entry", "runner", "service"
@@ -38,11 +37,11 @@
     excuses: ClassVar[frozenset[str]] = frozenset({CALLS, TICKETS})
     after_s: ClassVar[float] = 0.0
 
-    async def begin(self, ground: "Ground", host: "LocalHost | None") -> None:
-        """Inject the fault."""
+    async def begin(self, ground: "Ground", host: Any) -> None:
+        """Inject the fault; `host` is a `LocalHost`, None for a fault of the platform."""
         raise NotImplementedError
 
-    async def end(self, ground: "Ground", host: "LocalHost | None") -> None:
+    async def end(self, ground: "Ground", host: Any) -> None:
         """Take the fault back."""
 
 
--- a/packages/wasabilb-standins/src/wasabilb_standins/soak/_platform_faults.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_platform_faults.py
@@ -23,7 +23,7 @@
     part: ClassVar[str] = ""
     on: ClassVar[dict[str, Any]] = {}
     off: ClassVar[dict[str, Any]] = {}
-    roles = ()
+    roles: ClassVar[tuple[str, ...]] = ()
     weight = 0.5
 
     async def begin(self, ground: "Ground", host: "LocalHost | None") -> None:
