A process that got two SIGTERM brings no withdrawn key back, as after any restart

Cause: the list of restarts that do not hold up the bound on withdrawn keys lacked the new fault, so that the check was milder for it. Change: the kind is in the list.

--- a/packages/wasabilb-standins/src/wasabilb_standins/soak/_checks.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_checks.py
@@ -30,7 +30,7 @@
 ANSWER_SLACK_S = 1.0
 UNAUTHORIZED = 401
 # A new process takes no work before it has the newest ticket, so that it brings no key back.
-RESTARTS = frozenset({"kill", "kill-and-restart", "terminate"})
+RESTARTS = frozenset({"kill", "kill-and-restart", "terminate", "terminate-twice"})
 
 
 @define(kw_only=True, eq=False)
