--- /dev/null
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_ground.py
@@ -0,0 +1,190 @@
+"""The fleet under test with its traffic, and what was done to it when."""
+
+import asyncio
+import time
+from pathlib import Path
+from typing import Any
+
+from wasabilb_standins.call_records import CallRecord
+from wasabilb_standins.fleet import FleetShape, LocalFleet, LocalHost
+from wasabilb_standins.observer import Observer
+from wasabilb_standins.promises import Shutdown
+from wasabilb_standins.soak._checks import DEADLINE_S, Evidence
+from wasabilb_standins.soak._history import Impairment, Running, Stay
+from wasabilb_standins.soak._kept_callers import KeptCallers
+
+MODEL = "draft"
+RATE_PER_S = 12.0
+MIX = {"short": 4.0, "long": 1.0, "chat": 1.0, "booking": 2.0, "issued": 2.0, "get": 1.0}
+REPEAT_SHARE = 0.2
+START_LIMIT_S = 30.0
+LOOK_S = 0.2
+PROBE_S = 0.5
+
+
+def new_shape(entries: int, runners: int) -> FleetShape:
+    """Return a fleet in three failure domains with a relay before each host."""
+    services = {"bookings": 2, "portal": 1}
+    names = [f"entry-{n + 1}" for n in range(entries)]
+    names += [f"runner-{n + 1}" for n in range(runners)]
+    names += [f"{name}-{n + 1}" for name, count in services.items() for n in range(count)]
+    return FleetShape(
+        entry_hosts=entries,
+        runners=runners,
+        services=services,
+        engine={"models": f"{MODEL}@v1", "token_s": 0.008, "load_s": 0.1, "report_lag_s": 0.05},
+        service={"work_s": 0.1},
+        store={"size": 1 << 19, "chunk_size": 1 << 14},
+        relayed=tuple(names),
+    )
+
+
+class Ground:
+    """One fleet under test.
+
+    Parameters
+    ----------
+    folder : Path
+        For settings and logs.
+    seed : int
+        Seed of the traffic.
+    entries, runners : int
+        Numbers of processes; three more serve plain services.
+    """
+
+    def __init__(self, *, folder: Path, seed: int, entries: int = 3, runners: int = 4) -> None:
+        self.fleet = LocalFleet(shape=new_shape(entries, runners), folder=folder)
+        self.observer = Observer(fleet=self.fleet)
+        self.callers = self._new_callers("salon-1", seed)
+        # Asks every entry host again and again with a key that tickets withdraw.
+        self.probed_account = "salon-3"
+        self.prober = self._new_callers(self.probed_account, seed)
+        self.impairments: list[Impairment] = []
+        self.leaving: list[Stay] = []
+        self.shutdowns: list[Shutdown] = []
+        # Processes that got SIGTERM, by their ids.
+        self.draining: set[int] = set()
+        # Time of publication, and whether the probed account's key is good from then on.
+        self.key_changes: list[tuple[float, bool]] = []
+        self.asking: set[asyncio.Future[CallRecord]] = set()
+        self.floods: dict[tuple[str, str], list[asyncio.Future[None]]] = {}
+        self.number = 0
+        self.versions = ["v1"]
+
+    def _new_callers(self, account: str, seed: int) -> KeptCallers:
+        return KeptCallers(
+            entries=[host.callers for host in self.fleet.entry_hosts],
+            account_key=self.fleet.account_keys[account],
+            rate_per_s=RATE_PER_S,
+            mix=MIX,
+            model=MODEL,
+            deadline_ms=int(DEADLINE_S * 1000),
+            booking_repeats=2,
+            repeat_share=REPEAT_SHARE,
+            long_tokens=(150, 400),
+            seed=seed,
+        )
+
+    async def start(self) -> None:
+        """Start all processes and wait until they serve."""
+        await self.fleet.start()
+        self.publish(self.fleet.ticket(self._next(), version=self.versions[-1]))
+        await self.settle(START_LIMIT_S)
+        # Owners run callers' own keys only when no earlier owner can have run them.
+        async with asyncio.timeout(START_LIMIT_S):
+            while (await self.callers.call("booking")).outcome != "ran":
+                await asyncio.sleep(LOOK_S)
+
+    async def probe_keys(self) -> None:
+        """Ask each entry host with the probed account's key until cancelled."""
+        while True:
+            for host in self.fleet.entry_hosts:
+                asking = asyncio.ensure_future(self.prober.call("get", entry=host.callers))
+                self.asking.add(asking)
+                asking.add_done_callback(self.asking.discard)
+            await asyncio.sleep(PROBE_S)
+
+    async def stop(self) -> None:
+        """End everything that was started."""
+        for asking in self.asking:
+            asking.cancel()
+        for sending in [task for flood in self.floods.values() for task in flood]:
+            sending.cancel()
+        self.callers.close()
+        self.prober.close()
+        await self.fleet.stop()
+
+    async def settle(self, limit_s: float) -> None:
+        """Wait until the newest ticket is carried out everywhere, at most `limit_s` in all."""
+        async with asyncio.timeout(limit_s):
+            await self.fleet.wait_in_force(self.number)
+            await self.fleet.wait_version(self.versions[-1])
+            await self.fleet.wait_services()
+
+    def publish(self, text: str) -> None:
+        """Publish the text that was made for the newest number."""
+        self.observer.publish(self.number, text)
+
+    def roll_out(self) -> None:
+        """Publish a ticket with a new version of the model."""
+        number = self._next()
+        before, version = self.versions[-1], f"v{number}"
+        self.versions.append(version)
+        self.publish(self.fleet.model_ticket(number, version=version, while_loading=before))
+
+    def declare(self, **changes: Any) -> None:
+        """Publish a ticket that declares the given tables only."""
+        empty: dict[str, Any] = {"models": [], "services": [], "hosts": [], "accounts": []}
+        number = self._next()
+        text = self.fleet.ticket(number, version=self.versions[-1], **{**empty, **changes})
+        self.publish(text)
+
+    def leave(self, host: LocalHost, at: float, *, by: str) -> None:
+        """Note that a backend server leaves."""
+        if host.role != "entry":
+            self.leaving.append(Stay(host=host.name, begin=at, by=by))
+
+    def stay(self, host: LocalHost, at: float, *, by: str) -> None:
+        """Note the end of a leaving."""
+        for stay in self.leaving:
+            if (stay.host, stay.by) == (host.name, by):
+                stay.end = min(stay.end, at)
+
+    async def revive(self, host: LocalHost) -> None:
+        """Start a host's process unless it runs, and wait until an entry process is ready."""
+        if host.process is not None and host.process.poll() is not None:
+            self.fleet.start_process(host)
+        ready = "process_ready" if host.role == "entry" else "link_up"
+        limit = time.monotonic() + START_LIMIT_S
+        while (process := host.process) and process.poll() is None and time.monotonic() < limit:
+            events = self.observer.events(host)
+            if any(e.process == str(process.pid) and e.name == ready for e in events):
+                return
+            await asyncio.sleep(LOOK_S)
+
+    def evidence(self) -> Evidence:
+        """Return what was seen and done so far."""
+        running = {}
+        for host in self.fleet.hosts.values():
+            pid = str(host.process.pid) if host.process and host.process.poll() is None else ""
+            events = [event for event in self.observer.events(host) if event.process == pid]
+            if events:
+                running[host.name] = Running(
+                    process=f"{host.name}/{events[-1].incarnation}",
+                    since=self.observer.at(events[0]),
+                )
+        return Evidence(
+            record=self.observer.record(self.callers.records),
+            entries={host.name: host.callers for host in self.fleet.entry_hosts},
+            backends=tuple(h.name for h in self.fleet.hosts.values() if h.role != "entry"),
+            running=running,
+            impairments=self.impairments,
+            leaving=self.leaving,
+            shutdowns=self.shutdowns,
+            key_changes=self.key_changes,
+            probes=self.prober.records,
+        )
+
+    def _next(self) -> int:
+        self.number += 1
+        return self.number
