Weigh the ways to the newest version by the time without service

Cause: which of several versions a host finished and its runner loaded hung on fixed shares and parts of the bound (0.25 of the chunks, 0.45 and 0.65 of the bound). Two waves could be out of service at once when versions came in quick succession: the first wave took the next version while the second one changed to the one before. Change: core.version_steps estimates, for each way through the named versions, the time in which the runner answers nobody; a version that would serve for a shorter time than its load takes is not on the way. Until the newest version has left its origin, an older one that is a quarter there is kept and fetched beside it. OriginWatch notes the origin's outages from this host's own reads. reload_waves states the share that stays in service, and a wave that holds a newer version waits while others change theirs. One line `load_steps` tells each change of the way. "A version that is nearly whole": its bounds were those of the fixed shares; the new ones also name what the runner holds and whether the store is away, five rows for four. The one host of "named while the one before is on its way" is now told of its store's outage, its bounds stand.

--- a/features/published_state.feature
+++ b/features/published_state.feature
@@ -94,12 +94,21 @@
     Guards against a transfer that is given up a moment before its end, so that a runner gets neither
     of two versions.
     Given a runner whose versions are good for 8 s
-    When <share> of a version is there <seconds> s after a newer one was named
+    When <share> of a version is there <seconds> s after a newer one was named, <held> s after the one that the runner holds was out of date, while the store is <store>
     Then the host fetches the <choice> version
 
     Examples:
-      | share | seconds | choice |
-      | 0.5   | 3.0     | older  |
-      | 0.5   | 4.0     | newer  |
-      | 0.9   | 4.0     | older  |
-      | 0.9   | 5.5     | newer  |
+      | share | seconds | held | store | choice              |
+      | 0.5   | 3.0     | -1.1 | away  | older               |
+      | 0.5   | 3.0     | -1.1 | there | older and the newer |
+      | 0.5   | 4.9     | 0.8  | away  | newer               |
+      | 0.9   | 4.0     | -0.1 | there | older               |
+      | 0.9   | 5.5     | 1.4  | there | newer               |
+
+  Scenario: No load that cannot serve, and no more of a wave than is stated
+    Guards against a runner that answers nobody for a version that is out of date when it is loaded.
+    Guards against two waves out of service at once when versions are named in quick succession.
+    When random fleets are brought through versions that are named at random times
+    Then no runner loads a version that would serve for a shorter time than its load takes
+    And no runner is ordered while fewer than the stated share answer
+    And every runner ends with the newest version
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -8,7 +8,7 @@
 from attrs import evolve
 from behave import given, then, when
 from swarm_model import LIMITS, make_hosts, make_planner
-from wasabilb_agent.runner_agent import TRANSFER_LIMITS
+from wasabilb_agent._transfer_limits import TRANSFER_LIMITS
 from wasabilb_core.distribution import (
     CHUNK_POLICIES,
     ORIGIN,
--- a/features/steps/published_state_steps.py
+++ b/features/steps/published_state_steps.py
@@ -10,9 +10,16 @@
 from wasabilb_core.named_versions import NamedVersions
 from wasabilb_core.published import Item, PublishedState
 from wasabilb_core.reload_waves import LATEST_ORDER, WaveMember, is_easing, may_reload
-from wasabilb_core.version_steps import NamedVersion, version_to_fetch, version_to_load
+from wasabilb_core.version_steps import (
+    NamedVersion,
+    StepFacts,
+    steps_to_newest,
+    version_to_load,
+    versions_to_fetch,
+)
 from wasabilb_node.followed_state import FollowedState
 from wasabilb_node.logs import EventLog
+from waves_model import WaveFleet
 
 BOUND_S = 8.0
 # A runner that entry processes have avoided for the time of most requests loads within 0.5 s; one
@@ -252,11 +259,11 @@
 
 
 class OneHost:
-    """A host in the second wave whose link brings one version at a time."""
+    """A host in the second wave, whose link is shared by the versions that it fetches."""
 
-    def __init__(self, *, link_s, bound_s, named, away, fetch):
+    def __init__(self, *, link_s, bound_s, named, away, is_newest_only=False):
         self.link_s, self.bound_s, self.named, self.away = link_s, bound_s, named, away
-        self.fetch = fetch
+        self.is_newest_only = is_newest_only
         self.share = dict.fromkeys(named, 0.0)
         self.held, self.loads, self.answering_s, self.idle_s = 1, [], 0.0, 0.0
         self.loading_until = 0.0
@@ -272,24 +279,42 @@
                 share=self.share[number],
                 is_ready=self.share[number] >= 1,
                 outdated_s=self.outdated_s(number, now),
+                near=1.0 if self.is_there(number, now) else self.share[number],
             )
             for number, at in self.named.items()
             if at <= now and number > self.held
         ]
 
+    def is_there(self, number, now):
+        # Every chunk of the first version is with some peer before its store is gone.
+        return number == min(self.named) or not self.away[0] <= now < self.away[1]
+
+    def decide(self, versions, now):
+        facts = StepFacts(
+            usable_s=self.bound_s - UNUSED_S,
+            copy_s=self.link_s,
+            load_s=LOAD_S,
+            warm_s=LOAD_S,
+            away_s=max(0.0, now - self.away[0]) if now < self.away[1] else 0.0,
+        )
+        if self.is_newest_only:
+            versions = versions[-1:]
+        held_outdated_s = self.outdated_s(self.held, now)
+        steps = steps_to_newest(versions, held_outdated_s=held_outdated_s, facts=facts)
+        if steps is None:
+            return set(), None
+        return versions_to_fetch(versions, steps, facts), version_to_load(versions, steps)
+
     def play(self, seconds):
         for step in range(round(seconds / STEP_S)):
             self.step(step * STEP_S)
         return self
 
     def step(self, now):
-        versions = self.versions(now)
-        wanted = self.fetch(versions, bound_s=self.bound_s)
-        # Every chunk of the first version is with some peer before its store is gone.
-        is_there = wanted == min(self.named) or not self.away[0] <= now < self.away[1]
-        if wanted is not None and is_there:
-            self.share[wanted] += STEP_S / self.link_s
-        number = version_to_load(versions, bound_s=self.bound_s)
+        wanted, number = self.decide(self.versions(now), now)
+        coming = [n for n in wanted if self.is_there(n, now) and self.share[n] < 1]
+        for n in coming:
+            self.share[n] += STEP_S / self.link_s / len(coming)
         is_turn = self.outdated_s(self.held, now) >= LATEST_ORDER[1] * self.bound_s
         if number is not None and is_turn and now >= self.loading_until:
             self.held, self.loading_until = number, now + LOAD_S
@@ -301,10 +326,6 @@
             self.idle_s += STEP_S
 
 
-def newest_only(versions, *, bound_s):
-    return max((version.number for version in versions), default=None)
-
-
 @given(
     "a link that takes {link:g} s for a version and a runner whose versions are good for "
     "{bound:g} s"
@@ -317,8 +338,8 @@
     names = {"link_s": context.link_s, "bound_s": context.bound_s, "away": away}
     named = {2: 0.0, 3: second}
     context.stepwise, context.newest = (
-        OneHost(named=named, fetch=fetch, **names).play(20.0)
-        for fetch in (version_to_fetch, newest_only)
+        OneHost(named=named, is_newest_only=is_newest_only, **names).play(20.0)
+        for is_newest_only in (False, True)
     )
 
 
@@ -361,13 +382,49 @@
     context.bound_s = bound
 
 
-@when("{share:g} of a version is there {seconds:g} s after a newer one was named")
-def step_partly_there(context, share, seconds):
+@when(
+    "{share:g} of a version is there {seconds:g} s after a newer one was named, {held:g} s after "
+    "the one that the runner holds was out of date, while the store is {store}"
+)
+def step_partly_there(context, share, seconds, held, store):
     older = NamedVersion(number=2, share=share, is_ready=False, outdated_s=seconds)
-    newer = NamedVersion(number=3, share=0.0, is_ready=False, outdated_s=-math.inf)
-    context.fetched = version_to_fetch([older, newer], bound_s=context.bound_s)
+    newer = NamedVersion(number=3, share=0.0, is_ready=False, outdated_s=-math.inf, near=0.0)
+    facts = StepFacts(
+        usable_s=context.bound_s - UNUSED_S,
+        copy_s=4.2,
+        load_s=1.6,
+        away_s=1.0 if store == "away" else 0.0,
+    )
+    held_outdated_s = context.bound_s - UNUSED_S + held
+    steps = steps_to_newest([older, newer], held_outdated_s=held_outdated_s, facts=facts)
+    context.fetched = versions_to_fetch([older, newer], steps, facts)
 
 
 @then("the host fetches the {choice} version")
 def step_fetches(context, choice):
-    assert context.fetched == {"older": 2, "newer": 3}[choice], context.fetched
+    wanted = {"older": {2}, "newer": {3}, "older and the newer": {2, 3}}[choice]
+    assert context.fetched == wanted, context.fetched
+
+
+@when("random fleets are brought through versions that are named at random times")
+def step_random_fleets(context):
+    context.fleets = {seed: WaveFleet(seed).play() for seed in range(120)}
+
+
+@then("no runner loads a version that would serve for a shorter time than its load takes")
+def step_none_useless(context):
+    assert not any(f.useless for f in context.fleets.values()), {
+        seed: f.useless for seed, f in context.fleets.items() if f.useless
+    }
+
+
+@then("no runner is ordered while fewer than the stated share answer")
+def step_stated_share(context):
+    found = {seed: f.too_many[:3] for seed, f in context.fleets.items() if f.too_many}
+    assert not found, found
+
+
+@then("every runner ends with the newest version")
+def step_all_newest(context):
+    for seed, fleet in context.fleets.items():
+        assert set(fleet.held.values()) == {max(fleet.named)}, (seed, fleet.held)
--- /dev/null
+++ b/features/steps/waves_model.py
@@ -0,0 +1,101 @@
+"""A fleet of runners that the waves bring through versions, under a virtual clock."""
+
+import math
+import random
+
+from wasabilb_core.reload_waves import WAVES, WaveMember, may_reload, share_in_service, waves_of
+from wasabilb_core.version_steps import NamedVersion, StepFacts, steps_to_newest, version_to_load
+
+BOUND_S, USABLE_S, STEP_S = 8.0, 7.1, 0.1
+
+
+class WaveFleet:
+    """Runners whose weights arrive at random times and whose list is seen late."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.names = [f"r{n}" for n in range(self.rng.choice((3, 5, 9, 17, 30)))]
+        gaps = [self.rng.choice((0.5, 2.0, 5.0, 7.0)) for _ in range(self.rng.choice((0, 1, 2)))]
+        self.named = {2: 0.0}
+        for gap in gaps:
+            self.named[max(self.named) + 1] = max(self.named.values()) + gap
+        arrival = self.rng.choice(((0.2, 0.8), (0.5, 6.5), (3.0, 6.5)))
+        self.ready = {
+            (name, version): at + self.rng.uniform(*arrival)
+            for name in self.names
+            for version, at in self.named.items()
+        }
+        self.lag = round(self.rng.uniform(0.0, 2.0) / STEP_S)
+        self.held = dict.fromkeys(self.names, 1)
+        self.away = {}
+        self.seen = []
+        self.useless, self.too_many = [], []
+
+    def outdated_s(self, version, now):
+        newer = [at for other, at in self.named.items() if other > version and at <= now]
+        return now - min(newer) if newer else -math.inf
+
+    def members(self, own):
+        listed = self.seen[max(0, len(self.seen) - 1 - self.lag)]
+        return {
+            name: WaveMember(
+                failure_domain=name[-1],
+                version=self.held[name] if name == own else listed[name],
+                is_reloading=True,
+            )
+            for name in self.names
+        }
+
+    def play(self):
+        for step in range(round((max(self.named.values()) + 3 * BOUND_S) / STEP_S)):
+            now = step * STEP_S
+            for name, (version, back_at) in list(self.away.items()):
+                if now >= back_at:
+                    self.held[name] = version
+                    del self.away[name]
+            self.seen.append({n: 0 if n in self.away else self.held[n] for n in self.names})
+            for name in self.names:
+                if name not in self.away:
+                    self.step(name, now)
+        return self
+
+    def step(self, name, now):
+        versions = [
+            NamedVersion(
+                number=version,
+                share=min(1.0, max(0.0, (now - at) / (self.ready[name, version] - at))),
+                is_ready=now >= self.ready[name, version],
+                outdated_s=self.outdated_s(version, now),
+            )
+            for version, at in self.named.items()
+            if at <= now and version > self.held[name]
+        ]
+        held_outdated_s = self.outdated_s(self.held[name], now)
+        facts = StepFacts(usable_s=USABLE_S, copy_s=5.2, load_s=1.8, use=self.rng.uniform(0.3, 1.0))
+        steps = steps_to_newest(versions, held_outdated_s=held_outdated_s, facts=facts)
+        number = version_to_load(versions, steps) if steps is not None else None
+        if number is None or not may_reload(
+            name=name,
+            members=self.members(name),
+            version=number,
+            named_s=held_outdated_s,
+            bound_s=BOUND_S,
+        ):
+            return
+        self.note(name, number, now, facts)
+        self.away[name] = number, now + self.rng.uniform(0.6, 2.6)
+
+    def note(self, name, number, now, facts):
+        """Note an order that the properties do not allow."""
+        left_s = max(0.0, USABLE_S - self.outdated_s(self.held[name], now))
+        takes_s = facts.load_s if left_s > 0 else facts.warm_s
+        serves_s = USABLE_S - self.outdated_s(number, now) - max(left_s, takes_s)
+        if serves_s < min(takes_s, facts.missed_s if left_s > 0 else facts.warm_s):
+            self.useless.append((name, number, now, serves_s))
+        # Runners that are away still count by what they held when they were ordered.
+        oldest = max(self.outdated_s(version, now) for version in self.held.values())
+        largest = max(list(waves_of(self.members(name)).values()).count(w) for w in range(WAVES))
+        kept = share_in_service(outdated_s=oldest, bound_s=BOUND_S)
+        waves_away = round(WAVES * (1 - kept))
+        if len(self.away) + 1 > waves_away * largest:
+            self.too_many.append((name, number, now, len(self.away) + 1, waves_away * largest))
--- /dev/null
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_load_facts.py
@@ -0,0 +1,116 @@
+"""What the decision about versions is told of the host, the origin and the runner."""
+
+import math
+
+from wasabilb_core.origin_watch import OriginWatch
+from wasabilb_core.version_steps import (
+    LINK_FACTOR,
+    VERSION_MARGIN_S,
+    WARM_S,
+    NamedVersion,
+    StepFacts,
+)
+from wasabilb_node.clock import now
+from wasabilb_node.followed_state import FollowedState
+
+from wasabilb_agent._model_fleet import ModelFleet
+from wasabilb_agent.model_runner import RunnerState
+from wasabilb_agent.transfer import ChunkTransfers
+
+# The origin sends a version in so many times the time of its bytes over its link.
+ORIGIN_FACTOR = 1.3
+# Part that each look at the runner has in its mean load, over about a second: a step that is given
+# up because of one busy moment is lost.
+USE_SMOOTHING = 0.1
+
+
+class LoadFacts:
+    """Rates and shares as this host knows them.
+
+    Parameters
+    ----------
+    fleet : ModelFleet
+        The runners of the model.
+    published : FollowedState
+        Catalog and named versions.
+    origin : OriginWatch
+        Outages of the origin.
+    link_bytes_per_s : float
+        Rate of this host's link.
+    version_s : float
+        Time within which a named version must be in force.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: ModelFleet,
+        published: FollowedState,
+        origin: OriginWatch,
+        link_bytes_per_s: float,
+        version_s: float,
+    ) -> None:
+        self._fleet = fleet
+        self._published = published
+        self._origin = origin
+        self._link_bytes_per_s = link_bytes_per_s
+        self._version_s = version_s
+        # When a part of a version was first on this host.
+        self._begun: dict[int, float] = {}
+        self._use = 1.0
+
+    def on_state(self, state: RunnerState) -> None:
+        """Take the runner's load."""
+        engine = self._published.engine(self._fleet.service)
+        if engine is not None:
+            use = min(1.0, state.running / max(1, engine.slots))
+            self._use += USE_SMOOTHING * (use - self._use)
+
+    def versions(self, transfers: ChunkTransfers, *, above: int) -> list[NamedVersion]:
+        """Return the named versions above a held one."""
+        return [self._version(number, transfers) for number in self._fleet.versions_above(above)]
+
+    def held_outdated_s(self, held: int) -> float:
+        """Return for how long what the runner holds has been outdated, seconds."""
+        return self._published.outdated_s(self._fleet.model, held) if held else math.inf
+
+    def facts(self) -> StepFacts:
+        """Return rates and times."""
+        engine = self._published.engine(self._fleet.service)
+        answer_s = engine.turn_s * engine.slots if engine is not None else 0.0
+        return StepFacts(
+            usable_s=self._version_s - VERSION_MARGIN_S,
+            copy_s=LINK_FACTOR * self._size() / self._link_bytes_per_s,
+            load_s=WARM_S + self._use * answer_s,
+            use=self._use,
+            away_s=self._origin.away_s(now()),
+        )
+
+    def _version(self, number: int, transfers: ChunkTransfers) -> NamedVersion:
+        variant = self._fleet.variant(number)
+        share = transfers.share(variant)
+        return NamedVersion(
+            number=number,
+            share=share,
+            is_ready=variant in transfers.held,
+            outdated_s=self._published.outdated_s(self._fleet.model, number),
+            near=max(share, self._left_origin(number, is_begun=share > 0)),
+        )
+
+    def _left_origin(self, number: int, *, is_begun: bool) -> float:
+        """Return the share of a version that has probably left the origin.
+
+        All hosts begin with a version at about the same time, and the origin sends while it
+        answers.
+        """
+        if not is_begun:
+            self._begun.pop(number, None)
+            return 0.0
+        since = self._begun.setdefault(number, now())
+        rate = self._fleet.origin_bytes_per_s
+        copy_s = ORIGIN_FACTOR * self._size() / rate if rate > 0 else 0.0
+        return min(1.0, self._origin.answering_s(since, now()) / copy_s) if copy_s else 1.0
+
+    def _size(self) -> float:
+        engine = self._published.engine(self._fleet.service)
+        return engine.chunks * engine.chunk_bytes if engine is not None else 0.0
--- a/packages/wasabilb-agent/src/wasabilb_agent/_model_fleet.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_model_fleet.py
@@ -77,6 +77,17 @@
         catalog = self._published.catalog
         return catalog.origin.address if catalog is not None and catalog.origin is not None else ""
 
+    @property
+    def origin_bytes_per_s(self) -> float:
+        """Return the rate of the origin's link, 0 while it is unknown."""
+        catalog = self._published.catalog
+        return catalog.origin.bytes_per_s if catalog is not None and catalog.origin else 0.0
+
+    @property
+    def service(self) -> str:
+        """Return the service that the runner answers for."""
+        return self._service
+
     def own(self) -> Runner | None:
         """Return the listed runner on this host.
 
--- /dev/null
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_transfer_limits.py
@@ -0,0 +1,29 @@
+"""Bounds of a host's part in the transfer of a version to the hosts beside model runners."""
+
+import attrs
+from wasabilb_core.distribution import PlannerLimits
+from wasabilb_core.manifest import Manifest
+
+# Times in which one copy leaves the origin before a host reads what other regions were to read: the
+# second one is for reads that overlap and for the way through other hosts.
+FAR_WAIT_COPIES = 2.0
+# A chunk takes 0.1 s over this host's link alone and 0.3 s when all hosts read the origin at once.
+# One read of the origin at a time from each of them keeps its link busy without a queue in which
+# new connections would time out; the other requests across regions go to peers.
+TRANSFER_LIMITS = PlannerLimits(
+    peer_requests=3,
+    duty_requests=3,
+    requests_per_peer=1,
+    uploads=2,
+    uploads_across=2,
+    first_timeout_s=2.5,
+    max_avoid_s=0.5,
+)
+
+
+def limits_of(manifest: Manifest, origin_bytes_per_s: float) -> PlannerLimits:
+    """Return the bounds for a manifest, given the rate of the origin's link, 0 for unknown."""
+    if origin_bytes_per_s <= 0:
+        return TRANSFER_LIMITS
+    copy_s = manifest.size / origin_bytes_per_s
+    return attrs.evolve(TRANSFER_LIMITS, far_wait_s=FAR_WAIT_COPIES * copy_s)
--- a/packages/wasabilb-agent/src/wasabilb_agent/_version_loads.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_version_loads.py
@@ -8,11 +8,19 @@
 from wasabilb_core.errors import Error
 from wasabilb_core.reload_waves import is_easing, may_reload
 from wasabilb_core.tickets import Variant
-from wasabilb_core.version_steps import NamedVersion, version_to_fetch, version_to_load
+from wasabilb_core.version_steps import (
+    NamedVersion,
+    Steps,
+    newest_of_use,
+    steps_to_newest,
+    version_to_load,
+    versions_to_fetch,
+)
 from wasabilb_node.clock import now
 from wasabilb_node.followed_state import FollowedState
 from wasabilb_node.logs import EventLog
 
+from wasabilb_agent._load_facts import LoadFacts
 from wasabilb_agent._model_fleet import ModelFleet
 from wasabilb_agent.model_runner import ModelRunner, OrderAnswer, RunnerState
 from wasabilb_agent.staging import Staging
@@ -35,6 +43,8 @@
         The runner on this host.
     staging : Staging
         Chunks that lie beside it.
+    facts : LoadFacts
+        What the decision is told.
     version_s : float
         Time within which a named version must be in force.
     log : EventLog
@@ -48,6 +58,7 @@
         published: FollowedState,
         runner: ModelRunner,
         staging: Staging,
+        facts: LoadFacts,
         version_s: float,
         log: EventLog,
     ) -> None:
@@ -55,9 +66,11 @@
         self._published = published
         self._runner = runner
         self._staging = staging
+        self._facts = facts
         self._version_s = version_s
         self._log = log
         self._held = 0
+        self._decided: tuple[int, tuple[int, ...], int | None] | None = None
         self._ordered: Variant | None = None
         self._ordered_at = float("-inf")
         # One version of the model can be staged at a time, and an order takes what is staged.
@@ -79,21 +92,23 @@
         """
         if not self._fleet.model:
             return
-        bound_s = self._version_s
-        versions = self._versions(transfers, above=0)
+        versions = self._facts.versions(transfers, above=0)
+        facts = self._facts.facts()
         newer = [version for version in versions if version.number > self._held]
-        wanted = {
-            version_to_fetch(newer, bound_s=bound_s) or versions[-1].number,
-            version_to_load(versions, bound_s=bound_s),
-        }
-        transfers.set_wanted({self._fleet.variant(n): n for n in wanted if n is not None})
+        steps = self._steps(newer)
+        wanted = versions_to_fetch(newer, steps, facts) if steps else {versions[-1].number}
+        whole = newest_of_use(versions, facts)
+        wanted |= {whole} if whole is not None else set()
+        transfers.set_wanted({self._fleet.variant(n): n for n in sorted(wanted)})
 
     async def reconcile(self, state: RunnerState, transfers: ChunkTransfers) -> None:
         """Order the load of the next version if nothing stands against it."""
         self._held = state.version if state.holds_all(self._fleet.layers) else 0
+        self._facts.on_state(state)
         self._confirm()
-        versions = self._versions(transfers, above=self._held)
-        number = version_to_load(versions, bound_s=self._version_s)
+        versions = self._facts.versions(transfers, above=self._held)
+        steps = self._steps(versions)
+        number = version_to_load(versions, steps) if steps is not None else None
         if number is None or state.is_busy or self._stage.locked():
             return
         target = self._fleet.variant(number)
@@ -115,17 +130,31 @@
             bound_s=self._version_s,
         )
 
-    def _versions(self, transfers: ChunkTransfers, *, above: int) -> list[NamedVersion]:
-        model = self._fleet.model
-        return [
-            NamedVersion(
-                number=number,
-                share=transfers.share(self._fleet.variant(number)),
-                is_ready=self._fleet.variant(number) in transfers.held,
-                outdated_s=self._published.outdated_s(model, number),
+    def _steps(self, newer: list[NamedVersion]) -> Steps | None:
+        """Return the way to the newest version; each change of it is logged."""
+        outdated_s = self._facts.held_outdated_s(self._held)
+        facts = self._facts.facts()
+        steps = steps_to_newest(newer, held_outdated_s=outdated_s, facts=facts)
+        if steps is None:
+            self._decided = None
+            return None
+        decided = (self._held, steps.path, steps.kept)
+        if decided != self._decided:
+            self._decided = decided
+            self._log.event(
+                "load_steps",
+                model=self._fleet.model,
+                held=self._held,
+                path=",".join(map(str, steps.path)),
+                kept=steps.kept,
+                shares=",".join(f"{v.number}:{v.share:.2f}/{v.near:.2f}" for v in newer),
+                idle_ms=steps.idle_s * 1000,
+                direct_ms=steps.direct_s * 1000,
+                away_ms=facts.away_s * 1000,
+                left_ms=(facts.usable_s - outdated_s) * 1000,
+                load_ms=facts.load_s * 1000,
             )
-            for number in self._fleet.versions_above(above)
-        ]
+        return steps
 
     def _may_reload(self, number: int, state: RunnerState) -> bool:
         own = self._fleet.own()
--- a/packages/wasabilb-agent/src/wasabilb_agent/_weight_source.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_weight_source.py
@@ -1,11 +1,16 @@
 """Where manifests and chunks come from when no peer has them."""
 
-from typing import Protocol
+from typing import Protocol, TypeVar
 
-from returns.result import Result
-from wasabilb_core.errors import Error
+from attrs import frozen
+from returns.result import Failure, Result
+from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.manifest import Manifest
+from wasabilb_core.origin_watch import OriginWatch
 from wasabilb_core.tickets import Variant
+from wasabilb_node.clock import now
+
+T = TypeVar("T")
 
 
 class WeightSource(Protocol):
@@ -19,3 +24,38 @@
 
     def close(self) -> None:
         """Release connections."""
+
+
+@frozen(kw_only=True)
+class WatchedSource:
+    """An origin of weights whose outages are noted.
+
+    Parameters
+    ----------
+    source : WeightSource
+        The origin.
+    watch : OriginWatch
+        Takes the end of each read.
+    """
+
+    source: WeightSource
+    watch: OriginWatch
+
+    async def manifest(self, variant: Variant) -> Result[Manifest, Error]:
+        """Return the manifest of a variant."""
+        return self._noted(await self.source.manifest(variant))
+
+    async def chunk(self, manifest: Manifest, index: int) -> Result[bytes, Error]:
+        """Return a chunk, unverified."""
+        return self._noted(await self.source.chunk(manifest, index))
+
+    def close(self) -> None:
+        """Release connections."""
+        self.source.close()
+
+    def _noted(self, found: Result[T, Error]) -> Result[T, Error]:
+        is_away = (
+            isinstance(found, Failure) and found.failure().kind is ErrorKind.PLATFORM_UNAVAILABLE
+        )
+        self.watch.on_read(now(), is_answered=not is_away)
+        return found
--- a/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections.abc import Callable
 
-import attrs
 from attrs import frozen
 from returns.result import Failure
 from wasabilb_core.distribution import PlannerLimits
 from wasabilb_core.manifest import Manifest
+from wasabilb_core.origin_watch import OriginWatch
 from wasabilb_core.peering import tellers
 from wasabilb_core.settings import AgentSettings
 from wasabilb_core.tickets import HostRole, HostSpec
@@ -18,33 +18,20 @@
 from wasabilb_node.published_node import HEARTBEAT_S, NodePlace, PublishedNode
 from wasabilb_node.published_source import PublishedDecoder, PublishedSource
 
+from wasabilb_agent._load_facts import LoadFacts
 from wasabilb_agent._model_fleet import ModelFleet
 from wasabilb_agent._participants import ListedParticipants
 from wasabilb_agent._runner_reports import RunnerReports
+from wasabilb_agent._transfer_limits import limits_of
 from wasabilb_agent._version_loads import VersionLoads
-from wasabilb_agent._weight_source import WeightSource
+from wasabilb_agent._weight_source import WatchedSource, WeightSource
 from wasabilb_agent.model_runner import ModelRunner, RunnerState
 from wasabilb_agent.staging import Staging
 from wasabilb_agent.transfer import ChunkTransfers
 
-# Times in which one copy leaves the origin before a host reads what other regions were to read: the
-# second one is for reads that overlap and for the way through other hosts.
-FAR_WAIT_COPIES = 2.0
 # Longest pause before an origin that failed is asked for a manifest again, seconds. Runners stop
 # answering some seconds after a version was named, and the first host that has it tells the others.
 MAX_ORIGIN_RETRY_S = 1.0
-# A chunk takes 0.1 s over this host's link alone and 0.3 s when all hosts read the origin at once.
-# One read of the origin at a time from each of them keeps its link busy without a queue in which
-# new connections would time out; the other requests across regions go to peers.
-TRANSFER_LIMITS = PlannerLimits(
-    peer_requests=3,
-    duty_requests=3,
-    requests_per_peer=1,
-    uploads=2,
-    uploads_across=2,
-    first_timeout_s=2.5,
-    max_avoid_s=0.5,
-)
 
 
 @frozen(kw_only=True)
@@ -132,11 +119,20 @@
         )
         self._runner = runner(self._pool)
         staging = Staging(runner=self._runner, log=self.log)
+        origin = OriginWatch()
+        facts = LoadFacts(
+            fleet=self._fleet,
+            published=self._published,
+            origin=origin,
+            link_bytes_per_s=own.weights.link_bytes_per_s,
+            version_s=cfg.version_s,
+        )
         self._loads = VersionLoads(
             fleet=self._fleet,
             published=self._published,
             runner=self._runner,
             staging=staging,
+            facts=facts,
             version_s=cfg.version_s,
             log=self.log,
         )
@@ -151,7 +147,9 @@
             cfg=own,
             participants=ListedParticipants(own=spec, listed=self._fleet.hosts, links=self._links),
             links=self._links,
-            store=weights(self._pool, lambda: self._fleet.origin_address),
+            store=WatchedSource(
+                source=weights(self._pool, lambda: self._fleet.origin_address), watch=origin
+            ),
             hand_over=self._loads.hand_over,
             log=self.log,
             metrics=Metrics(address="", role="agent", host=own.host, log=self.log),
@@ -227,11 +225,7 @@
         await self._loads.reconcile(state, self._transfers)
 
     def _transfer_limits(self, manifest: Manifest) -> PlannerLimits:
-        catalog = self._published.catalog
-        if catalog is None or catalog.origin is None or catalog.origin.bytes_per_s <= 0:
-            return TRANSFER_LIMITS
-        copy_s = manifest.size / catalog.origin.bytes_per_s
-        return attrs.evolve(TRANSFER_LIMITS, far_wait_s=FAR_WAIT_COPIES * copy_s)
+        return limits_of(manifest, self._fleet.origin_bytes_per_s)
 
     def _set_reachable(self, is_up: bool, detail: str = "") -> None:
         if self._is_reachable is is_up:
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -112,6 +112,10 @@
         "ticket model version detail",
     ),
     "transfer_stopped": _spec("A newer ticket ended a transfer.", "model version reason"),
+    "load_steps": _spec(
+        "The way changes in which the runner here is brought to the newest version.",
+        "model held path kept shares idle_ms direct_ms away_ms left_ms load_ms",
+    ),
     "order_sent": _spec("The engine is given an order.", "ticket order model version"),
     "order_confirmed": _spec("The engine's report shows the order.", "ticket order model version"),
     "order_refused": _spec("The engine refused an order.", "ticket order model version detail"),
--- a/packages/wasabilb-core/src/wasabilb_core/reload_waves.py
+++ b/packages/wasabilb-core/src/wasabilb_core/reload_waves.py
@@ -46,6 +46,23 @@
     return {name: place % WAVES for place, name in enumerate(ordered)}
 
 
+def share_in_service(*, outdated_s: float, bound_s: float) -> float:
+    """Return the share of the runners that the waves leave in service.
+
+    Waves are of equal size but for one runner. Restarts and faults are not in it.
+
+    Parameters
+    ----------
+    outdated_s : float
+        For how long the oldest version that a runner held when it was ordered, or still holds, has
+        been outdated, seconds.
+    bound_s : float
+        Time within which a named version must be in force, seconds.
+    """
+    due = sum(outdated_s >= latest * bound_s for latest in LATEST_ORDER[1:])
+    return (WAVES - 1 - due) / WAVES
+
+
 def may_reload(
     *,
     name: str,
@@ -74,9 +91,17 @@
         # A runner without weights answers nobody, so that its load costs nothing.
         return True
     waves = waves_of(members)
-    if named_s >= LATEST_ORDER[waves[name]] * bound_s:
+    # A wave that holds a newer version than others waits until those have changed theirs, so that
+    # versions in quick succession do not take two waves out of service at once.
+    is_others_turn = any(
+        0 < member.version < own.version or (member.version == 0 and member.is_reloading)
+        for other, member in members.items()
+        if waves[other] != waves[name]
+    )
+    latest = max(LATEST_ORDER[waves[name]], LATEST_ORDER[1] if is_others_turn else 0.0)
+    if named_s >= latest * bound_s:
         return True
-    return all(
+    return not is_others_turn and all(
         member.version >= version or (member.version == 0 and not member.is_reloading)
         for other, member in members.items()
         if waves[other] < waves[name]
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -15,6 +15,7 @@
 from wasabilb_core.roster import EntryPlace
 from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView, expected_wait_s, load_of
 from wasabilb_core.runner_book import LoadReport, RunnerBook, turn_s
+from wasabilb_core.version_steps import VERSION_MARGIN_S
 from wasabilb_node.clock import now
 from wasabilb_node.followed_state import FollowedState
 from wasabilb_node.http_client import ConnectionPool
@@ -34,9 +35,6 @@
 OTHER_REGION_S = 0.030
 # Long answers do not go to hosts that take so many times longer than usual by choice.
 SLOWED_PACE = 1.5
-# Before the bound on old versions no request is sent to a runner that may still hold the old one;
-# what waits in a runner's queue meanwhile must begin in time, too.
-VERSION_MARGIN_S = 0.9
 # A process hears of a version up to 0.4 s after the platform has confirmed it, and a runner notices
 # that a connection was closed after up to 0.1 s.
 BEGIN_MARGIN_S = 0.6
