Tell refused callers when the first runner serves again

Cause: while every runner holds a version that is out of date or loads one, each caller was told to come back after 0.6 s. It came back to be refused again, and is lost then; one that had been held went on waiting for up to 1.2 s though no runner could answer any more. Ruled out: a field in RunnerReport for the time at which weights arrive. Callers come back after a third of their time (2 s of 6 s) at most, and what a load has left follows from is_busy and running, which agents report already. Change: core.return_times keeps the loads that runners carry out: first their running requests end, then 0.6 s. No caller comes back before a load has ended; while none loads, they are told the longest time that they honour. Pauses are spread below that time, too (all callers got the same one when it was cut). Requests that are held are refused when no runner holds a version that may answer and none loads one. NO_RUNNER_RETURN_S moved to core, the check on it stands.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -85,3 +85,23 @@
     When no place becomes free in time
     Then the refusal names 0 runners and the time in which one comes back
 
+  Scenario Outline: No runner holds a version that may answer
+    # Load: each runner of the model is out of date, as after a newest version that arrives late.
+    # Guards against callers who come back before any runner can serve them, when they are lost.
+    Given 3 runners whose version is out of date
+    And one of them <does>
+    When a request arrives
+    Then it is refused at once as not run
+    And its callers come back after <earliest> s to <latest> s, spread
+
+    Examples:
+      | does                             | earliest | latest |
+      | waits for its weights            | 1.2      | 2.0    |
+      | has ended its requests and loads | 0.59     | 1.0    |
+      | ends 8 requests before it loads  | 0.6      | 2.0    |
+
+  Scenario: The version of a full runner runs out
+    # Guards against requests that are held for a runner that cannot answer them any more.
+    Given a full runner
+    When the version of a full runner runs out while a request is held for it
+    Then the held request is refused within 0.2 s
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -8,17 +8,20 @@
 from forwarding_stage import StoredValues
 from overload_model import DEADLINE_S, ENGINE, LATE_WORTH, OBJECTIVE_S, SLOW_ENGINE, Fleet
 from wasabilb_core._batch_backlog import READING_SHARE
-from wasabilb_core.catalog import Catalog, Service
+from wasabilb_core.catalog import Catalog, Service, WeightTarget
 from wasabilb_core.directory import Runner
+from wasabilb_core.errors import Outcome
 from wasabilb_core.overload import Decision, HeldLimit, decide
 from wasabilb_core.published import PublishedState
+from wasabilb_core.return_times import NO_RUNNER_RETURN_S, spread_s
 from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView
 from wasabilb_core.runner_book import LoadReport
 from wasabilb_entry.fleet_view import FleetLimits, FleetView
-from wasabilb_entry.placer import NO_RUNNER_RETURN_S, Demand, Placer
+from wasabilb_entry.placer import Demand, Placer
 from wasabilb_node.clock import now
 from wasabilb_node.followed_state import FollowedState
 from wasabilb_node.logs import EventLog
+from wasabilb_wire.messages import RunnerReport
 
 
 def worth(jobs):
@@ -248,25 +251,16 @@
     assert context.chosen == choice, context.chosen
 
 
-@given("a full runner that leaves while a request is held for it")
-def runner_that_leaves(context):
+def view_of(runners):
+    """Return what an entry process knows of a service with some runners."""
     log = EventLog(process="t", role="entry", host="t", failure_domain="a", incarnation="1")
     published = FollowedState(items=PublishedState(), decoder=StoredValues({}), log=log)
     published.catalog = Catalog(
         version=1, routes=(), services={"s": Service(name="s", engine=ENGINE)}
     )
-    runner = Runner(
-        id="r",
-        born_ms=1,
-        service="s",
-        address="x:1",
-        failure_domain="a",
-        slots=16,
-        version=1,
-        layer_to=1,
-    )
-    published.directory.on_listed(runner)
-    context.fleet = FleetView(
+    for runner in runners:
+        published.directory.on_listed(runner)
+    return FleetView(
         published=published,
         failure_domain="a",
         regions={"a": "r"},
@@ -276,22 +270,47 @@
         processes=lambda: 1,
         tell_sent=lambda runner_id, tokens: None,
     )
+
+
+def runner_of(name):
+    return Runner(
+        id=name,
+        born_ms=1,
+        service="s",
+        address="x:1",
+        failure_domain="a",
+        slots=16,
+        version=1,
+        layer_to=1,
+    )
+
+
+@given("a full runner")
+@given("a full runner that leaves while a request is held for it")
+def runner_that_leaves(context):
+    runner = runner_of("r")
+    context.fleet = view_of([runner])
     context.fleet.book.on_report(runner, LoadReport(running=16, waiting=4, at=now(), slots=16))
 
 
+def new_demand():
+    """Return the demand of a request that has just arrived."""
+    return Demand(
+        service="s",
+        prompt_tokens=100,
+        answer_tokens=50,
+        objective_at=now() + OBJECTIVE_S,
+        deadline=now() + DEADLINE_S,
+        is_returned=False,
+        is_first=True,
+        tried=frozenset(),
+    )
+
+
 @when("no place becomes free in time")
 def no_place(context):
     async def play():
-        demand = Demand(
-            service="s",
-            prompt_tokens=100,
-            answer_tokens=50,
-            objective_at=now() + OBJECTIVE_S,
-            deadline=now() + DEADLINE_S,
-            is_returned=False,
-            is_first=True,
-            tried=frozenset(),
-        )
+        demand = new_demand()
         req = SimpleNamespace(is_gone=False, watch_gone=lambda callback: None)
         waiting = asyncio.ensure_future(Placer(fleet=context.fleet).place(demand, req))
         await asyncio.sleep(0.2)
@@ -306,3 +325,77 @@
 def refusal_by_now(context):
     assert "0 runners" in context.refusal.detail, context.refusal
     assert context.refusal.retry_after_s == NO_RUNNER_RETURN_S, context.refusal
+
+
+@given("3 runners whose version is out of date")
+def outdated_runners(context):
+    context.runners = [runner_of(f"r{n}") for n in range(3)]
+    context.fleet = view_of(context.runners)
+    target = WeightTarget(model=ENGINE.model, version=2)
+    state = context.fleet.published
+    state._on_target(target, 1, is_old=True)
+    for runner in context.runners:
+        report_load(context, runner, is_busy=False, running=0)
+
+
+def report_load(context, runner, *, is_busy, running):
+    names = {"runner": runner.id, "model": ENGINE.model}
+    report = RunnerReport(
+        **names, born_ms=1, version=1, layer_to=1, is_busy=is_busy, running=running
+    )
+
+    async def take():
+        context.fleet.on_report(report)
+
+    asyncio.run(take())
+
+
+@given("one of them {does}")
+def one_loads(context, does):
+    running = {"has ended its requests and loads": 0, "ends 8 requests before it loads": 8}
+    if does in running:
+        report_load(context, context.runners[0], is_busy=True, running=running[does])
+
+
+@when("a request arrives")
+def request_arrives(context):
+    req = SimpleNamespace(is_gone=False, watch_gone=lambda callback: None)
+    placer = Placer(fleet=context.fleet)
+    began = now()
+    context.refusal = asyncio.run(placer.place(new_demand(), req))
+    context.took_s = now() - began
+
+
+@then("it is refused at once as not run")
+def refused_at_once(context):
+    assert context.refusal.told_outcome is Outcome.NOT_RUN, context.refusal
+    # A request that is held is looked at again after 0.05 s.
+    assert context.took_s < 0.05, context.took_s
+
+
+@then("its callers come back after {earliest:g} s to {latest:g} s, spread")
+def come_back_spread(context, earliest, latest):
+    rng = random.Random(1)
+    pauses = [spread_s(context.refusal.retry_after_s, DEADLINE_S / 3, rng) for _ in range(200)]
+    assert earliest <= min(pauses) and max(pauses) <= latest, (min(pauses), max(pauses))
+    assert max(pauses) - min(pauses) >= 0.15 * max(pauses), (min(pauses), max(pauses))
+
+
+@when("the version of a full runner runs out while a request is held for it")
+def version_runs_out(context):
+    async def play():
+        req = SimpleNamespace(is_gone=False, watch_gone=lambda callback: None)
+        waiting = asyncio.ensure_future(Placer(fleet=context.fleet).place(new_demand(), req))
+        await asyncio.sleep(0)
+        target = WeightTarget(model=ENGINE.model, version=2)
+        context.fleet.published._on_target(target, 1, is_old=True)
+        began = now()
+        await waiting
+        return now() - began
+
+    context.took_s = asyncio.run(play())
+
+
+@then("the held request is refused within {seconds:g} s")
+def held_refused(context, seconds):
+    assert context.took_s <= seconds, context.took_s
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -12,6 +12,12 @@
 from wasabilb_core.overload import SPARE_PLACES, HeldLimit
 from wasabilb_core.peering import followed_runners, hears_of_sends
 from wasabilb_core.retry_window import RetryWindow
+from wasabilb_core.return_times import (
+    NO_RUNNER_RETURN_S,
+    NO_VERSION_RETURN_S,
+    SPREAD,
+    RunnerLoads,
+)
 from wasabilb_core.roster import EntryPlace
 from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView, expected_wait_s, load_of
 from wasabilb_core.runner_book import LoadReport, RunnerBook, turn_s
@@ -139,6 +145,7 @@
         }
         self._hears_of_sends = True
         self._windows: dict[str, RetryWindow] = {}
+        self._loads = RunnerLoads()
         self.moves = LoadMoves(free_places=self._free_places)
         # Runners of model services whose load this process hears of, by service.
         self._followed: dict[str, set[str]] = {}
@@ -175,7 +182,14 @@
                 is_easing=report.is_easing,
             ),
         )
-        self.moves.on_report(runner.id, is_busy=report.is_busy and report.is_reachable)
+        is_busy = report.is_busy and report.is_reachable
+        self._loads.on_report(runner.id, is_busy=is_busy, running=report.running, now=now())
+        self.moves.on_report(runner.id, is_busy=is_busy)
+
+    def forget(self, runner_id: str) -> None:
+        """Drop what is known of a runner that is gone."""
+        self.book.forget(runner_id)
+        self._loads.forget(runner_id)
 
     def follow(self, own: EntryPlace, places: Collection[EntryPlace]) -> list[Runner]:
         """Choose the model runners that this process follows, and return them.
@@ -309,6 +323,25 @@
             lately=lately,
         )
 
+    def returns_in_s(self, service: str) -> float:
+        """Return when a service that has no usable runner is likely to serve again, seconds."""
+        engine, moment = self.engine(service), now()
+        routable = self.directory.routable(service)
+        if engine is None or not routable:
+            return NO_RUNNER_RETURN_S
+        answer_s = engine.turn_s * engine.slots
+        # Nobody is to come back before a load has ended.
+        ends = [
+            self._loads.ends_in_s(r.id, now=moment, answer_s=answer_s, slots=engine.slots)
+            / SPREAD[0]
+            for r in routable
+        ]
+        version = self._demanded_version(engine, moment)
+        if any(self._can_serve(r, engine, version) for r in routable):
+            # Its report or its connections keep it out, which lasts as long as a fault does.
+            ends.append(NO_RUNNER_RETURN_S)
+        return min(NO_VERSION_RETURN_S, *ends)
+
     def _view(
         self,
         runner: Runner,
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import random
 from functools import partial
 
@@ -17,6 +18,7 @@
 from wasabilb_core.directory import Runner
 from wasabilb_core.errors import Error, ErrorKind, Outcome
 from wasabilb_core.forwarding import RequestFacts, SendFacts
+from wasabilb_core.return_times import spread_s
 from wasabilb_node.clock import now
 from wasabilb_node.logs import EventLog
 
@@ -347,9 +349,9 @@
 
     def _spread_s(self, pause_s: float, facts: RequestFacts) -> float:
         """Return a pause that differs between callers, within what a caller honours."""
-        spread = pause_s * self._rng.uniform(0.8, 1.2)
-        longest = (facts.timeout_s or spread) * RETRY_AFTER_SHARE
-        return min(spread, longest)
+        timeout_s = facts.timeout_s
+        longest_s = math.inf if timeout_s is None else timeout_s * RETRY_AFTER_SHARE
+        return spread_s(pause_s, longest_s, self._rng)
 
     def _done(self, work: _Work, *, outcome: str, error: ErrorKind | None = None) -> None:
         req, placed = work.req, work.placed
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -246,7 +246,7 @@
         self._callers.on_limits(catalog.limits)
 
     def _on_runner_gone(self, runner_id: str) -> None:
-        self._fleet.book.forget(runner_id)
+        self._fleet.forget(runner_id)
 
     def _on_notice(self, peer: Peer, notice: SendNotice) -> None:
         for runner_id, tokens in zip(notice.runners, notice.prompt_tokens, strict=False):
--- a/packages/wasabilb-entry/src/wasabilb_entry/held_places.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/held_places.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 from wasabilb_core.overload import Held, HeldRequests
+from wasabilb_core.return_times import NO_VERSION_RETURN_S
 from wasabilb_core.routing import RunnerView
 from wasabilb_node.clock import now
 
@@ -31,10 +32,15 @@
     views : callable
         Returns the runners that can be used now; they are the same for all held requests, as none
         of those was sent anywhere yet.
+    returns_in_s : callable
+        Returns when the service is likely to serve again while it has no usable runner, seconds.
     """
 
-    def __init__(self, *, views: Callable[[], list[RunnerView]]) -> None:
+    def __init__(
+        self, *, views: Callable[[], list[RunnerView]], returns_in_s: Callable[[], float]
+    ) -> None:
         self._views = views
+        self._returns_in_s = returns_in_s
         self._requests = HeldRequests()
         self._waiters: dict[int, _Waiter] = {}
         self._next = 0
@@ -95,6 +101,9 @@
         for held in self._requests.expired(now()):
             self._wake(held, is_sent=False)
         views = self._views()
+        if not views and self._returns_in_s() >= NO_VERSION_RETURN_S:
+            for held in self._requests.in_order():
+                self._wake(held, is_sent=False)
         for held in self._requests.sendable(now())[:MOST_LOOKED_AT]:
             if self._waiters[held.key].has_room(views):
                 # One request at a time, as its send changes what is known of the runners.
--- a/packages/wasabilb-entry/src/wasabilb_entry/placer.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/placer.py
@@ -21,9 +21,6 @@
 from wasabilb_entry.fleet_view import FleetView, Placement
 from wasabilb_entry.held_places import HeldPlaces
 
-# When callers come back while a service has no usable runner: about the time that a crashed runner
-# or a link takes to return, or a loaded version to serve, seconds.
-NO_RUNNER_RETURN_S = 0.6
 # Answers above this many times the usual size are long. A quarter of the known services' answers
 # are, and they make half of all tokens.
 LONG_FACTOR = 1.3
@@ -96,12 +93,16 @@
         if placed is not None:
             return placed
         detail = f"{len(views)} usable runners, {len(demand.tried)} tried"
-        return Error(kind=ErrorKind.NO_BACKEND, detail=detail, retry_after_s=NO_RUNNER_RETURN_S)
+        return Error(
+            kind=ErrorKind.NO_BACKEND,
+            detail=detail,
+            retry_after_s=self.fleet.returns_in_s(demand.service),
+        )
 
     def return_after_s(self, service: str) -> float:
         """Return when a caller of a service should come back."""
         if self.fleet.engine(service) is None:
-            return NO_RUNNER_RETURN_S
+            return self.fleet.returns_in_s(service)
         return self._return_after_s(service, len(self.fleet.views(service, RouteRequest())))
 
     def _decide(
@@ -158,7 +159,7 @@
 
     def _return_after_s(self, service: str, runners: int) -> float:
         if not runners:
-            return NO_RUNNER_RETURN_S
+            return self.fleet.returns_in_s(service)
         return self._limit(service, runners).return_after_s(len(self._places(service)))
 
     def _overloaded(self, service: str, runners: int, reason: str) -> Error:
@@ -172,7 +173,8 @@
         places = self._held.get(service)
         if places is None:
             places = self._held[service] = HeldPlaces(
-                views=lambda: self.fleet.views(service, RouteRequest())
+                views=lambda: self.fleet.views(service, RouteRequest()),
+                returns_in_s=partial(self.fleet.returns_in_s, service),
             )
         return places
 
