Give the held requests of a test their new argument

Change: the test says that the service returns at once, so that it plays what it played before; its checks stand.

--- a/features/steps/unexpected_errors_steps.py
+++ b/features/steps/unexpected_errors_steps.py
@@ -139,7 +139,7 @@
 
     async def main():
         asyncio.get_running_loop().set_exception_handler(lambda loop, found: None)
-        places = HeldPlaces(views=views)
+        places = HeldPlaces(views=views, returns_in_s=lambda: 0.0)
         return await asyncio.wait_for(
             places.wait(
                 is_returned=False,
