Test that an agent keeps a version and tells its way once

Change: a scenario with a real VersionLoads, LoadFacts and NamedVersions and stand-in chunks: of a version that is 0.4 there both are fetched, of one that is 0.1 there only the newest; twenty looks write one line.

--- a/features/published_state.feature
+++ b/features/published_state.feature
@@ -112,3 +112,16 @@
     Then no runner loads a version that would serve for a shorter time than its load takes
     And no runner is ordered while fewer than the stated share answer
     And every runner ends with the newest version
+
+  Scenario Outline: An agent says once which way it takes
+    Guards against a version of which much is there and that is dropped for one whose origin may
+    still fail, so that the host gets neither. Guards against a line for each look.
+    Given an agent whose host has <share> of version 2 and whose runner holds version 1
+    When version 3 has been named 2 s after it and the agent looks 20 times
+    Then it wants version <wanted>
+    And one line tells the way to version 3 and that <kept> is kept
+
+    Examples:
+      | share | wanted | kept |
+      | 0.4   | 2 3    | 2    |
+      | 0.1   | 3      | None |
--- a/features/steps/published_state_steps.py
+++ b/features/steps/published_state_steps.py
@@ -1,13 +1,20 @@
 """Steps about published state, the directory of runners, versions and reload waves."""
 
+import asyncio
+import logging
 import math
 import random
 
 from behave import given, then, when
 from forwarding_stage import StoredValues
+from wasabilb_agent._load_facts import LoadFacts
 from wasabilb_agent._model_fleet import ModelFleet
+from wasabilb_agent._version_loads import VersionLoads
+from wasabilb_agent.model_runner import RunnerState
+from wasabilb_core.catalog import Catalog, EngineSpec, OriginSpec, Service
 from wasabilb_core.directory import Runner, RunnerDirectory
 from wasabilb_core.named_versions import NamedVersions
+from wasabilb_core.origin_watch import OriginWatch
 from wasabilb_core.published import Item, PublishedState
 from wasabilb_core.reload_waves import LATEST_ORDER, WaveMember, is_easing, may_reload
 from wasabilb_core.version_steps import (
@@ -17,6 +24,7 @@
     version_to_load,
     versions_to_fetch,
 )
+from wasabilb_node.clock import now
 from wasabilb_node.followed_state import FollowedState
 from wasabilb_node.logs import EventLog
 from waves_model import WaveFleet
@@ -215,19 +223,23 @@
     assert may_reload(name="r-5", members=context.members, version=2, named_s=0.1, bound_s=BOUND_S)
 
 
-@given("an agent that knows the entry of the runner on its host")
-def step_own_entry(context):
-    log = EventLog(process="t", role="agent", host="t", failure_domain="a", incarnation="1")
-    values = {b"first": runner(), b"second": runner(born_ms=2)}
-    context.followed = FollowedState(items=PublishedState(), decoder=StoredValues(values), log=log)
-    context.model_fleet = ModelFleet(
-        published=context.followed,
+def model_fleet(published):
+    return ModelFleet(
+        published=published,
         links=None,
         service="models",
         runner_address="127.0.0.1:9",
         regions={},
         links_port=1,
     )
+
+
+@given("an agent that knows the entry of the runner on its host")
+def step_own_entry(context):
+    log = EventLog(process="t", role="agent", host="t", failure_domain="a", incarnation="1")
+    values = {b"first": runner(), b"second": runner(born_ms=2)}
+    context.followed = FollowedState(items=PublishedState(), decoder=StoredValues(values), log=log)
+    context.model_fleet = model_fleet(context.followed)
     context.followed.take([Item(name="runner/r-1", revision=1, body=b"first")])
     assert context.model_fleet.own().born_ms == 1
 
@@ -428,3 +440,65 @@
 def step_all_newest(context):
     for seed, fleet in context.fleets.items():
         assert set(fleet.held.values()) == {max(fleet.named)}, (seed, fleet.held)
+
+
+class HostChunks:
+    """Stands for the transfers of a host with some shares of versions."""
+
+    def __init__(self, shares):
+        self.shares, self.held, self.wanted = shares, set(), {}
+
+    def share(self, variant):
+        return self.shares.get(int(variant.version), 0.0)
+
+    def set_wanted(self, wanted):
+        self.wanted = wanted
+
+
+@given("an agent whose host has {share:g} of version 2 and whose runner holds version 1")
+def step_agent_between(context, share):
+    lines = context.lines = []
+    logger = logging.Logger("load-steps")
+    logger.addHandler(logging.Handler())
+    logger.handlers[0].emit = lines.append
+    log = EventLog(
+        process="t", role="agent", host="t", failure_domain="a", incarnation="1", logger=logger
+    )
+    engine = EngineSpec(model="m", slots=16, step_s=0.01, chunks=48, chunk_bytes=49152)
+    origin = OriginSpec(address="127.0.0.1:8", failure_domain="a", bytes_per_s=15e6 / 8)
+    state = FollowedState(items=PublishedState(), decoder=StoredValues({}), log=log)
+    services = {
+        "models": Service(name="models", engine=engine),
+        "weights": Service(name="weights", origin=origin),
+    }
+    state.catalog = Catalog(version=1, routes=(), services=services)
+    state._named["m"] = context.named = NamedVersions()
+    names = {"published": state, "fleet": model_fleet(state)}
+    facts = LoadFacts(**names, origin=OriginWatch(), link_bytes_per_s=4.7e6 / 8, version_s=8.0)
+    context.loads = VersionLoads(
+        **names, runner=None, staging=None, facts=facts, version_s=8.0, log=log
+    )
+    context.chunks = HostChunks({2: share})
+
+
+@when("version 3 has been named 2 s after it and the agent looks {count:d} times")
+def step_agent_looks(context, count):
+    context.named.on_named(2, now() - 2.0, is_old=False)
+    context.named.on_named(3, now(), is_old=False)
+    held = {"version": 1, "layer_from": 0, "layer_to": 1}
+    state = RunnerState(**held, born_ms=1, model="m", is_busy=False, orders=0, running=12)
+    for _ in range(count):
+        asyncio.run(context.loads.reconcile(state, context.chunks))
+        context.loads.fetch(context.chunks)
+
+
+@then("it wants version {numbers}")
+def step_agent_wants(context, numbers):
+    wanted = sorted(int(variant.version) for variant in context.chunks.wanted)
+    assert wanted == [int(number) for number in numbers.split()], wanted
+
+
+@then("one line tells the way to version 3 and that {kept} is kept")
+def step_agent_tells(context, kept):
+    found = [line.msg for line in context.lines if line.msg["event"] == "load_steps"]
+    assert [(line["path"], str(line.get("kept"))) for line in found] == [("3", kept)], found
