Leave left_ms out of load_steps for a runner without weights

Cause: a runner without weights has no time left, which the line wrote as -inf; seen in a trial that builds a whole RunnerAgent with a stand-in runner and an origin that answers nobody (12 looks, away_ms 624 after 0.6 s). Change: the field is left out.

--- a/packages/wasabilb-agent/src/wasabilb_agent/_version_loads.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_version_loads.py
@@ -151,7 +151,7 @@
                 idle_ms=steps.idle_s * 1000,
                 direct_ms=steps.direct_s * 1000,
                 away_ms=facts.away_s * 1000,
-                left_ms=(facts.usable_s - outdated_s) * 1000,
+                left_ms=(facts.usable_s - outdated_s) * 1000 if self._held else None,
                 load_ms=facts.load_s * 1000,
             )
         return steps
