--- a/features/steps/pause_model.py
+++ b/features/steps/pause_model.py
@@ -6,8 +6,8 @@
 
 from overload_model import DEADLINE_S, OBJECTIVE_S, Fleet
 from wasabilb_core.overload import HeldLimit
+from wasabilb_core.return_times import NO_RUNNER_RETURN_S
 from wasabilb_entry.forwarder import RETURN_SPREAD_S
-from wasabilb_entry.placer import NO_RUNNER_RETURN_S
 
 # One way between an entry process and a runner.
 HOP_S = 0.002
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -12,10 +12,17 @@
 from wasabilb_core.overload import SPARE_PLACES, HeldLimit
 from wasabilb_core.peering import followed_runners, hears_of_sends
 from wasabilb_core.retry_window import RetryWindow
+from wasabilb_core.return_times import (
+    NO_RUNNER_RETURN_S,
+    NO_VERSION_RETURN_S,
+    SPREAD,
+    RunnerLoads,
+)
 from wasabilb_core.roster import EntryPlace
 from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView, expected_wait_s, load_of
 from wasabilb_core.runner_book import LoadReport, RunnerBook, turn_s
 from wasabilb_core.unreported_load import assume_load
+from wasabilb_core.version_steps import VERSION_MARGIN_S
 from wasabilb_node.clock import now
 from wasabilb_node.followed_state import FollowedState
 from wasabilb_node.http_client import ConnectionPool
@@ -35,9 +42,6 @@
 OTHER_REGION_S = 0.030
 # Long answers do not go to hosts that take so many times longer than usual by choice.
 SLOWED_PACE = 1.5
-# Before the bound on old versions no request is sent to a runner that may still hold the old one;
-# what waits in a runner's queue meanwhile must begin in time, too.
-VERSION_MARGIN_S = 0.9
 # A process hears of a version up to 0.4 s after the platform has confirmed it, and a runner notices
 # that a connection was closed after up to 0.1 s.
 BEGIN_MARGIN_S = 0.6
@@ -142,6 +146,7 @@
         }
         self._hears_of_sends = True
         self._windows: dict[str, RetryWindow] = {}
+        self._loads = RunnerLoads()
         self.moves = LoadMoves(free_places=self._free_places)
         # Runners of model services whose load this process hears of, by service.
         self._followed: dict[str, set[str]] = {}
@@ -182,7 +187,14 @@
         )
         if report.is_reachable and report.running > 0 and not report.is_busy:
             self.book.pauses.on_serving(runner, now())
-        self.moves.on_report(runner.id, is_busy=report.is_busy and report.is_reachable)
+        is_busy = report.is_busy and report.is_reachable
+        self._loads.on_report(runner.id, is_busy=is_busy, running=report.running, now=now())
+        self.moves.on_report(runner.id, is_busy=is_busy)
+
+    def forget(self, runner_id: str) -> None:
+        """Drop what is known of a runner that is gone."""
+        self.book.forget(runner_id, now())
+        self._loads.forget(runner_id)
 
     def follow(self, own: EntryPlace, places: Collection[EntryPlace]) -> list[Runner]:
         """Choose the model runners that this process follows, and return them.
@@ -348,6 +360,25 @@
             lately=lately,
         )
 
+    def returns_in_s(self, service: str) -> float:
+        """Return when a service that has no usable runner is likely to serve again, seconds."""
+        engine, moment = self.engine(service), now()
+        routable = self.directory.routable(service)
+        if engine is None or not routable:
+            return NO_RUNNER_RETURN_S
+        answer_s = engine.turn_s * engine.slots
+        # Nobody is to come back before a load has ended.
+        ends = [
+            self._loads.ends_in_s(r.id, now=moment, answer_s=answer_s, slots=engine.slots)
+            / SPREAD[0]
+            for r in routable
+        ]
+        version = self._demanded_version(engine, moment)
+        if any(self._can_serve(r, engine, version) for r in routable):
+            # Its report or its connections keep it out, which lasts as long as a fault does.
+            ends.append(NO_RUNNER_RETURN_S)
+        return min(NO_VERSION_RETURN_S, *ends)
+
     def _view(
         self,
         runner: Runner,
--- a/packages/wasabilb-entry/src/wasabilb_entry/placer.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/placer.py
@@ -21,9 +21,6 @@
 from wasabilb_entry.fleet_view import FleetView, Placement
 from wasabilb_entry.held_places import HeldPlaces
 
-# When callers come back while a service has no usable runner: about the time that a crashed runner
-# or a link takes to return, or a loaded version to serve, seconds.
-NO_RUNNER_RETURN_S = 0.6
 # When they come back after all its runners have begun to leave: a new runner takes seconds from its
 # start until it serves, and callers shorten the pause to a part of what they have left, seconds.
 ALL_LEAVING_RETURN_S = 2.0
@@ -200,7 +197,9 @@
 
     def _without_runner(self, service: str) -> RetryAfter:
         is_leaving = self.fleet.directory.is_leaving(service)
-        return RetryAfter(seconds=ALL_LEAVING_RETURN_S if is_leaving else NO_RUNNER_RETURN_S)
+        if is_leaving:
+            return RetryAfter(seconds=ALL_LEAVING_RETURN_S)
+        return RetryAfter(seconds=self.fleet.returns_in_s(service))
 
     def _overloaded(self, service: str, runners: int, reason: str) -> Error:
         again = self.retry_after(service)
@@ -218,6 +217,7 @@
                 views=lambda: self.fleet.views(service, RouteRequest()),
                 has_runner=lambda: bool(self.fleet.directory.routable(service)),
                 named_s=lambda: self.fleet.named_s(service),
+                returns_in_s=partial(self.fleet.returns_in_s, service),
             )
         return places
 
