A version's first shares leave the origin when it is named

Change: core.seeding decides which version is read ahead (the newest, unless it is fetched) and which host reads which chunks (rendezvous hashing with bounded loads, from the sorted list of hosts). ChunkTransfers takes seeds beside what is wanted: the manifest is got as ever, the planner stays in the background, where near_first reads this host's share of the region's part from the origin and nothing else. It goes on with peers while the versions before it get nothing (is_stalled), and at once when version_to_fetch names it; its chunks stay. A seed makes no room for itself by dropping a whole version. near_first uses the same shares for a version that is fetched.

Shown by features/seeding.feature; its last scenario fails on the code before ("Counter()": no chunk of version 2 had left).

Conclusion: what the origin sends in 0.4 s is with the hosts and spreads without it.

--- /dev/null
+++ b/features/steps/seeding_fleet.py
@@ -0,0 +1,194 @@
+"""Agents' transfers on real links in one process, with named versions and one store."""
+
+import asyncio
+import logging
+import random
+import socket
+from collections import Counter
+
+from returns.result import Success
+from wasabilb_agent._participants import ListedParticipants
+from wasabilb_agent._store_client import StoreClient
+from wasabilb_agent._version_loads import VersionLoads
+from wasabilb_agent.runner_agent import TRANSFER_LIMITS
+from wasabilb_agent.transfer import ChunkTransfers
+from wasabilb_core.settings import AgentSettings, PlatformSettings, PolicySettings, WeightSettings
+from wasabilb_core.tickets import HostSpec, Variant
+from wasabilb_node.clock import now
+from wasabilb_node.links import Identity, LinkManager
+from wasabilb_node.logs import EventLog
+from wasabilb_node.metrics import Metrics
+from wasabilb_standins.store import Store
+
+CHUNKS, CHUNK_BYTES = 48, 48 << 10
+SIZE = CHUNKS * CHUNK_BYTES
+LINK_S, ORIGIN_S, VERSION_S = 4.0, 1.26, 8.0
+ROUND_S = 0.1
+
+
+def free_port():
+    """Return a port that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class CountingClient(StoreClient):
+    """Notes when the store is asked and when it has answered."""
+
+    def __init__(self, *, url, asked, answered):
+        super().__init__(url=url)
+        self._asked, self._answered = asked, answered
+
+    async def manifest(self, variant):
+        """Note a question for a manifest."""
+        self._asked.append(now())
+        return await super().manifest(variant)
+
+    async def chunk(self, manifest, index):
+        """Note a question for a chunk, and its answer."""
+        self._asked.append(now())
+        found = await super().chunk(manifest, index)
+        if isinstance(found, Success):
+            self._answered.append((now(), manifest.version, index))
+        return found
+
+
+class NamedFleet:
+    """Hosts that fetch what is named; the names reach all of them at once."""
+
+    def __init__(self, *, hosts, regions):
+        self.store = Store(size=SIZE, chunk_size=CHUNK_BYTES, bytes_per_s=SIZE / ORIGIN_S)
+        self.named, self.asked, self.answered = {}, [], []
+        self.specs = [
+            HostSpec(
+                name=f"h{n}",
+                role="backend",
+                address=f"127.0.0.1:{free_port()}",
+                region=f"r{n % regions}",
+                failure_domain=f"r{n % regions}d",
+            )
+            for n in range(hosts)
+        ]
+        self.links, self.transfers, self.loads, self.task = {}, {}, {}, None
+
+    async def start(self):
+        """Start the store, and the hosts with links between all of them."""
+        logging.getLogger("wasabilb").setLevel(logging.ERROR)
+        await self.store.start()
+        for version in (1, 2):
+            # The content is made up at the first question, which a real store does not do.
+            self.store.manifest(self.variant(version))
+        for spec in self.specs:
+            self.start_host(spec)
+        self.task = asyncio.ensure_future(self.run())
+
+    def start_host(self, spec):
+        """Start one host."""
+        names = {"host": spec.name, "role": "agent", "failure_domain": spec.failure_domain}
+        log = EventLog(process="0", incarnation="1", **names)
+        identity = Identity(region=spec.region, incarnation=1, address=spec.address, **names)
+        links = self.links[spec.name] = LinkManager(identity=identity, log=log, heartbeat_s=1.0)
+        links.listen()
+        loads = self.loads[spec.name] = VersionLoads(
+            fleet=self,
+            published=self,
+            runner=None,
+            staging=self,
+            version_s=VERSION_S,
+            log=log,
+        )
+        self.transfers[spec.name] = ChunkTransfers(
+            cfg=AgentSettings(
+                host=spec.name,
+                region=spec.region,
+                failure_domain=spec.failure_domain,
+                listen=spec.address,
+                platform=PlatformSettings(config_service=self.store.url),
+                policy=PolicySettings(chunks="near_first"),
+                weights=WeightSettings(link_bytes_per_s=SIZE / LINK_S, live_share=0.0),
+            ),
+            participants=ListedParticipants(own=spec, listed=lambda: self.specs, links=links),
+            links=links,
+            store=CountingClient(url=self.store.url, asked=self.asked, answered=self.answered),
+            hand_over=loads.hand_over,
+            log=log,
+            metrics=Metrics(address="", role="agent", host=spec.name, log=log),
+            rng=random.Random(spec.name),
+            limits=lambda manifest: TRANSFER_LIMITS,
+            max_retry_s=1.0,
+        )
+
+    async def run(self):
+        """Let each host take its steps."""
+        while True:
+            self.fetch()
+            for name in self.links:
+                self.links[name].set_targets(self.transfers[name].targets())
+                self.links[name].tick()
+            await asyncio.sleep(ROUND_S)
+
+    def fetch(self):
+        """Let each host decide what it fetches."""
+        for name, loads in self.loads.items():
+            if self.named:
+                loads.fetch(self.transfers[name])
+
+    async def stop(self):
+        """End all."""
+        self.task.cancel()
+        for name in self.links:
+            self.transfers[name].close()
+            self.links[name].close()
+        await self.store.stop()
+        await asyncio.sleep(0.1)
+
+    def name(self, version):
+        """Name a version; all hosts know it at once."""
+        self.named[version] = now()
+        self.fetch()
+
+    def have(self, host, version):
+        """Return the bitmap of the chunks that a host has, None before it has the manifest."""
+        assembly = self.transfers[host].assembly(self.variant(version))
+        return None if assembly is None else assembly.planner.have
+
+    def left(self, version):
+        """Return how often each chunk of a version has left the store whole."""
+        return Counter(index for _, found, index in self.answered if found == str(version))
+
+    # What the code under test sees of the fleet, of published state and of the staging.
+    model = "m"
+    revision = 1
+
+    def variant(self, version):
+        """Return a version of the model."""
+        return Variant(model=self.model, adapter="", version=str(version))
+
+    def versions_above(self, held):
+        """Return the named versions above one."""
+        return [version for version in sorted(self.named) if version > held]
+
+    def outdated_s(self, model, version):
+        """Return for how long a newer version has been named."""
+        newer = [at for known, at in self.named.items() if known > version]
+        return now() - min(newer) if newer else float("-inf")
+
+    async def hand_over(self, assembly):
+        """Take a whole version."""
+        return Success(None)
+
+
+async def until(is_reached, timeout_s, seen=lambda: None):
+    """Wait until a condition holds, and say what is seen when it does not come to hold."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            while not is_reached():
+                await asyncio.sleep(0.01)
+    except TimeoutError:
+        raise AssertionError(f"not reached in {timeout_s} s: {seen()}") from None
+
+
+def full():
+    """Return the bitmap of all chunks."""
+    return (1 << CHUNKS) - 1
--- a/packages/wasabilb-agent/src/wasabilb_agent/_version_loads.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_version_loads.py
@@ -7,6 +7,7 @@
 from wasabilb_core.assembly import ChunkAssembly
 from wasabilb_core.errors import Error
 from wasabilb_core.reload_waves import is_easing, may_reload
+from wasabilb_core.seeding import versions_to_seed
 from wasabilb_core.tickets import Variant
 from wasabilb_core.version_steps import NamedVersion, version_to_fetch, version_to_load
 from wasabilb_node.clock import now
@@ -86,7 +87,11 @@
             version_to_fetch(newer, bound_s=bound_s) or versions[-1].number,
             version_to_load(versions, bound_s=bound_s),
         }
-        transfers.set_wanted({self._fleet.variant(n): n for n in wanted if n is not None})
+        seeds = versions_to_seed([version.number for version in newer], fetched=wanted)
+        variant = self._fleet.variant
+        transfers.set_wanted(
+            {variant(n): n for n in wanted if n is not None}, {variant(n): n for n in seeds}
+        )
 
     async def reconcile(self, state: RunnerState, transfers: ChunkTransfers) -> None:
         """Order the load of the next version if nothing stands against it."""
--- a/packages/wasabilb-agent/src/wasabilb_agent/transfer.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/transfer.py
@@ -45,6 +45,7 @@
 
     variant: Variant
     number: int
+    is_seed: bool
     refused: str = ""
     task: "asyncio.Task[None] | None" = None
     transfer: ChunkTransfer | None = None
@@ -124,25 +125,41 @@
         links.on_up.append(self._on_up)
         links.on_down.append(self._on_down)
 
-    def set_wanted(self, wanted: dict[Variant, int]) -> None:
+    def set_wanted(
+        self, wanted: dict[Variant, int], seeds: dict[Variant, int] | None = None
+    ) -> None:
         """Start transfers of the variants, given with their ticket numbers, and end others.
 
         A variant that the engine holds is no longer wanted; its chunks stay for peers until
         another version of the same model is wanted or the memory is needed.
+
+        Parameters
+        ----------
+        wanted, seeds : dict of int
+            Variants to be fetched whole, and those of which this host reads its share from the
+            store. A seed takes more only while the others make no progress; it keeps its chunks
+            when it is wanted.
         """
+        named = {**(seeds or {}), **wanted}
         newer = {(variant.model, variant.adapter) for variant in wanted}
         for variant, job in list(self._jobs.items()):
             is_replaced = (variant.model, variant.adapter) in newer
-            if variant not in wanted and (not job.is_handed or is_replaced):
+            if variant not in named and (not job.is_handed or is_replaced):
                 self._end(variant, "a newer ticket wants another version")
         self.held &= set(self._jobs)
         self._follow_hosts()
-        for variant, number in wanted.items():
-            if variant not in self._jobs:
-                job = self._jobs[variant] = _Job(variant=variant, number=number)
+        for variant, number in named.items():
+            is_seed = variant not in wanted
+            known = self._jobs.get(variant)
+            if known is None:
+                job = _Job(variant=variant, number=number, is_seed=is_seed)
+                self._jobs[variant] = job
                 job.task = asyncio.ensure_future(self._run(job))
-            elif self._jobs[variant].number != number:
-                self._jobs[variant].number = number
+            elif (known.number, known.is_seed) != (number, is_seed):
+                is_promoted = known.is_seed and not is_seed
+                known.number, known.is_seed = number, is_seed
+                if is_promoted:
+                    self._log_started(known)
                 self._changed.set()
 
     def targets(self) -> dict[str, str]:
@@ -181,7 +198,7 @@
             "model": job.variant.model,
             "version": job.variant.version,
         }
-        self._log.event("transfer_started", **names)
+        self._log_started(job)
         retry_s = FIRST_RETRY_S
         while True:
             done = await self._attempt(job)
@@ -204,6 +221,18 @@
         job.is_handed = True
         self.held.add(job.variant)
 
+    def _log_started(self, job: _Job) -> None:
+        variant = job.variant
+        names: dict[str, Any] = {
+            "ticket": job.number,
+            "model": variant.model,
+            "version": variant.version,
+        }
+        if job.is_seed:
+            self._log.event("seed_started", **names)
+        else:
+            self._log.event("transfer_started", **names)
+
     async def _wait_refused(self, job: _Job, error: Error) -> None:
         """Log a refused version once and wait until something may have changed."""
         self._drop_transfer(job)
@@ -241,13 +270,15 @@
         self._drop_transfer(job)
         job.transfer = self._start(job, manifest, done)
         self._manifests.drop(job.variant)
-        if self._preload is not None:
+        # What is staged belongs to an older version than a seed.
+        if self._preload is not None and not job.is_seed:
             await self._preload(job.transfer)
         while not done.is_set():
             if job.is_stale:
                 detail = f"the store no longer has a chunk of {job.variant}"
                 return Failure(Error(kind=ErrorKind.BAD_MANIFEST, detail=detail))
             self.on_tick()
+            self._rank(job, job.transfer)
             job.transfer.tick()
             self._participants.link_up(job.transfer.assembly.planner.neighbours(now()))
             await asyncio.sleep(TICK_S)
@@ -262,7 +293,8 @@
         if manifest.size > bound:
             return _too_large(manifest)
         for variant, other in list(self._jobs.items()):
-            if self._held_bytes(but=job.transfer) + manifest.size > bound and other.is_handed:
+            is_over = self._held_bytes(but=job.transfer) + manifest.size > bound
+            if is_over and other.is_handed and not job.is_seed:
                 self._end(variant, "its memory is needed")
         used = self._held_bytes(but=job.transfer)
         if used + manifest.size > bound:
@@ -295,11 +327,23 @@
             on_complete=done.set,
             on_manifest_gone=on_manifest_gone,
         )
+        self._rank(job, transfer)
         for peer in self._links.peers():
             if peer.host in overlay.hosts:
                 transfer.greet(peer)
         return transfer
 
+    def _rank(self, job: _Job, transfer: ChunkTransfer) -> None:
+        """Keep a seed in the background while a wanted version has use for the link."""
+        is_link_used = any(
+            not other.is_seed
+            and other.transfer is not None
+            and not other.transfer.is_complete
+            and not other.transfer.assembly.planner.is_stalled(now())
+            for other in self._jobs.values()
+        )
+        transfer.assembly.planner.set_background(job.is_seed and is_link_used, now())
+
     def _follow_hosts(self) -> None:
         """Bring the transfers in line with the hosts that the tickets name at this time."""
         for transfer in self._transfers():
--- a/packages/wasabilb-core/src/wasabilb_core/_chunk_planner.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_chunk_planner.py
@@ -26,6 +26,11 @@
 # chunks, so up to three times the mean is usual.
 OVERDUE_FACTOR = 3.0
 END_GAME_FACTOR = 1.5
+# A transfer without progress for so many mean latencies leaves the link to one in the background;
+# requests of other hosts keep a peer busy for one or two. Seconds at least: chunks that take 0.1 s
+# are announced 0.05 s later and refused peers are asked again after up to a third of their time.
+STALLED_FACTOR = 3.0
+MIN_STALLED_S = 0.3
 
 
 class ChunkPlanner:
@@ -105,6 +110,20 @@
         """Return the requests that are neither answered nor timed out."""
         return tuple(pending.request for pending in self._view.pending.values())
 
+    def is_stalled(self, now: float) -> bool:
+        """Return whether this host has for a while got nothing and heard of nothing to get."""
+        expected = STALLED_FACTOR * (self._view.latency.mean_s or 0.0)
+        return now - self._view.progress_at > max(MIN_STALLED_S, expected)
+
+    def set_background(self, is_background: bool, now: float) -> None:
+        """Keep to the first reads of the origin while another version goes first.
+
+        The times for which other hosts are waited for count from the end of that.
+        """
+        if self._view.is_background and not is_background:
+            self._view.started_at = now
+        self._view.is_background = is_background
+
     def neighbours(self, now: float) -> tuple[str, ...]:
         """Return the hosts to be linked with at this time."""
         return () if self._is_abandoned else self._policy.neighbours(self._view, now)
--- a/packages/wasabilb-core/src/wasabilb_core/_chunk_view.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_chunk_view.py
@@ -163,7 +163,7 @@
     have : int
         Bitmap of the verified chunks.
     started_at : float
-        When the transfer started here, seconds.
+        When the transfer started here, or was last in the background, seconds.
     progress_at : float
         When a chunk was last verified, or when a source last offered one that is missing.
     brought : int
@@ -172,6 +172,8 @@
         Bitmap of the chunks in flight that are not overdue.
     near_in_flight, duty_in_flight : int
         Requests in flight that are not overdue, to peers of the region and to all others.
+    is_background : bool
+        Whether only this host's share is read from the origin, as another version goes first.
     """
 
     host: HostSpec
@@ -189,6 +191,7 @@
     near_in_flight: int = 0
     duty_in_flight: int = 0
     oldest_sent_at: float = float("-inf")
+    is_background: bool = False
     full: int = field(init=False)
     peers: dict[str, Source] = field(factory=dict)
     pending: dict[tuple[int, str], Pending] = field(factory=dict)
--- a/packages/wasabilb-core/src/wasabilb_core/_near_first.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_near_first.py
@@ -5,6 +5,7 @@
 from wasabilb_core import _bitmaps
 from wasabilb_core._chunk_view import ORIGIN, ChunkRequest, Source, TransferView
 from wasabilb_core.rendezvous import rank
+from wasabilb_core.seeding import origin_shares
 
 # Up to so many hosts of a region are all linked. Hosts that do not see each other read the same
 # chunks from the origin.
@@ -31,7 +32,7 @@
         # By the regions that take part, which may become more after the start.
         self._orders: dict[tuple[str, ...], list[int]] = {}
         self._region_owned: dict[tuple[str, ...], int] = {}
-        self._owned: dict[tuple[str, ...], int] = {}
+        self._owned: dict[tuple[tuple[str, ...], tuple[str, ...]], int] = {}
 
     def neighbours(self, view: TransferView, now: float) -> tuple[str, ...]:
         """Return the near hosts, in a large region those of the overlay, and a few far ones."""
@@ -55,6 +56,8 @@
         unread = self._unread(view, near, now)
         if unread & missing and view.origin.in_flight == 0:
             return self._from_origin(view, unread & missing)
+        if view.is_background:
+            return None
         if view.near_in_flight < (READING_REQUESTS if unread else view.limits.peer_requests):
             request = _rarest(view, missing, now, is_near=True)
             if request is not None:
@@ -69,7 +72,7 @@
         The links of the hosts carry the origin's copy out first, so that nobody needs it any more
         when it fails soon after a version was named.
         """
-        is_late = now - view.started_at >= view.limits.far_wait_s
+        is_late = now - view.started_at >= view.limits.far_wait_s and not view.is_background
         if is_late or now < view.origin.avoid_until:
             return 0
         return self._of_region(view) & self._own_chunks(view, now) & ~view.have & ~_union(near)
@@ -138,15 +141,18 @@
             names = [n for n in view.overlay.hosts if self._is_near(view, n)]
         else:
             names = [p.name for p in view.peers.values() if p.is_near and p.is_linked]
-        key = tuple(sorted({view.host.name, *names}))
-        found = self._owned.get(key)
+        regions = tuple(sorted(view.overlay.standing))
+        near = tuple(sorted({view.host.name, *names}))
+        found = self._owned.get((regions, near))
         if found is None:
-            found = sum(
-                1 << index
-                for index in range(view.count)
-                if rank(f"{view.overlay.key}:{index}", key)[0] == view.host.name
-            )
-            self._owned[key] = found
+            found, order = 0, self._common_order(view)
+            for place in range(len(regions)):
+                # What each region reads is shared out by itself, so that nobody reads much more
+                # than the others of its region.
+                part = order[place :: len(regions)]
+                shares = origin_shares(key=view.overlay.key, chunks=part, hosts=near)
+                found |= shares[view.host.name]
+            self._owned[regions, near] = found
         return found
 
     def _chunk_order(self, view: TransferView) -> list[int]:
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -97,6 +97,9 @@
         "A chunk beside the runner is missing or changed and is written again.",
         "model version chunk is_missing",
     ),
+    "seed_started": _spec(
+        "The host reads its share of a version that is not fetched yet.", "ticket model version"
+    ),
     "transfer_started": _spec("The host starts to fetch a version.", "ticket model version"),
     "chunk_received": _spec(
         "Verified chunks arrived; one line may stand for several from one source.",
