What far hosts offer is not read from the origin while they send

Cause: near_first read from the origin, once far_wait_s had passed, any chunk that no far host had a free slot for at that moment, also those that far hosts offered. The description of far_wait_s speaks of chunks that no far host offers. Found in a play of an origin's return: 9 hosts of 3 regions drew 58 and 63 chunks for a version of 48 (6 hosts: 62, 64, 65), all repeats from 2.5 s on.

Change: what a linked far host offers is left to it as long as far hosts have sent something here within takeover_s (2 to 30 s); a far host that offers and never sends is gone round as before.

Ruled out: counting any chunk as a sign of far hosts (each read of the origin then put off the next by 2.4 s: 30 of 48 chunks after 38 s).

Shown by features/distribution.feature, "Far hosts that are busy are waited for": on the code before 43 chunks are read without a pause, 16 of them this region's.

--- a/features/distribution.feature
+++ b/features/distribution.feature
@@ -50,6 +50,14 @@
     When two of them read nothing after they have met
     Then the other one reads 16 chunks before 4.2 s and all of them later
 
+  Scenario: Far hosts that are busy are waited for
+    Guards against a store that sends what other regions have and are only too busy to send, which
+    made up to 1.4 copies, and against waiting for hosts that never send what they offer.
+    Given 3 hosts of 3 regions that each begin a transfer of 48 chunks with "near_first" alone
+    And the limits of a runner's agent say that other regions may take 2.5 s
+    When two of them offer all chunks but send one in 1.5 s, and nothing after 6 s
+    Then the other one reads 16 chunks before 8 s and all that are left by 20 s
+
   Scenario Outline: The whole version leaves the store first
     Load: <hosts> hosts of <regions> regions that fetch a version at once, each over a link that takes
     4 s for it, from a store that sends a copy in <copy> s.
--- a/features/steps/planner_steps.py
+++ b/features/steps/planner_steps.py
@@ -63,7 +63,7 @@
 
 
 @given("their limits say that other regions may take {seconds:g} s")
-def step_far_wait(context, seconds):
+def step_far_wait(context, seconds, limits=LIMITS):
     meet = Overlay(key="t", hosts=context.hosts, store_region="r0")
     context.planner = ChunkPlanner(
         overlay=meet,
@@ -72,10 +72,15 @@
         policy=CHUNK_POLICIES.create("near_first").unwrap(),
         rng=random.Random(1),
         now=0.0,
-        limits=evolve(LIMITS, far_wait_s=seconds),
+        limits=evolve(limits, far_wait_s=seconds),
     )
 
 
+@given("the limits of a runner's agent say that other regions may take {seconds:g} s")
+def step_agent_limits(context, seconds):
+    step_far_wait(context, seconds, TRANSFER_LIMITS)
+
+
 @when("two of them read nothing after they have met")
 def step_idle_regions(context):
     for peer in ("h1", "h2"):
@@ -88,6 +93,35 @@
             context.planner.on_chunk(request.index, request.source, now)
 
 
+@when("two of them offer all chunks but send one in {every:g} s, and nothing after {end:g} s")
+def step_busy_regions(context, every, end):
+    """The store takes 0.3 s for a chunk."""
+    planner, context.reads, answers, sent = context.planner, [], [], 0
+    for step in range(200):
+        now = step * 0.1
+        planner.on_tick(now)
+        for peer in ("h1", "h2"):
+            planner.on_peer_state(peer, (1 << context.chunks) - 1, now)
+        while answers and answers[0][0] <= now:
+            planner.on_chunk(answers.pop(0)[1], ORIGIN, now)
+        for request in planner.next_requests(now):
+            if request.source == ORIGIN:
+                context.reads.append(now)
+                answers.append((now + 0.3, request.index))
+            elif sent * every <= now <= end:
+                sent += 1
+                planner.on_chunk(request.index, request.source, now)
+            elif now <= end:
+                planner.on_chunk_failed(request.index, request.source, ChunkFailure.BUSY, now)
+
+
+@then("the other one reads {share:d} chunks before {busy:g} s and all that are left by {end:g} s")
+def step_waits_for_busy(context, share, busy, end):
+    early = [at for at in context.reads if at < busy]
+    assert len(early) <= share and context.planner.is_complete, context.reads
+    assert max(context.reads) < end
+
+
 @then("the other one reads {share:d} chunks before {seconds:g} s and all of them later")
 def step_reads_late(context, share, seconds):
     early = [at for at in context.reads if at < seconds]
--- a/packages/wasabilb-core/src/wasabilb_core/_chunk_planner.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_chunk_planner.py
@@ -192,6 +192,8 @@
         view.have |= 1 << index
         if known is not None and not known.is_near:
             view.brought |= 1 << index
+            if known is not view.origin:
+                view.far_at = now
         view.progress_at = max(view.progress_at, now)
         return True
 
--- a/packages/wasabilb-core/src/wasabilb_core/_chunk_view.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_chunk_view.py
@@ -166,6 +166,8 @@
         When the transfer started here, or was last in the background, seconds.
     progress_at : float
         When a chunk was last verified, or when a source last offered one that is missing.
+    far_at : float
+        When a chunk last came from a host of another region, seconds.
     brought : int
         Bitmap of the chunks that came from the store or another region.
     requested : int
@@ -186,6 +188,7 @@
     origin: Source
     latency: Latency
     have: int = 0
+    far_at: float = float("-inf")
     brought: int = 0
     requested: int = 0
     near_in_flight: int = 0
--- a/packages/wasabilb-core/src/wasabilb_core/_near_first.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_near_first.py
@@ -92,13 +92,21 @@
         if request is not None or not is_origin_free:
             return request or _rarest(view, wanted, now, is_near=False)
         is_late = now - view.started_at >= view.limits.far_wait_s
-        if own and (is_late or not self._has_far(view)):
-            return self._from_origin(view, own)
+        # A far host that is busy sends later what it offers; the origin sends it once more only
+        # when none of them has sent anything for long.
+        is_served = now - max(view.far_at, view.started_at) <= view.takeover_s
+        far = [peer for peer in view.peers.values() if not peer.is_near]
+        unoffered = wanted & ~_union(far) if is_served else wanted
+        if own & unoffered and (is_late or not self._has_far(view)):
+            return self._from_origin(view, own & unoffered)
         # What is left last is likely in flight to its owners.
         near_count = sum(peer.is_linked for peer in near)
         if not is_late or wanted.bit_count() <= near_count:
             return None
-        return _rarest(view, wanted, now, is_near=False) or self._from_origin(view, wanted)
+        request = _rarest(view, wanted, now, is_near=False)
+        if request is not None or not unoffered:
+            return request
+        return self._from_origin(view, unoffered)
 
     def may_serve(self, view: TransferView, peer: str, now: float) -> bool:
         """Return whether an upload slot is free; other regions have slots of their own."""
