Hosts ask an origin that is away in turns, and the first answer wakes all

A manifest that its two readers in a region did not bring was read by others only after 2 to 4 s.

Change: core.origin_watch decides: the origin is away after two failures, the second of a question put 0.2 s after the first failed. Then one host in the whole fleet asks for a manifest in each slot of 0.05 s of wall time, in an order that all compute from the sorted list of hosts. The first host with an answer tells its linked peers (message OriginAnswer), who pass it on once; all read at once, each its share. Planners do not ask an origin that is away, and wait for other regions anew after its return. The next hosts of a region read a manifest 0.25 to 0.5 s after the two before them if nobody has passed it on.

Ruled out: a free choice of the time (gaps over 0.1 s in a third of the cases); a host's own slot after one failure (4.5 s with 90 hosts for one lost answer); waking hosts to read the manifest themselves (5 reads in front of the first chunk).

20 questions a second in the whole fleet are more than a handful; 0.1 s cannot be had with fewer where connections are refused. 9 hosts asked about as often before, larger fleets far more.

Shown by features/seeding.feature (the return with and without a manifest, readers that are gone: each fails on; turns; one lost answer). The number of message types in features/steps/wire_steps.py is now 27.

--- a/features/seeding.feature
+++ b/features/seeding.feature
@@ -1,5 +1,6 @@
-Feature: A version leaves the origin when it is named
-  Hosts that still fetch the version before read their shares of the next one at once.
+Feature: A version leaves the origin when it is named, and when the origin is back
+  Hosts that still fetch the version before read their shares of the next one at once. While the
+  origin is away they ask it in turns.
 
   Scenario: Every chunk is one host's, and changes of the hosts move few
     Guards against chunks that nobody reads from the origin or several hosts read, and against one
@@ -33,3 +34,38 @@
     And every host has the manifest of version 2 while the origin is away
     And all hosts have these chunks of version 2 while the origin is away
     And all hosts have version 1 while the origin is away
+
+  Scenario: The origin is back
+    Guards against hosts that each wait for a pause of their own before they ask an origin that is
+    back, and against a fleet that keeps an origin busy with questions that it cannot answer.
+    Given 6 hosts of 3 regions that fetch version 1
+    When the origin fails after 0.5 s and comes back 3 s later, 2 times
+    Then it has been asked at most 20 times a second in the last 2 s of each time
+    And its first chunk has left at most 0.1 s after each return
+    And all hosts have version 1
+    And the origin has sent at most 1.2 copies of version 1
+
+  Scenario: The origin is back, and nobody has the manifest yet
+    Guards against the pauses between questions for a manifest, which come before any chunk.
+    Given 3 hosts of 3 regions and an origin that is away
+    When version 1 is named and the origin is back 3 s later
+    Then it has been asked at most 20 times a second in the last 2 s of each time
+    And its first chunk has left at most 0.1 s after each return
+    And all hosts have version 1
+    And the origin has sent at most 1.2 copies of version 1
+
+  Scenario: No more than one host asks at a time
+    Guards against hosts that ask in the same slot, and slots in which nobody asks.
+    When 40 hosts take their turns for 20 s
+    Then each slot of 0.05 s has the question of one host
+
+  Scenario: One lost answer is not an origin that is away
+    Guards against a host that waits for its turn in a large fleet after a single failure.
+    When questions that were put together fail together
+    Then the origin counts as there, and as away after one more that was put later
+
+  Scenario: The hosts that are to read the manifest are gone
+    Guards against hosts that wait for seconds for a manifest that nobody reads.
+    Given 9 hosts of 3 regions of which those that read the manifest are down
+    When version 1 is named
+    Then all hosts that run have its manifest after at most 1 s
--- a/features/steps/seeding_fleet.py
+++ b/features/steps/seeding_fleet.py
@@ -24,6 +24,7 @@
 SIZE = CHUNKS * CHUNK_BYTES
 LINK_S, ORIGIN_S, VERSION_S = 4.0, 1.26, 8.0
 ROUND_S = 0.1
+LOOP_CHECK_S = 0.005
 
 
 def free_port():
@@ -33,6 +34,19 @@
         return sock.getsockname()[1]
 
 
+class TimedStore(Store):
+    """Notes when it has begun to send chunks."""
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        self.chunks_at = []
+
+    def is_next_corrupt(self):
+        """Note the beginning of a chunk."""
+        self.chunks_at.append(now())
+        return super().is_next_corrupt()
+
+
 class CountingClient(StoreClient):
     """Notes when the store is asked and when it has answered."""
 
@@ -58,7 +72,8 @@
     """Hosts that fetch what is named; the names reach all of them at once."""
 
     def __init__(self, *, hosts, regions):
-        self.store = Store(size=SIZE, chunk_size=CHUNK_BYTES, bytes_per_s=SIZE / ORIGIN_S)
+        self.down = set()
+        self.store = TimedStore(size=SIZE, chunk_size=CHUNK_BYTES, bytes_per_s=SIZE / ORIGIN_S)
         self.named, self.asked, self.answered = {}, [], []
         self.specs = [
             HostSpec(
@@ -70,7 +85,8 @@
             )
             for n in range(hosts)
         ]
-        self.links, self.transfers, self.loads, self.task = {}, {}, {}, None
+        self.links, self.transfers, self.loads, self.tasks = {}, {}, {}, []
+        self.held_up = []
 
     async def start(self):
         """Start the store, and the hosts with links between all of them."""
@@ -80,8 +96,9 @@
             # The content is made up at the first question, which a real store does not do.
             self.store.manifest(self.variant(version))
         for spec in self.specs:
-            self.start_host(spec)
-        self.task = asyncio.ensure_future(self.run())
+            if spec.name not in self.down:
+                self.start_host(spec)
+        self.tasks = [asyncio.ensure_future(work()) for work in (self.run, self.watch_loop)]
 
     def start_host(self, spec):
         """Start one host."""
@@ -128,6 +145,17 @@
                 self.links[name].tick()
             await asyncio.sleep(ROUND_S)
 
+    async def watch_loop(self):
+        """Note when this process ran late, as all hosts and the store share it."""
+        while True:
+            due = now() + LOOP_CHECK_S
+            await asyncio.sleep(LOOP_CHECK_S)
+            self.held_up.append((now(), now() - due))
+
+    def held_up_s(self, start, end):
+        """Return for how long this process ran late in a time."""
+        return sum(late for at, late in self.held_up if start <= at - late and at <= end)
+
     def fetch(self):
         """Let each host decide what it fetches."""
         for name, loads in self.loads.items():
@@ -136,7 +164,8 @@
 
     async def stop(self):
         """End all."""
-        self.task.cancel()
+        for task in self.tasks:
+            task.cancel()
         for name in self.links:
             self.transfers[name].close()
             self.links[name].close()
--- a/features/steps/seeding_steps.py
+++ b/features/steps/seeding_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 
 from attrs import evolve
 from behave import given, then, when
@@ -9,9 +10,12 @@
 from hypothesis import strategies as st
 from seeding_fleet import CHUNKS, NamedFleet, full, until
 from swarm_model import make_hosts
+from wasabilb_agent._manifests import READERS
 from wasabilb_agent.runner_agent import TRANSFER_LIMITS
 from wasabilb_core.distribution import CHUNK_POLICIES, ChunkPlanner, Overlay
+from wasabilb_core.origin_watch import CONFIRM_S, OriginWatch
 from wasabilb_core.seeding import EVEN_FROM, origin_shares, versions_to_seed
+from wasabilb_node.clock import now
 
 NAMES = st.sets(st.integers(0, 99).map("h{}".format), min_size=1, max_size=24)
 
@@ -171,16 +175,38 @@
 
 @given("{hosts:d} hosts of {regions:d} regions that fetch version 1")
 def step_fleet(context, hosts, regions):
-    context.runner = asyncio.Runner()
+    begin(context, NamedFleet(hosts=hosts, regions=regions))
+    step_name(context)
+
+
+@given("{hosts:d} hosts of {regions:d} regions of which those that read the manifest are down")
+def step_readers_down(context, hosts, regions):
+    fleet = NamedFleet(hosts=hosts, regions=regions)
+    overlay = Overlay(key=str(fleet.variant(1)), hosts=fleet.specs, store_region="r0")
+    for names in overlay.standing.values():
+        fleet.down.update(names[:READERS])
+    begin(context, fleet)
+
+
+def begin(context, fleet):
+    """Start a fleet."""
+    context.runner, context.named = asyncio.Runner(), fleet
     context.add_cleanup(context.runner.close)
+    context.runner.run(fleet.start())
+    context.add_cleanup(lambda: context.runner.run(fleet.stop()))
+
 
-    async def begin():
-        context.named = NamedFleet(hosts=hosts, regions=regions)
-        await context.named.start()
+@when("version 1 is named")
+def step_name(context):
+    async def name():
         context.named.name(1)
 
-    context.runner.run(begin())
-    context.add_cleanup(lambda: context.runner.run(context.named.stop()))
+    context.runner.run(name())
+
+
+@then("all hosts that run have its manifest after at most {limit:g} s")
+def step_manifest_soon(context, limit):
+    wait(context, lambda host: context.named.have(host, 1) is not None, limit)
 
 
 @when("version 2 is named after {after:g} s and the origin fails {fails:g} s later")
@@ -229,3 +255,96 @@
 @then("all hosts have version 1 while the origin is away")
 def step_version_1(context):
     wait(context, lambda host: context.named.have(host, 1) == full(), 8.0)
+
+
+@when("the origin fails after {after:g} s and comes back {away:g} s later, {times:d} times")
+def step_fails_and_returns(context, after, away, times):
+    store = context.named.store
+    context.away = []
+
+    async def play():
+        for _ in range(times):
+            await asyncio.sleep(after)
+            store.set_faults(down="drop")
+            await asyncio.sleep(away)
+            store.set_faults(down="")
+            context.away.append(now())
+        await asyncio.sleep(after)
+
+    context.runner.run(play())
+
+
+@given("{hosts:d} hosts of {regions:d} regions and an origin that is away")
+def step_away_from_start(context, hosts, regions):
+    begin(context, NamedFleet(hosts=hosts, regions=regions))
+    context.named.store.set_faults(down="drop")
+
+
+@when("version 1 is named and the origin is back {away:g} s later")
+def step_named_while_away(context, away):
+    step_name(context)
+    step_fails_and_returns(context, 0.0, away, 1)
+    context.runner.run(asyncio.sleep(0.5))
+
+
+@then("it has been asked at most {rate:g} times a second in the last {last:g} s of each time")
+def step_asked(context, rate, last):
+    asked = context.named.asked
+    counts = [sum(back - last <= at < back for at in asked) for back in context.away]
+    # A slot may begin on each edge of the time.
+    assert max(counts) <= rate * last + 1, counts
+
+
+@then("its first chunk has left at most {limit:g} s after each return")
+def step_first_chunk(context, limit):
+    fleet, waits = context.named, []
+    for back in context.away:
+        first = min(at for at in fleet.store.chunks_at if at >= back)
+        # All hosts and the store share a process: while it does not run, nobody could ask.
+        waits.append((first - back, fleet.held_up_s(back, first)))
+    assert all(wait - held_up <= limit for wait, held_up in waits), waits
+
+
+@then("all hosts have version 1")
+def step_whole(context):
+    step_version_1(context)
+
+
+@then("the origin has sent at most {copies:g} copies of version 1")
+def step_copies_of_1(context, copies):
+    sent = sum(context.named.left(1).values())
+    assert sent <= copies * CHUNKS, sent
+
+
+@when("{count:d} hosts take their turns for {seconds:g} s")
+def step_turns(context, count, seconds):
+    names = [f"h{n}" for n in range(count)]
+    context.slots = []
+    for name in names:
+        watch, wall_s = OriginWatch(host=name), 0.001
+        while wall_s < seconds:
+            wall_s += watch.turn_in_s(names, wall_s=wall_s) + 0.001
+            context.slots.append(wall_s)
+
+
+@then("each slot of {slot:g} s has the question of one host")
+def step_one_a_slot(context, slot):
+    numbers = Counter(int(at / slot) for at in context.slots)
+    whole = max(numbers) - 2 * 40
+    assert all(numbers[number] == 1 for number in range(1, whole)), numbers
+
+
+@when("questions that were put together fail together")
+def step_fail_together(context):
+    context.watch = OriginWatch(host="h0")
+    for failed_at in (1.0, 1.0, 2.5):
+        assert not context.watch.on_failure(asked_at=0.9, now=failed_at)
+
+
+@then("the origin counts as there, and as away after one more that was put later")
+def step_away(context):
+    assert not context.watch.is_away
+    asked_at = 1.0 + CONFIRM_S
+    assert context.watch.on_failure(asked_at=asked_at, now=asked_at) and context.watch.is_away
+    assert context.watch.on_answer() and not context.watch.is_away
+    assert not context.watch.on_failure(asked_at=9.0, now=9.0)
--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -118,7 +118,7 @@
 
 @then("the decoded messages equal the sent ones")
 def step_equal(context):
-    assert context.unequal == [] and len(context.kinds) == len(MESSAGE_TYPES) == 26
+    assert context.unequal == [] and len(context.kinds) == len(MESSAGE_TYPES) == 27
 
 
 @when("random, truncated and mutated frames are decoded")
--- a/packages/wasabilb-agent/src/wasabilb_agent/_manifests.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_manifests.py
@@ -21,7 +21,9 @@
 MANIFEST_INDEX = (1 << 32) - 1
 # Hosts of each region that read a manifest from the store at once.
 READERS = 2
-# A host that is no reader reads itself when no peer has answered for about this time.
+# The next hosts of a region read it themselves when no peer has answered for such a time more, up
+# to a bound; seconds. A manifest passes between two hosts in a tenth of it.
+PEER_STEP_S = 0.25
 PEER_WAIT_S = 2.0
 
 
@@ -102,9 +104,10 @@
             Whether peers are not trusted to have the newest one.
         """
         wanted = self._wanted[variant]
-        is_reader = self._host in wanted.overlay.standing[self._region][:READERS]
-        if not is_reader and not is_store_only:
-            await self._wait_peers(wanted, PEER_WAIT_S * self._rng.uniform(1.0, 2.0))
+        turn = wanted.overlay.standing[self._region].index(self._host) // READERS
+        if turn and not is_store_only:
+            wait_s = min(PEER_WAIT_S, turn * PEER_STEP_S)
+            await self._wait_peers(wanted, wait_s * self._rng.uniform(1.0, 2.0))
         if wanted.offered is not None and not is_store_only:
             return Success(wanted.offered)
         found = await self._store.manifest(variant)
@@ -120,6 +123,19 @@
         else:
             await self._wait_peers(wanted, timeout_s)
 
+    def offer(self, variant: Variant, manifest: Manifest) -> None:
+        """Take a manifest that the store has given to a probe."""
+        wanted = self._wanted.get(variant)
+        if wanted is not None:
+            wanted.offered = manifest
+            wanted.arrived.set()
+
+    def wake(self, *, but: str) -> None:
+        """End the waits, as the store answers again, but for a variant that peers pass on."""
+        for variant, wanted in self._wanted.items():
+            if str(variant) != but:
+                wanted.arrived.set()
+
     def on_up(self, peer: Peer) -> None:
         """Ask a new peer for what is wanted."""
         for variant, wanted in self._wanted.items():
@@ -153,6 +169,8 @@
     async def _wait_peers(self, wanted: _Wanted, timeout_s: float) -> None:
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(wanted.arrived.wait(), timeout_s)
+        if wanted.offered is None:
+            wanted.arrived.clear()
 
     def _ask(self, variant: Variant, wanted: _Wanted, peer: Peer) -> None:
         if peer.host in wanted.overlay.hosts:
--- /dev/null
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_shared_origin.py
@@ -0,0 +1,126 @@
+"""The origin of weights as this host uses it: asked in turns with other hosts while it is away."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from attrs import define, field
+from returns.result import Failure, Result, Success
+from wasabilb_core.errors import Error, ErrorKind, unavailable
+from wasabilb_core.manifest import Manifest
+from wasabilb_core.origin_watch import OriginWatch
+from wasabilb_core.tickets import Variant
+from wasabilb_node.clock import now, wall_ms
+from wasabilb_node.links import LinkManager, Peer
+from wasabilb_node.logs import EventLog
+from wasabilb_wire.messages import OriginAnswer
+
+from wasabilb_agent._weight_source import WeightSource
+
+# A probe reads a manifest of a few KB; an origin that answers does so within the turns of a few
+# hosts. A longer wait would only hold up this host's next turn.
+PROBE_TIMEOUT_S = 0.5
+
+T = TypeVar("T")
+
+
+@define(kw_only=True, eq=False)
+class SharedOrigin:
+    """A `WeightSource` that is not asked while it is away, but for this host's probes.
+
+    Parameters
+    ----------
+    store : WeightSource
+        The origin.
+    watch : OriginWatch
+        What this host believes of it.
+    links : LinkManager
+        Links to the hosts that share probes.
+    hosts : callable
+        Returns the names of these hosts for a variant.
+    wanted : callable
+        Returns the variant whose manifest a probe reads, None when nothing is wanted.
+    on_change : callable
+        Called when the origin has gone away or is back, with the variant whose manifest another
+        host has got from it, empty for none.
+    on_manifest : callable
+        Given the manifest that a probe has read.
+    """
+
+    store: WeightSource
+    watch: OriginWatch
+    links: LinkManager
+    log: EventLog
+    hosts: Callable[[Variant], list[str]]
+    wanted: Callable[[], Variant | None]
+    on_change: Callable[[str], None]
+    on_manifest: Callable[[Variant, Manifest], None]
+    _probing: "asyncio.Task[None] | None" = field(init=False, default=None)
+
+    def __attrs_post_init__(self) -> None:
+        self.links.on(OriginAnswer, self._on_told)
+
+    async def manifest(self, variant: Variant) -> Result[Manifest, Error]:
+        """Return the manifest of a variant, or fail at once while the origin is away."""
+        if self.watch.is_away:
+            return unavailable("the origin is away")
+        return await self._observed(self.store.manifest(variant))
+
+    async def chunk(self, manifest: Manifest, index: int) -> Result[bytes, Error]:
+        """Return a chunk, unverified, or fail at once while the origin is away."""
+        if self.watch.is_away:
+            return unavailable("the origin is away")
+        return await self._observed(self.store.chunk(manifest, index))
+
+    def close(self) -> None:
+        """End the probes and release connections."""
+        if self._probing is not None:
+            self._probing.cancel()
+        self.store.close()
+
+    async def _observed(self, question: Awaitable[Result[T, Error]]) -> Result[T, Error]:
+        asked_at = now()
+        found = await question
+        is_failure = isinstance(found, Failure)
+        if not is_failure or found.failure().kind is not ErrorKind.PLATFORM_UNAVAILABLE:
+            self._on_answer()
+        elif self.watch.on_failure(asked_at=asked_at, now=now()):
+            self.log.event("platform_down", service="store", detail=found.failure().detail)
+            self.on_change("")
+            self._probing = asyncio.ensure_future(self._probe())
+        return found
+
+    async def _probe(self) -> None:
+        """Ask in this host's turns until it or another host has had an answer."""
+        while self.watch.is_away:
+            variant = self.wanted()
+            if variant is None:
+                # What is named later asks for itself, as nobody knows how the origin is then.
+                self.watch.on_answer()
+                return
+            turn_in_s = self.watch.turn_in_s(self.hosts(variant), wall_s=wall_ms() / 1000)
+            await asyncio.sleep(turn_in_s)
+            if not self.watch.is_away:
+                return
+            found: Result[Manifest, Error] = unavailable("no answer to a probe")
+            with contextlib.suppress(TimeoutError):
+                found = await asyncio.wait_for(self.store.manifest(variant), PROBE_TIMEOUT_S)
+            if isinstance(found, Success):
+                self.on_manifest(variant, found.unwrap())
+                self._on_answer(variant=str(variant))
+            elif found.failure().kind is not ErrorKind.PLATFORM_UNAVAILABLE:
+                self._on_answer()
+
+    def _on_told(self, peer: Peer, message: OriginAnswer) -> None:
+        self._on_answer(told_by=peer.host, variant=message.variant)
+
+    def _on_answer(self, *, told_by: str = "", variant: str = "") -> None:
+        """Go on with the origin, and pass its return on to hosts that may not know."""
+        if not self.watch.on_answer():
+            return
+        self.log.event("platform_up", service="store")
+        peers = self.links.peers(role=self.links.identity.role)
+        others = [peer for peer in peers if peer.host != told_by]
+        self.links.send_each(OriginAnswer(variant=variant), others)
+        self.on_change(variant if told_by else "")
--- a/packages/wasabilb-agent/src/wasabilb_agent/transfer.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/transfer.py
@@ -12,6 +12,7 @@
 from wasabilb_core.distribution import CHUNK_POLICIES, ORIGIN, ChunkPlanner, PlannerLimits
 from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.manifest import Manifest
+from wasabilb_core.origin_watch import OriginWatch
 from wasabilb_core.settings import AgentSettings
 from wasabilb_core.tickets import HostRole, Variant
 from wasabilb_node.clock import now
@@ -23,6 +24,7 @@
 from wasabilb_agent._chunk_transfer import ChunkTransfer
 from wasabilb_agent._manifests import MANIFEST_INDEX, ManifestExchange
 from wasabilb_agent._participants import TransferHosts
+from wasabilb_agent._shared_origin import SharedOrigin
 from wasabilb_agent._uploads import Uploads
 from wasabilb_agent._weight_source import WeightSource
 
@@ -103,7 +105,16 @@
         self._metrics = metrics
         self._rng = rng
         self._max_retry_s = max_retry_s
-        self._store = store
+        self._store = SharedOrigin(
+            store=store,
+            watch=OriginWatch(host=cfg.host),
+            links=links,
+            log=log,
+            hosts=lambda variant: [spec.name for spec in participants.hosts(variant)],
+            wanted=self._unfinished,
+            on_change=self._on_origin,
+            on_manifest=self._on_probed,
+        )
         self._uploads = Uploads(cfg=cfg.weights, region=cfg.region)
         self._manifests = ManifestExchange(
             host=cfg.host,
@@ -328,6 +339,8 @@
             on_manifest_gone=on_manifest_gone,
         )
         self._rank(job, transfer)
+        if self._store.watch.is_away:
+            planner.set_origin_away(True, now())
         for peer in self._links.peers():
             if peer.host in overlay.hosts:
                 transfer.greet(peer)
@@ -344,6 +357,23 @@
         )
         transfer.assembly.planner.set_background(job.is_seed and is_link_used, now())
 
+    def _unfinished(self) -> Variant | None:
+        """Return the variant that has got least here, the one without a manifest first."""
+        lacking = [v for v, job in self._jobs.items() if not job.is_handed]
+        return min(lacking, key=self.share, default=None)
+
+    def _on_probed(self, variant: Variant, manifest: Manifest) -> None:
+        self._manifests.offer(variant, manifest)
+
+    def _on_origin(self, passed_on: str) -> None:
+        """Keep transfers from an origin that is away, and go on at once when it is back."""
+        for transfer in self._transfers():
+            transfer.assembly.planner.set_origin_away(self._store.watch.is_away, now())
+        if not self._store.watch.is_away:
+            self._manifests.wake(but=passed_on)
+            for transfer in self._transfers():
+                transfer.pump()
+
     def _follow_hosts(self) -> None:
         """Bring the transfers in line with the hosts that the tickets name at this time."""
         for transfer in self._transfers():
--- a/packages/wasabilb-core/src/wasabilb_core/_chunk_planner.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_chunk_planner.py
@@ -124,6 +124,16 @@
             self._view.started_at = now
         self._view.is_background = is_background
 
+    def set_origin_away(self, is_away: bool, now: float) -> None:
+        """Ask the origin for nothing while it is away, and at once when it is back.
+
+        Hosts that are to read a chunk had no way to do so meanwhile, so the time for which others
+        wait for them starts over.
+        """
+        self._view.origin.avoid_until = float("inf") if is_away else now
+        if not is_away:
+            self._view.started_at = now
+
     def neighbours(self, now: float) -> tuple[str, ...]:
         """Return the hosts to be linked with at this time."""
         return () if self._is_abandoned else self._policy.neighbours(self._view, now)
--- a/packages/wasabilb-wire/src/wasabilb_wire/messages.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/messages.py
@@ -287,6 +287,16 @@
     index: int
 
 
+@frozen(kw_only=True, slots=True)
+class OriginAnswer(Message):
+    """The origin of weights, which was away, has answered a host.
+
+    `variant` is the one whose manifest it gave, empty for none.
+    """
+
+    variant: str
+
+
 @frozen(kw_only=True, slots=True)
 class AccountUsage:
     """Demand of one account in requests a second, and the shares that moved.
--- a/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
+++ b/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
@@ -29,6 +29,7 @@
     published @23 :Published;
     runnerReport @24 :RunnerReport;
     sendNotice @25 :SendNotice;
+    originAnswer @26 :OriginAnswer;
   }
 }
 
@@ -284,3 +285,7 @@
   runners @0 :List(Text);
   promptTokens @1 :List(UInt64);
 }
+
+struct OriginAnswer {
+  variant @0 :Text;
+}
