--- a/bench/_version_model.py
+++ b/bench/_version_model.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from attrs import Factory, define, field, frozen
-from wasabilb_core.origin_watch import OriginWatch
+from wasabilb_core.origin_uptime import OriginUptime
 from wasabilb_core.reload_waves import WaveMember
 
 STEP_S = 0.05
@@ -117,7 +117,7 @@
         by_domain = sorted(self.hosts, key=lambda host: (host.domain, host.number))
         for place, host in enumerate(by_domain):
             host.rank = place
-        self.origin = OriginWatch()
+        self.origin = OriginUptime()
         # Share of each version that lies in the fleet, by part of the fleet.
         self.there: dict[int, list[float]] = {}
         self.lists: list[tuple[float, dict[int, int]]] = []
--- a/features/steps/published_state_steps.py
+++ b/features/steps/published_state_steps.py
@@ -14,7 +14,7 @@
 from wasabilb_core.catalog import Catalog, EngineSpec, OriginSpec, Service
 from wasabilb_core.directory import Runner, RunnerDirectory
 from wasabilb_core.named_versions import NamedVersions
-from wasabilb_core.origin_watch import OriginWatch
+from wasabilb_core.origin_uptime import OriginUptime
 from wasabilb_core.published import Item, PublishedState
 from wasabilb_core.reload_waves import LATEST_ORDER, WaveMember, is_easing, may_reload
 from wasabilb_core.version_steps import (
@@ -474,7 +474,7 @@
     state.catalog = Catalog(version=1, routes=(), services=services)
     state._named["m"] = context.named = NamedVersions()
     names = {"published": state, "fleet": model_fleet(state)}
-    facts = LoadFacts(**names, origin=OriginWatch(), link_bytes_per_s=4.7e6 / 8, version_s=8.0)
+    facts = LoadFacts(**names, origin=OriginUptime(), link_bytes_per_s=4.7e6 / 8, version_s=8.0)
     context.loads = VersionLoads(
         **names, runner=None, staging=None, facts=facts, version_s=8.0, log=log
     )
--- a/packages/wasabilb-agent/src/wasabilb_agent/_load_facts.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_load_facts.py
@@ -2,7 +2,7 @@
 
 import math
 
-from wasabilb_core.origin_watch import OriginWatch
+from wasabilb_core.origin_uptime import OriginUptime
 from wasabilb_core.version_steps import (
     LINK_FACTOR,
     VERSION_MARGIN_S,
@@ -33,7 +33,7 @@
         The runners of the model.
     published : FollowedState
         Catalog and named versions.
-    origin : OriginWatch
+    origin : OriginUptime
         Outages of the origin.
     link_bytes_per_s : float
         Rate of this host's link.
@@ -46,7 +46,7 @@
         *,
         fleet: ModelFleet,
         published: FollowedState,
-        origin: OriginWatch,
+        origin: OriginUptime,
         link_bytes_per_s: float,
         version_s: float,
     ) -> None:
@@ -84,6 +84,8 @@
             load_s=WARM_S + self._use * answer_s,
             use=self._use,
             away_s=self._origin.away_s(now()),
+            # A host reads its share of the newest version beside an older one that it fetches.
+            is_seeded=True,
         )
 
     def _version(self, number: int, transfers: ChunkTransfers) -> NamedVersion:
--- a/packages/wasabilb-agent/src/wasabilb_agent/_version_loads.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_version_loads.py
@@ -7,6 +7,7 @@
 from wasabilb_core.assembly import ChunkAssembly
 from wasabilb_core.errors import Error
 from wasabilb_core.reload_waves import is_easing, may_reload
+from wasabilb_core.seeding import versions_to_seed
 from wasabilb_core.tickets import Variant
 from wasabilb_core.version_steps import (
     NamedVersion,
@@ -99,7 +100,11 @@
         wanted = versions_to_fetch(newer, steps, facts) if steps else {versions[-1].number}
         whole = newest_of_use(versions, facts)
         wanted |= {whole} if whole is not None else set()
-        transfers.set_wanted({self._fleet.variant(n): n for n in sorted(wanted)})
+        seeds = versions_to_seed([version.number for version in newer], fetched=wanted)
+        variant = self._fleet.variant
+        transfers.set_wanted(
+            {variant(n): n for n in sorted(wanted)}, {variant(n): n for n in seeds}
+        )
 
     async def reconcile(self, state: RunnerState, transfers: ChunkTransfers) -> None:
         """Order the load of the next version if nothing stands against it."""
--- a/packages/wasabilb-agent/src/wasabilb_agent/_weight_source.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_weight_source.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result
 from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.manifest import Manifest
-from wasabilb_core.origin_watch import OriginWatch
+from wasabilb_core.origin_uptime import OriginUptime
 from wasabilb_core.tickets import Variant
 from wasabilb_node.clock import now
 
@@ -34,12 +34,12 @@
     ----------
     source : WeightSource
         The origin.
-    watch : OriginWatch
+    watch : OriginUptime
         Takes the end of each read.
     """
 
     source: WeightSource
-    watch: OriginWatch
+    watch: OriginUptime
 
     async def manifest(self, variant: Variant) -> Result[Manifest, Error]:
         """Return the manifest of a variant."""
--- a/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
@@ -7,7 +7,7 @@
 from returns.result import Failure
 from wasabilb_core.distribution import PlannerLimits
 from wasabilb_core.manifest import Manifest
-from wasabilb_core.origin_watch import OriginWatch
+from wasabilb_core.origin_uptime import OriginUptime
 from wasabilb_core.peering import tellers
 from wasabilb_core.settings import AgentSettings
 from wasabilb_core.tickets import HostRole, HostSpec
@@ -119,7 +119,7 @@
         )
         self._runner = runner(self._pool)
         staging = Staging(runner=self._runner, log=self.log)
-        origin = OriginWatch()
+        origin = OriginUptime()
         facts = LoadFacts(
             fleet=self._fleet,
             published=self._published,
