Removals that the asked peer never knew

Cause: a process that starts with a reading of the platform knows no removals from before it. Asked for what changed after an older revision, it told its items as all that had changed up to its own revision; the one that asked moved on to that revision and kept the removed runner for good. Ruled out: an entry that is held back as expired; the platform answered all the while. Change: published state knows the revision with which it began, and answers say from which revision on they are complete. Items are merged at once; a process that is left with a gap asks others, and after 1.2 s reads the platform itself.

--- a/features/readers.feature
+++ b/features/readers.feature
@@ -86,3 +86,12 @@
     When they have run for 20 s
     And the platform publishes 2 catalogs of 1480 routes, 1.4 s apart
     Then every process knows it after 3 s
+
+  Scenario: A removal that the asked peer never knew
+    Guards against requests to a runner that has left, because the process that was asked started
+    after it and tells all that it knows as all that has changed.
+    Given 24 entry processes and 6 agents in 2 failure domains
+    And a runner that they all list
+    When they have run for 20 s
+    And the runner leaves while one entry process hears only one that starts after that
+    Then every process has dropped it after 2 s
--- a/features/steps/readers_steps.py
+++ b/features/steps/readers_steps.py
@@ -293,6 +293,32 @@
     context.actions.append(action)
 
 
+@when("the runner leaves while one entry process hears only one that starts after that")
+def step_leaves_unheard(context):
+    async def action(platform, processes):
+        entries = [process for process in processes if process.role == "entry"]
+        away = next(e for e in reversed(entries) if not platform.waiting[e.host])
+        network = away.links.network
+        for process in processes:
+            if process is not away:
+                network.part(process.host, away.host)
+        platform.publish("runner/r", None)
+        where = away.own.failure_domain
+        started = Process(
+            network=network,
+            platform=platform,
+            host="e-new",
+            role="entry",
+            failure_domain=where,
+            is_seed=True,
+        )
+        context.started = asyncio.ensure_future(started.run())
+        await asyncio.sleep(0.1)
+        network.connect(started.host, away.host)
+
+    context.actions.append(action)
+
+
 @when("it publishes a change {seconds:g} s later")
 def step_change_later(context, seconds):
     step_run(context, seconds)
--- a/packages/wasabilb-core/src/wasabilb_core/published.py
+++ b/packages/wasabilb-core/src/wasabilb_core/published.py
@@ -35,6 +35,8 @@
     def __init__(self) -> None:
         self._items: dict[str, Item] = {}
         self._revision = 0
+        # Removals up to this revision may be unknown here.
+        self._began_at = 0
 
     @property
     def revision(self) -> int:
@@ -58,19 +60,33 @@
             for name, item in self._items.items()
             if name not in listed and item.body is not None and item.revision <= revision
         ]
-        return self._merge([*listed.values(), *gone], revision)
+        changed = self._merge([*listed.values(), *gone], revision)
+        self._began_at = max(self._began_at, revision)
+        return changed
 
     def on_changes(self, items: Iterable[Item], *, after: int, revision: int) -> list[Item]:
         """Take all changes after one revision up to another and return what is new.
 
         The known revision moves on only when nothing between can be missing.
         """
-        return self._merge(items, revision if after <= self._revision else self._revision)
+        is_first = self._revision == 0
+        changed = self._merge(items, revision if after <= self._revision else self._revision)
+        if is_first:
+            self._began_at = self._revision
+        return changed
 
     def changes_after(self, revision: int) -> list[Item]:
         """Return the items whose last change is newer than a revision."""
         return [item for item in self._items.values() if item.revision > revision]
 
+    def complete_after(self, revision: int) -> int:
+        """Return the revision after which `changes_after` lacks no removal that matters.
+
+        A reader that knows nothing has nothing to remove. One that knows items from before the
+        beginning of this state may miss their removal.
+        """
+        return revision if revision == 0 else max(revision, self._began_at)
+
     def _merge(self, items: Iterable[Item], revision: int) -> list[Item]:
         changed = []
         for item in items:
--- a/packages/wasabilb-node/src/wasabilb_node/published_sync.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_sync.py
@@ -39,6 +39,9 @@
 # An agent reads the platform itself after it has had no link to an entry process for this time,
 # seconds; entry processes dial it again at least every 2 s.
 AGENT_WAIT_S = 2.5
+# Peers that started since a process fell behind do not know all that it missed. It reads the
+# platform itself when no other peer has told it for this time, seconds.
+GAP_WAIT_S = 1.2
 # Changes that follow each other so soon are read, and told to peers, together, seconds. A roll-out
 # to 76 runners makes some 30 changes a second.
 COLLECT_S = 0.1
@@ -110,6 +113,7 @@
         self._started_at = now()
         self._asked_at = float("-inf")
         self._behind_since: float | None = None
+        self._gap_since: float | None = None
         self._spread_at = float("-inf")
         self._is_spreading = False
         self._reading_peers: set[Peer] = set()
@@ -200,6 +204,8 @@
         """Return whether this process reads the platform now."""
         if self._state.revision == 0:
             return True
+        if self._gap_since is not None and now() - self._gap_since >= GAP_WAIT_S:
+            return True
         entries = self._links.peers(role="entry")
         if not self._is_entry:
             if entries:
@@ -227,6 +233,7 @@
         if changes.is_history_lost:
             self._is_history_lost = True
             return None
+        self._gap_since = None
         self._apply(self._state.on_changes(changes.items, after=after, revision=changes.revision))
         if changes.items:
             # What follows soon is read with one call.
@@ -241,6 +248,7 @@
         snapshot = found.unwrap()
         self._set_platform(True)
         self._is_history_lost = False
+        self._gap_since = None
         self._apply(self._state.on_snapshot(snapshot.items, snapshot.revision))
         return None
 
@@ -306,7 +314,8 @@
     def _on_want(self, peer: Peer, want: PublishedWant) -> None:
         items = sorted(self._state.changes_after(want.after), key=lambda item: item.revision)
         batch: list[PublishedItem] = []
-        after, size, distrust_ms = want.after, 0, self._distrust_ms()
+        after, size = self._state.complete_after(want.after), 0
+        distrust_ms = self._distrust_ms()
         for item in items:
             packed = self._packer.pack(item)
             if batch and size + len(packed.body) > MAX_ANSWER_BYTES:
@@ -314,14 +323,13 @@
                 peer.send(
                     Published(after=after, revision=revision, items=batch, distrust_ms=distrust_ms)
                 )
-                after, batch, size = batch[-1].revision, [], 0
+                after, batch, size = max(after, batch[-1].revision), [], 0
             batch.append(packed)
             size += len(packed.body)
         revision = self._state.revision
         peer.send(Published(after=after, revision=revision, items=batch, distrust_ms=distrust_ms))
 
     def _on_published(self, peer: Peer, message: Published) -> None:
-        self._asked_at = float("-inf")
         if message.distrust_ms:
             # Before the items, as an entry that has only expired must not end its runner.
             self._on_distrust(message.distrust_ms / 1000)
@@ -334,4 +342,8 @@
                 revision=message.revision,
                 items=len(changed),
             )
+        if message.revision <= self._state.revision:
+            self._asked_at, self._gap_since = float("-inf"), None
+        elif self._gap_since is None:
+            self._gap_since = now()
         self._apply(changed)
