A link on which a large message arrives is not silent

Cause: a peer counts as heard when a message has arrived in full. One that takes longer than three heartbeats (2.4 s) closes its own link, and is sent anew from its start on the next one. Ruled out: sending heartbeats first; a frame that has begun holds them up on the same connection all the same. Change: bytes of a message that is under way count as heard, looked at once a heartbeat. A link on which nothing more arrives closes as before.

--- a/features/peering.feature
+++ b/features/peering.feature
@@ -55,6 +55,15 @@
     When it has not wanted the link for 8 s
     Then the link is closed
 
+  Scenario: A message that takes longer than a link may be silent
+    Guards against a link that is closed while a large message arrives over a narrow one, so that it
+    is sent anew from its start and never arrives.
+    Given a process that is linked with a peer
+    When a message arrives in 5 parts, 2 s apart
+    Then the link is open and the message was taken
+    When a part of a message arrives and nothing else for 4 s
+    Then the link is closed
+
   Scenario: Reports to many entry processes
     Guards against reports that cost a large fleet a part of its processors, and against an order to
     load that entry processes of other regions hear of late.
--- a/features/steps/peering_steps.py
+++ b/features/steps/peering_steps.py
@@ -14,6 +14,8 @@
 from wasabilb_node import links as links_module
 from wasabilb_node.links import Identity, LinkManager
 from wasabilb_standins.fleet import free_address
+from wasabilb_wire.codec import encode
+from wasabilb_wire.messages import PublishedWant
 
 DOMAINS = "abcdef"
 
@@ -256,6 +258,49 @@
     context.play.append(action)
 
 
+async def receive(stage, data, wait_s):
+    """Receive bytes from the peer, then wait while the process looks at its links."""
+    stage.peer.peers()[0].link._stream.write(data)
+    await asyncio.sleep(0.05)
+    for _ in range(round(wait_s)):
+        stage.links.tick()
+        stage.shift_s += 1.0
+    stage.links.tick()
+    await asyncio.sleep(0.05)
+
+
+@when("a message arrives in {parts:d} parts, {pause:g} s apart")
+def step_parts(context, parts, pause):
+    async def action(stage):
+        stage.links.set_targets({})
+        stage.taken = []
+        stage.links.on(PublishedWant, lambda peer, message: stage.taken.append(message))
+        await asyncio.sleep(0.05)
+        frame = encode(PublishedWant(after=7))
+        size = -(-len(frame) // parts)
+        for start in range(0, len(frame), size):
+            assert stage.links.peers(), f"closed after {start} bytes"
+            await receive(stage, frame[start : start + size], pause)
+
+    context.play.append(action)
+
+
+@then("the link is open and the message was taken")
+def step_taken(context):
+    async def check(stage):
+        assert stage.links.peers() and [want.after for want in stage.taken] == [7]
+
+    context.play.append(check)
+
+
+@when("a part of a message arrives and nothing else for {seconds:g} s")
+def step_part(context, seconds):
+    async def action(stage):
+        await receive(stage, encode(PublishedWant(after=8))[:5], seconds)
+
+    context.play.append(action)
+
+
 @then("the link is closed")
 def step_closed(context):
     async def check(stage):
--- a/packages/wasabilb-node/src/wasabilb_node/links.py
+++ b/packages/wasabilb-node/src/wasabilb_node/links.py
@@ -64,13 +64,15 @@
 class Peer:
     """A process at the other end of a link whose hello was received.
 
-    `peer_now` is the newest monotonic time of that process that was heard on this link.
+    `peer_now` is the newest monotonic time of that process that was heard on this link. `pending`
+    are the bytes of a message that had not arrived in full at the newest tick.
     """
 
     link: Link
     hello: Hello
     heard_at: float
     peer_now: float = 0.0
+    pending: int = 0
     closed_for: str = "closed"
 
     @property
@@ -233,6 +235,11 @@
         """Close silent links and dial missing ones; called once a heartbeat."""
         moment = now()
         for peer in self.peers():
+            pending = peer.link.pending_bytes
+            if pending > peer.pending:
+                # Heartbeats wait behind a large message, which takes seconds over a narrow link.
+                peer.heard_at = moment
+            peer.pending = pending
             if moment - peer.heard_at > self._silent_s:
                 peer.closed_for = "silent"
                 peer.link.close()
--- a/packages/wasabilb-wire/src/wasabilb_wire/codec.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/codec.py
@@ -191,6 +191,11 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the bytes of a frame that is not whole yet."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> Result[list[Frame], Error]:
         """Add received bytes and return the frames that are now whole."""
         buffer = self._buffer
--- a/packages/wasabilb-wire/src/wasabilb_wire/link.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/link.py
@@ -48,6 +48,11 @@
         """Return the number of bytes that wait for the peer to read."""
         return self._unsent
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the received bytes of a message that is not whole yet."""
+        return self._buffer.pending_bytes
+
     def send(self, message: Message) -> bool:
         """Queue a message and return whether the link was open.
 
