Seeding and the way to the newest version, joined in their tests

Change: the fleet of features/seeding.feature decides by LoadFacts over a watched store, as the agent does; the agent's scenario names what is wanted whole and what is seeded (one stricter check in place of one: the newest version is now seeded beside the older one instead of fetched whole).

--- a/features/published_state.feature
+++ b/features/published_state.feature
@@ -118,10 +118,10 @@
     still fail, so that the host gets neither. Guards against a line for each look.
     Given an agent whose host has <share> of version 2 and whose runner holds version 1
     When version 3 has been named 2 s after it and the agent looks 20 times
-    Then it wants version <wanted>
+    Then it wants version <wanted> and seeds version <seeded>
     And one line tells the way to version 3 and that <kept> is kept
 
     Examples:
-      | share | wanted | kept |
-      | 0.4   | 2 3    | 2    |
-      | 0.1   | 3      | None |
+      | share | wanted | seeded | kept |
+      | 0.4   | 2      | 3      | 2    |
+      | 0.1   | 3      | none   | None |
--- a/features/steps/published_state_steps.py
+++ b/features/steps/published_state_steps.py
@@ -446,13 +446,13 @@
     """Stands for the transfers of a host with some shares of versions."""
 
     def __init__(self, shares):
-        self.shares, self.held, self.wanted = shares, set(), {}
+        self.shares, self.held, self.wanted, self.seeds = shares, set(), {}, {}
 
     def share(self, variant):
         return self.shares.get(int(variant.version), 0.0)
 
-    def set_wanted(self, wanted):
-        self.wanted = wanted
+    def set_wanted(self, wanted, seeds):
+        self.wanted, self.seeds = wanted, seeds
 
 
 @given("an agent whose host has {share:g} of version 2 and whose runner holds version 1")
@@ -492,10 +492,11 @@
         context.loads.fetch(context.chunks)
 
 
-@then("it wants version {numbers}")
-def step_agent_wants(context, numbers):
-    wanted = sorted(int(variant.version) for variant in context.chunks.wanted)
-    assert wanted == [int(number) for number in numbers.split()], wanted
+@then("it wants version {number:d} and seeds version {seeded}")
+def step_agent_wants(context, number, seeded):
+    chunks = context.chunks
+    found = [[variant.version for variant in part] for part in (chunks.wanted, chunks.seeds)]
+    assert found == [[str(number)], [] if seeded == "none" else [seeded]], found
 
 
 @then("one line tells the way to version 3 and that {kept} is kept")
--- a/features/steps/seeding_fleet.py
+++ b/features/steps/seeding_fleet.py
@@ -7,11 +7,15 @@
 from collections import Counter
 
 from returns.result import Success
+from wasabilb_agent._load_facts import LoadFacts
 from wasabilb_agent._participants import ListedParticipants
 from wasabilb_agent._store_client import StoreClient
 from wasabilb_agent._transfer_limits import TRANSFER_LIMITS
 from wasabilb_agent._version_loads import VersionLoads
+from wasabilb_agent._weight_source import WatchedSource
 from wasabilb_agent.transfer import ChunkTransfers
+from wasabilb_core.catalog import EngineSpec
+from wasabilb_core.origin_uptime import OriginUptime
 from wasabilb_core.settings import AgentSettings, PlatformSettings, PolicySettings, WeightSettings
 from wasabilb_core.tickets import HostSpec, Variant
 from wasabilb_node.clock import now
@@ -107,14 +111,24 @@
         identity = Identity(region=spec.region, incarnation=1, address=spec.address, **names)
         links = self.links[spec.name] = LinkManager(identity=identity, log=log, heartbeat_s=1.0)
         links.listen()
+        origin = OriginUptime()
+        facts = LoadFacts(
+            fleet=self,
+            published=self,
+            origin=origin,
+            link_bytes_per_s=SIZE / LINK_S,
+            version_s=VERSION_S,
+        )
         loads = self.loads[spec.name] = VersionLoads(
             fleet=self,
             published=self,
             runner=None,
             staging=self,
+            facts=facts,
             version_s=VERSION_S,
             log=log,
         )
+        client = CountingClient(url=self.store.url, asked=self.asked, answered=self.answered)
         self.transfers[spec.name] = ChunkTransfers(
             cfg=AgentSettings(
                 host=spec.name,
@@ -127,7 +141,7 @@
             ),
             participants=ListedParticipants(own=spec, listed=lambda: self.specs, links=links),
             links=links,
-            store=CountingClient(url=self.store.url, asked=self.asked, answered=self.answered),
+            store=WatchedSource(source=client, watch=origin),
             hand_over=loads.hand_over,
             log=log,
             metrics=Metrics(address="", role="agent", host=spec.name, log=log),
@@ -187,8 +201,15 @@
         return Counter(index for _, found, index in self.answered if found == str(version))
 
     # What the code under test sees of the fleet, of published state and of the staging.
-    model = "m"
+    model, service = "m", "s"
     revision = 1
+    origin_bytes_per_s = SIZE / ORIGIN_S
+
+    def engine(self, service):
+        """Return what the engines of the service load."""
+        return EngineSpec(
+            model=self.model, slots=16, step_s=0.01, chunks=CHUNKS, chunk_bytes=CHUNK_BYTES
+        )
 
     def variant(self, version):
         """Return a version of the model."""
