--- a/features/steps/pause_model.py
+++ b/features/steps/pause_model.py
@@ -6,8 +6,8 @@
 
 from overload_model import DEADLINE_S, OBJECTIVE_S, Fleet
 from wasabilb_core.overload import HeldLimit
+from wasabilb_core.return_times import NO_RUNNER_RETURN_S
 from wasabilb_entry.forwarder import RETURN_SPREAD_S
-from wasabilb_entry.placer import NO_RUNNER_RETURN_S
 
 # One way between an entry process and a runner.
 HOP_S = 0.002
@@ -34,7 +34,7 @@
         super().__init__(policy=policy, tells=not is_plain, **options)
         self.hears, self.is_plain = hears, is_plain
         self.quiet_until = dict.fromkeys(self.engines, 0.0)
-        self.sent_by, self.tried, self.full = {}, {}, 0
+        self.tried, self.full = {}, 0
         # Arrivals after half a second within a time, by process, runner and end of the time.
         self.reached, self.told = {}, {}
         for names, start, end in pauses:
@@ -121,7 +121,6 @@
             seconds = self.quiet_until[name] - now
             self.at(now + HOP_S, self.turned_away, job, process, name, seconds)
             return
-        self.sent_by[job] = (process, name)
         engine.waiting.append(job)
 
     def turned_away(self, now, job, process, name, seconds):
@@ -142,13 +141,6 @@
         else:
             self.no_runner(now, job, process, is_back)
 
-    def step(self, now, name):
-        before = list(self.engines[name].running)
-        super().step(now, name)
-        for job in set(before) - set(self.engines[name].running):
-            process, _ = self.sent_by.pop(job)
-            self.books[process].on_ended(self.runners[name])
-
 
 def summary(fleet, start, end):
     """Return what callers that came in a span of time got."""
--- /dev/null
+++ b/features/steps/seeding_steps.py
@@ -0,0 +1,483 @@
+"""Steps about versions that are read ahead of their turn, and the origin's failure and return."""
+
+import asyncio
+import hashlib
+import json
+import random
+from collections import Counter
+from types import SimpleNamespace
+from unittest.mock import patch
+
+from attrs import evolve
+from behave import given, then, when
+from hypothesis import given as property_given
+from hypothesis import strategies as st
+from seeding_fleet import CHUNKS, LOOP_CHECK_S, NamedFleet, full, until
+from swarm_model import make_hosts
+from wasabilb_agent._manifests import MANIFEST_INDEX, READERS, ManifestExchange
+from wasabilb_agent._shared_origin import SharedOrigin
+from wasabilb_agent._transfer_limits import TRANSFER_LIMITS
+from wasabilb_core.distribution import CHUNK_POLICIES, ChunkPlanner, Overlay
+from wasabilb_core.errors import unavailable
+from wasabilb_core.origin_watch import CONFIRM_S, OriginWatch
+from wasabilb_core.seeding import EVEN_FROM, origin_shares, versions_to_seed
+from wasabilb_core.tickets import Variant
+from wasabilb_node.clock import now
+from wasabilb_standins.store_content import ContentSpec, manifest_of
+from wasabilb_wire.messages import ChunkData, OriginAnswer
+
+NAMES = st.sets(st.integers(0, 99).map("h{}".format), min_size=1, max_size=24)
+
+
+@when("chunks are shared out between hosts of which some join and leave")
+def step_shared_out(context):
+    context.shared = []
+
+    @property_given(NAMES, NAMES, st.integers(1, 96), st.integers(0, 9))
+    def draw(before, after, count, seed):
+        chunks = list(range(count))
+        random.Random(seed).shuffle(chunks)
+        listed = sorted(before)
+        random.Random(seed).shuffle(listed)
+        shares = origin_shares(key=f"t{seed}", chunks=chunks, hosts=sorted(before))
+        again = origin_shares(key=f"t{seed}", chunks=chunks, hosts=listed)
+        context.shared.append((chunks, before, shares, again))
+        later = origin_shares(key=f"t{seed}", chunks=chunks, hosts=after)
+        context.shared.append((chunks, after, later, later))
+
+    draw()
+
+
+@then("each chunk belongs to one host, alike for every order of the list")
+def step_one_owner(context):
+    for chunks, hosts, shares, again in context.shared:
+        assert shares == again and set(shares) == hosts
+        assert sum(share.bit_count() for share in shares.values()) == len(chunks)
+        assert sum(shares.values()) == sum(1 << index for index in chunks)
+
+
+@then("no host has more than its even part where there are enough chunks")
+def step_even(context):
+    for chunks, hosts, shares, _ in context.shared:
+        if len(chunks) >= EVEN_FROM * len(hosts):
+            most = -(-len(chunks) // len(hosts))
+            assert max(share.bit_count() for share in shares.values()) <= most
+
+
+@then("a host that joins or leaves moves few chunks between the others")
+def step_few_moved(context):
+    moved = total = 0
+    for seed in range(200):
+        hosts = [f"h{n}" for n in range(3 + seed % 12)]
+        names = {"key": f"t{seed}", "chunks": range(CHUNKS)}
+        before = origin_shares(hosts=hosts, **names)
+        after = origin_shares(hosts=[*hosts, "joined"], **names)
+        moved += sum((after[name] & ~before[name]).bit_count() for name in hosts)
+        total += CHUNKS
+    # A list that is dealt out in turn moves nearly all of them.
+    assert moved <= 0.25 * total, moved / total
+
+
+class ReadAhead:
+    """Planners that keep to their shares; hosts of a region see each other's chunks at once."""
+
+    def __init__(self, rng, count):
+        self.rng, self.count, self.now = rng, count, 0.0
+        self.specs, self.planners, self.reads, self.asked_peers = {}, {}, {}, 0
+
+    def exchange(self, gone, joined):
+        """Let hosts leave and others join, and tell those that are there."""
+        for name in gone:
+            del self.specs[name], self.planners[name]
+        self.specs.update({spec.name: spec for spec in joined})
+        overlay = Overlay(key="t", hosts=self.specs.values(), store_region="r0")
+        for name in self.specs:
+            if name in self.planners:
+                self.planners[name].on_hosts(overlay)
+                continue
+            self.planners[name] = ChunkPlanner(
+                overlay=overlay,
+                host=name,
+                count=self.count,
+                policy=CHUNK_POLICIES.create("near_first").unwrap(),
+                rng=self.rng,
+                now=self.now,
+                limits=TRANSFER_LIMITS,
+            )
+            self.planners[name].set_background(True, self.now)
+            self.reads[name] = 0
+
+    def step(self):
+        """Let each host make a read that is answered 0.1 s later."""
+        self.now += 0.1
+        for name, planner in self.planners.items():
+            for peer, other in self.planners.items():
+                if peer != name and self.specs[peer].region == self.specs[name].region:
+                    planner.on_peer_state(peer, other.have, self.now)
+        asked = [
+            (name, request)
+            for name, planner in self.planners.items()
+            for request in planner.next_requests(self.now)
+        ]
+        for name, request in asked:
+            self.asked_peers += not request.is_origin
+            self.reads[name] += 1
+            self.planners[name].on_chunk(request.index, request.source, self.now)
+
+
+@when("up to {most:d} hosts of 3 regions read a version ahead and a third of them are exchanged")
+def step_read_ahead(context, most):
+    context.ahead = []
+    for seed in range(60):
+        rng = random.Random(seed)
+        specs = make_hosts(3 * rng.randint(2, most // 3), regions=3)
+        new = [evolve(spec, name=f"new-{spec.name}") for spec in specs[: len(specs) // 3]]
+        gone = rng.sample([spec.name for spec in specs], len(specs) // 3)
+        play = ReadAhead(rng, CHUNKS)
+        play.exchange([], specs)
+        for _ in range(rng.randint(0, CHUNKS // len(specs) + 1)):
+            play.step()
+        play.exchange(gone, new)
+        for _ in range(CHUNKS):
+            play.step()
+        context.ahead.append((play, sum(play.reads[name] for name in gone)))
+
+
+@then("every chunk is with a host that is there")
+def step_all_there(context):
+    for play, _ in context.ahead:
+        found = 0
+        for planner in play.planners.values():
+            found |= planner.have
+        assert found == full(), bin(found)
+
+
+@then("the origin has sent at most {copies:g} copies, besides what those that left had read")
+def step_sent(context, copies):
+    sent = [sum(play.reads.values()) - lost for play, lost in context.ahead]
+    assert max(sent) <= copies * CHUNKS, sent
+
+
+@then("no host has fetched a chunk from a peer")
+def step_no_peer(context):
+    assert not any(play.asked_peers for play, _ in context.ahead)
+
+
+@when("up to {count:d} versions are named while any of them are fetched")
+def step_named(context, count):
+    context.chosen = []
+
+    @property_given(st.sets(st.integers(1, 9), max_size=count), st.data())
+    def draw(named, data):
+        fetched = data.draw(st.sets(st.sampled_from([None, *sorted(named)])))
+        context.chosen.append((named, fetched, versions_to_seed(named, fetched=fetched)))
+
+    draw()
+
+
+@then("the newest one is seeded unless it is fetched, and no other")
+def step_newest(context):
+    for named, fetched, seeds in context.chosen:
+        newest = max(named, default=None)
+        assert seeds == ([] if newest is None or newest in fetched else [newest])
+
+
+@given("{hosts:d} hosts of {regions:d} regions that fetch version 1")
+def step_fleet(context, hosts, regions):
+    begin(context, NamedFleet(hosts=hosts, regions=regions))
+    step_name(context)
+
+
+@given("{hosts:d} hosts of {regions:d} regions of which those that read the manifest are down")
+def step_readers_down(context, hosts, regions):
+    fleet = NamedFleet(hosts=hosts, regions=regions)
+    overlay = Overlay(key=str(fleet.variant(1)), hosts=fleet.specs, store_region="r0")
+    for names in overlay.standing.values():
+        fleet.down.update(names[:READERS])
+    begin(context, fleet)
+
+
+def begin(context, fleet):
+    """Start a fleet."""
+    context.runner, context.named = asyncio.Runner(), fleet
+    context.add_cleanup(context.runner.close)
+    context.runner.run(fleet.start())
+    context.add_cleanup(lambda: context.runner.run(fleet.stop()))
+
+
+@when("version 1 is named")
+def step_name(context):
+    async def name():
+        context.named.name(1)
+
+    context.runner.run(name())
+
+
+@then("all hosts that run have its manifest after at most {limit:g} s")
+def step_manifest_soon(context, limit):
+    wait(context, lambda host: context.named.have(host, 1) is not None, limit)
+
+
+@when("version 2 is named after {after:g} s and the origin fails {fails:g} s later")
+def step_origin_fails(context, after, fails):
+    async def play():
+        await asyncio.sleep(after)
+        context.named.name(2)
+        # All hosts and the store share a process, which must have run for so long.
+        named_at = now()
+        while now() - named_at - context.named.held_up_s(named_at, now()) < fails:
+            await asyncio.sleep(LOOP_CHECK_S)
+        context.named.store.set_faults(down="drop")
+
+    context.runner.run(play())
+    context.left = context.named.left(2)
+
+
+def wait(context, is_reached, timeout_s):
+    """Wait for something on all hosts."""
+    fleet = context.named
+
+    def seen():
+        return {
+            name: [bin(fleet.have(name, version) or 0).count("1") for version in (1, 2)]
+            for name in fleet.links
+        }
+
+    hosts = list(fleet.links)
+    context.runner.run(until(lambda: all(map(is_reached, hosts)), timeout_s, seen))
+
+
+@then("at least {count:d} chunks of version 2 have left the origin, each once")
+def step_left(context, count):
+    assert len(context.left) >= count, context.left
+    assert max(context.left.values()) == 1, context.left
+
+
+@then("every host has the manifest of version 2 while the origin is away")
+def step_manifest(context):
+    wait(context, lambda host: context.named.have(host, 2) is not None, 2.0)
+
+
+@then("all hosts have these chunks of version 2 while the origin is away")
+def step_seeded(context):
+    seeded = sum(1 << index for index in context.left)
+    wait(context, lambda host: seeded & ~(context.named.have(host, 2) or 0) == 0, 8.0)
+
+
+@then("all hosts have version 1 while the origin is away")
+def step_version_1(context):
+    wait(context, lambda host: context.named.have(host, 1) == full(), 8.0)
+
+
+@when("the origin fails after {after:g} s and comes back {away:g} s later, {times:d} times")
+def step_fails_and_returns(context, after, away, times):
+    store = context.named.store
+    context.away = []
+
+    async def play():
+        for _ in range(times):
+            await asyncio.sleep(after)
+            store.set_faults(down="drop")
+            await asyncio.sleep(away)
+            store.set_faults(down="")
+            context.away.append(now())
+        await asyncio.sleep(after)
+
+    context.runner.run(play())
+
+
+@given("{hosts:d} hosts of {regions:d} regions and an origin that is away")
+def step_away_from_start(context, hosts, regions):
+    begin(context, NamedFleet(hosts=hosts, regions=regions))
+    context.named.store.set_faults(down="drop")
+
+
+@when("version 1 is named and the origin is back {away:g} s later")
+def step_named_while_away(context, away):
+    step_name(context)
+    step_fails_and_returns(context, 0.0, away, 1)
+    context.runner.run(asyncio.sleep(0.5))
+
+
+@then("it has been asked at most {rate:g} times a second in the last {last:g} s of each time")
+def step_asked(context, rate, last):
+    asked = context.named.asked
+    counts = [sum(back - last <= at < back for at in asked) for back in context.away]
+    # A slot may begin on each edge of the time.
+    assert max(counts) <= rate * last + 1, counts
+
+
+@then("its first chunk has left at most {limit:g} s after each return")
+def step_first_chunk(context, limit):
+    fleet, waits = context.named, []
+    for back in context.away:
+        first = min(at for at in fleet.store.chunks_at if at >= back)
+        # All hosts and the store share a process: while it does not run, nobody could ask.
+        waits.append((first - back, fleet.held_up_s(back, first)))
+    assert all(wait - held_up <= limit for wait, held_up in waits), waits
+
+
+@then("all hosts have version 1")
+def step_whole(context):
+    step_version_1(context)
+
+
+@then("the origin has sent at most {copies:g} copies of version 1")
+def step_copies_of_1(context, copies):
+    sent = sum(context.named.left(1).values())
+    assert sent <= copies * CHUNKS, sent
+
+
+@when("{count:d} hosts take their turns for {seconds:g} s")
+def step_turns(context, count, seconds):
+    names = [f"h{n}" for n in range(count)]
+    context.slots = []
+    for name in names:
+        watch, wall_s = OriginWatch(host=name), 0.001
+        while wall_s < seconds:
+            wall_s += watch.turn_in_s(names, wall_s=wall_s) + 0.001
+            context.slots.append(wall_s)
+
+
+@then("each slot of {slot:g} s has the question of one host")
+def step_one_a_slot(context, slot):
+    numbers = Counter(int(at / slot) for at in context.slots)
+    whole = max(numbers) - 2 * 40
+    assert all(numbers[number] == 1 for number in range(1, whole)), numbers
+
+
+@when("questions that were put together fail together")
+def step_fail_together(context):
+    context.watch = OriginWatch(host="h0")
+    for failed_at in (1.0, 1.0, 2.5):
+        assert not context.watch.on_failure(asked_at=0.9, now=failed_at)
+
+
+@then("the origin counts as there, and as away after one more that was put later")
+def step_away(context):
+    assert not context.watch.is_away
+    asked_at = 1.0 + CONFIRM_S
+    assert context.watch.on_failure(asked_at=asked_at, now=asked_at) and context.watch.is_away
+    assert context.watch.on_answer() and not context.watch.is_away
+    assert not context.watch.on_failure(asked_at=9.0, now=9.0)
+
+
+@when("a host is sent manifests that are spoilt, of another version, not pinned or from a stranger")
+def step_sent_manifests(context):
+    def content(version, **changes):
+        variant = Variant(model="m", adapter="", version=version)
+        spec = ContentSpec(variant=variant, size=100, chunk_size=10, seed=0, revision=0)
+        raw = {**manifest_of(spec), **changes}
+        return json.dumps(raw, sort_keys=True, separators=(",", ":")).encode()
+
+    right = content("1")
+    context.exchange = ManifestExchange(
+        host="h0",
+        region="r0",
+        links=SimpleNamespace(peers=lambda: []),
+        store=None,
+        rng=random.Random(1),
+        held=lambda variant: None,
+        pinned=lambda variant: hashlib.sha256(right).hexdigest(),
+    )
+    variant = Variant(model="m", adapter="", version="1")
+    overlay = Overlay(key="t", hosts=make_hosts(4), store_region="r0")
+    context.exchange.want(variant, overlay)
+
+    def send(payload, host="h1", digest=""):
+        digest = digest or hashlib.sha256(payload).hexdigest()
+        fields = dict(index=MANIFEST_INDEX, offset=0, is_last=True, payload=payload)
+        context.exchange.on_data(SimpleNamespace(host=host), ChunkData(manifest=digest, **fields))
+        found = asyncio.run(context.exchange.obtain(variant, is_store_only=False))
+        return found.unwrap().to_json()
+
+    context.send, context.right = send, right
+    context.wrong = [
+        dict(payload=right[:-1]),
+        dict(payload=right, digest="0" * 64),
+        dict(payload=content("2")),
+        dict(payload=content("1", chunks=["0" * 64] * 10)),
+        dict(payload=content("1", size=10**6)),
+        dict(payload=right, host="stranger"),
+    ]
+
+
+@then("it takes none of them, and the right one afterwards")
+def step_takes_none(context):
+    for wrong in context.wrong:
+        try:
+            taken = context.send(**wrong)
+        except AttributeError:
+            # It has no manifest yet and asks the store, of which there is none here.
+            continue
+        raise AssertionError(f"taken: {taken}")
+    assert context.send(context.right) == context.right
+
+
+class DeadStore:
+    """Answers nothing, and notes when it is asked."""
+
+    def __init__(self):
+        self.asked = []
+
+    async def manifest(self, variant):
+        """Fail."""
+        self.asked.append(now())
+        return unavailable("refused")
+
+    def close(self):
+        """Nothing is held."""
+
+
+@when("a host of {count:d} finds the origin away, is told of its return and finds it away again")
+def step_away_again(context, count):
+    variant, handlers = Variant(model="m", adapter="", version="1"), {}
+    links = SimpleNamespace(
+        on=handlers.__setitem__,
+        peers=lambda role: [],
+        send_each=lambda message, peers: None,
+        identity=SimpleNamespace(role="agent"),
+    )
+    context.store = DeadStore()
+
+    async def play():
+        origin = SharedOrigin(
+            store=context.store,
+            watch=OriginWatch(host="h0"),
+            links=links,
+            log=SimpleNamespace(event=lambda name, **fields: None),
+            hosts=lambda variant: [f"h{n}" for n in range(count)],
+            wanted=lambda: variant,
+            on_change=lambda variant: None,
+            on_manifest=lambda variant, manifest: None,
+        )
+        for time in range(2):
+            await origin.manifest(variant)
+            await asyncio.sleep(CONFIRM_S)
+            await origin.manifest(variant)
+            assert origin.watch.is_away
+            if time == 0:
+                # The wait for the first turn has begun.
+                await asyncio.sleep(0)
+                handlers[OriginAnswer](SimpleNamespace(host="h1"), OriginAnswer(variant=""))
+                assert not origin.watch.is_away
+        context.since = now()
+        await asyncio.sleep(1.2)
+        origin.close()
+
+    names = [f"h{n}" for n in range(count)]
+    first_s = OriginWatch(host="h0").turn_in_s(names, wall_s=10.0)
+    began = now()
+
+    def wall_ms():
+        # This host's turn comes 0.9 s after the origin was first found away.
+        return 1000 * (9.1 + first_s + now() - began - CONFIRM_S)
+
+    with patch("wasabilb_agent._shared_origin.wall_ms", wall_ms):
+        asyncio.run(play())
+
+
+@then("it asks once in its next turn")
+def step_asks_once(context):
+    asked = [at for at in context.store.asked if at > context.since]
+    assert len(asked) == 1, len(asked)
--- a/features/steps/unexpected_errors_steps.py
+++ b/features/steps/unexpected_errors_steps.py
@@ -139,7 +139,12 @@
 
     async def main():
         asyncio.get_running_loop().set_exception_handler(lambda loop, found: None)
-        places = HeldPlaces(views=views, has_runner=lambda: True, named_s=lambda: None)
+        places = HeldPlaces(
+            views=views,
+            has_runner=lambda: True,
+            named_s=lambda: None,
+            returns_in_s=lambda: 0.0,
+        )
         return await asyncio.wait_for(
             places.wait(
                 is_returned=False,
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -104,6 +104,9 @@
         "A chunk beside the runner is missing or changed and is written again.",
         "model version chunk is_missing",
     ),
+    "seed_started": _spec(
+        "The host reads its share of a version that is not fetched yet.", "ticket model version"
+    ),
     "transfer_started": _spec("The host starts to fetch a version.", "ticket model version"),
     "chunk_received": _spec(
         "Verified chunks arrived; one line may stand for several from one source.",
@@ -119,6 +122,10 @@
         "ticket model version detail",
     ),
     "transfer_stopped": _spec("A newer ticket ended a transfer.", "model version reason"),
+    "load_steps": _spec(
+        "The way changes in which the runner here is brought to the newest version.",
+        "model held path kept shares idle_ms direct_ms away_ms left_ms load_ms",
+    ),
     "order_sent": _spec("The engine is given an order.", "ticket order model version"),
     "order_confirmed": _spec("The engine's report shows the order.", "ticket order model version"),
     "order_refused": _spec("The engine refused an order.", "ticket order model version detail"),
--- a/packages/wasabilb-entry/src/wasabilb_entry/held_places.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/held_places.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 from wasabilb_core.overload import HeldRequests
+from wasabilb_core.return_times import NO_VERSION_RETURN_S
 from wasabilb_core.routing import RunnerView
 from wasabilb_node.clock import now
 
@@ -36,6 +37,8 @@
     named_s : callable
         Returns the seconds until the first runner ends the time for which it wants no request,
         None while others may be tried.
+    returns_in_s : callable
+        Returns when the service is likely to serve again while it has no usable runner, seconds.
     """
 
     def __init__(
@@ -44,10 +47,12 @@
         views: Callable[[], list[RunnerView]],
         has_runner: Callable[[], bool],
         named_s: Callable[[], float | None],
+        returns_in_s: Callable[[], float],
     ) -> None:
         self._views = views
         self._has_runner = has_runner
         self._named_s = named_s
+        self._returns_in_s = returns_in_s
         self._requests = HeldRequests()
         self._waiters: dict[int, _Waiter] = {}
         self._next = 0
@@ -117,6 +122,9 @@
                 self._wake(held.key, is_sent=False)
             return
         views = self._views()
+        if not views and self._returns_in_s() >= NO_VERSION_RETURN_S:
+            for held in self._requests.in_order():
+                self._wake(held.key, is_sent=False)
         for held in self._requests.sendable(now())[:MOST_LOOKED_AT]:
             if self._waiters[held.key].has_room(views):
                 # One request at a time, as its send changes what is known of the runners.
