--- a/features/peering.feature
+++ b/features/peering.feature
@@ -64,6 +64,12 @@
     When a part of a message arrives and nothing else for 4 s
     Then the link is closed
 
+  Scenario: A message that never ends
+    Guards against a peer that sends a byte now and then, never a heartbeat, and counts as alive.
+    Given a process that is linked with a peer
+    When a message arrives for 20 s, a byte each 2 s
+    Then the link is closed
+
   Scenario: Reports to many entry processes
     Guards against reports that cost a large fleet a part of its processors, and against an order to
     load that entry processes of other regions hear of late.
--- a/features/steps/peering_steps.py
+++ b/features/steps/peering_steps.py
@@ -285,6 +285,18 @@
     context.play.append(action)
 
 
+@when("a message arrives for {seconds:g} s, a byte each {pause:g} s")
+def step_trickle(context, seconds, pause):
+    async def action(stage):
+        stage.links.set_targets({})
+        frame = encode(PublishedWant(after=9))
+        for index in range(int(seconds / pause)):
+            if stage.links.peers():
+                await receive(stage, frame[index : index + 1], pause)
+
+    context.play.append(action)
+
+
 @then("the link is open and the message was taken")
 def step_taken(context):
     async def check(stage):
--- a/packages/wasabilb-node/src/wasabilb_node/links.py
+++ b/packages/wasabilb-node/src/wasabilb_node/links.py
@@ -20,6 +20,10 @@
 
 # One lost heartbeat is ordinary on a busy host, three in a row mean a silent link.
 SILENT_HEARTBEATS = 3
+# A link on which one message arrives for longer ends, so that a peer that sends a byte now and then
+# is not kept. The largest message has 2 MiB, which take 4.4 s over the narrowest known link;
+# seconds.
+MAX_ARRIVAL_S = 15.0
 CONNECT_TIMEOUT_S = 2.0
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 2.0
@@ -64,14 +68,16 @@
 class Peer:
     """A process at the other end of a link whose hello was received.
 
-    `peer_now` is the newest monotonic time of that process that was heard on this link. `pending`
-    are the bytes of a message that had not arrived in full at the newest tick.
+    `peer_now` is the newest monotonic time of that process that was heard on this link. `taken_at`
+    is when the newest whole message was taken; `pending` are the bytes of a message that had not
+    arrived in full at the newest tick.
     """
 
     link: Link
     hello: Hello
     heard_at: float
     peer_now: float = 0.0
+    taken_at: float = 0.0
     pending: int = 0
     closed_for: str = "closed"
 
@@ -236,7 +242,7 @@
         moment = now()
         for peer in self.peers():
             pending = peer.link.pending_bytes
-            if pending > peer.pending:
+            if pending > peer.pending and moment - peer.taken_at <= MAX_ARRIVAL_S:
                 # Heartbeats wait behind a large message, which takes seconds over a narrow link.
                 peer.heard_at = moment
             peer.pending = pending
@@ -339,7 +345,7 @@
         if peer is None:
             self._on_first(link, message)
             return
-        peer.heard_at = now()
+        peer.heard_at = peer.taken_at = now()
         handler = self._handlers.get(type(message))
         if handler is None:
             return
@@ -358,7 +364,8 @@
             link.close()
             return
         self._pending.pop(link, None)
-        peer = Peer(link=link, hello=message, heard_at=now())
+        moment = now()
+        peer = Peer(link=link, hello=message, heard_at=moment, taken_at=moment)
         self._peers[link] = peer
         self._log.event("link_up", peer=peer.host, address=peer.hello.address)
         for callback in self.on_up:
