--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -25,7 +25,7 @@
       | stream       | answer                   |
       | stream       | reset after two events   |
 
-  Scenario: The head of a stream is word enough, and the stream is whole
+  Scenario: The head of a stream is announcement enough, and the stream is whole
     # Guards against requests that go on to a leaving runner until its long answers have ended, and
     # against streams that are cut off there.
     Given a catalog with an idempotent, an at-most-once and a resumable stream route
@@ -37,15 +37,15 @@
 
   Scenario: Many callers while a runner begins to leave
     # Guards against requests that reach a leaving runner on kept connections and in retries, although
-    # a caller has its word already.
+    # a caller has its announcement already.
     Given a catalog with an idempotent, an at-most-once and a resumable stream route
     And one of the runners begins to leave after 60 answers
     When 20 callers send 10 requests each on kept connections
     Then all are answered whole
-    And no request that was sent after a caller had the word reached the runner that leaves
+    And no request that was sent after a caller had the announcement reached the runner that leaves
     And it sees the end of all its connections
 
-  Scenario: A request that was placed before the word is not sent after it
+  Scenario: A request that was placed before the announcement is not sent after it
     # Guards against a request that reaches a leaving runner because its connection took long.
     Given a catalog with an idempotent, an at-most-once and a resumable stream route
     And runners that answer and then answer
@@ -90,47 +90,47 @@
     Then the request is refused within 0.2 s and told the time of a new runner
 
   Scenario Outline: What ends the leaving of a runner
-    # Guards against a leaving runner that an entry written before its word brings back, and against
+    # Guards against a leaving runner that an entry written before its announcement brings back, and against
     # a restarted runner that nobody uses.
     Given a listed runner that leaves by its <way>
     When <event> follows
     Then the runner that left is <state>
 
     Examples:
-      | way   | event                                      | state    |
-      | word  | its entry, ready, at a newer revision      | not used |
-      | word  | its entry, draining, at a newer revision   | not used |
-      | word  | its entry, ready, at an older revision     | not used |
-      | word  | a later incarnation at a newer revision    | used     |
-      | word  | a later incarnation at an older revision   | not used |
-      | word  | an earlier incarnation at a newer revision | not used |
-      | word  | another address at a newer revision        | used     |
-      | word  | its removal and its entry                  | not used |
-      | word  | its removal and an earlier incarnation     | used     |
-      | word  | its removal while the platform is away     | not used |
-      | word  | its agent's report of a free runner        | not used |
-      | word  | an answer without the word                 | not used |
-      | entry | its entry, ready, at a newer revision      | used     |
-      | entry | its entry, ready, at an older revision     | not used |
-      | entry | a later incarnation at a newer revision    | used     |
-      | entry | its word and its entry                     | not used |
-      | entry | its agent's report of a free runner        | not used |
+      | way          | event                                      | state    |
+      | announcement | its entry, ready, at a newer revision      | not used |
+      | announcement | its entry, draining, at a newer revision   | not used |
+      | announcement | its entry, ready, at an older revision     | not used |
+      | announcement | a later incarnation at a newer revision    | used     |
+      | announcement | a later incarnation at an older revision   | not used |
+      | announcement | an earlier incarnation at a newer revision | not used |
+      | announcement | another address at a newer revision        | used     |
+      | announcement | its removal and its entry                  | not used |
+      | announcement | its removal and an earlier incarnation     | used     |
+      | announcement | its removal while the platform is away     | not used |
+      | announcement | its agent's report of a free runner        | not used |
+      | announcement | an answer without the announcement         | not used |
+      | entry        | its entry, ready, at a newer revision      | used     |
+      | entry        | its entry, ready, at an older revision     | not used |
+      | entry        | a later incarnation at a newer revision    | used     |
+      | entry        | its announcement and its entry             | not used |
+      | entry        | its agent's report of a free runner        | not used |
 
   Scenario: Each state and what follows from it
     # Guards against a state that an event brings back to use, or that never ends.
     Then the states of one incarnation follow each other so
-      | state                  | ready           | draining               | word            | removed | expired | not back               |
-      | serving                | serving         | leaving-by-publication | leaving-by-word | gone    | assumed | serving                |
-      | assumed                | serving         | leaving-by-publication | gone            | gone    | assumed | gone                   |
-      | leaving-by-publication | serving         | leaving-by-publication | leaving-by-word | gone    | gone    | leaving-by-publication |
-      | leaving-by-word        | leaving-by-word | leaving-by-word        | leaving-by-word | gone    | gone    | leaving-by-word        |
-      | gone                   | serving         | leaving-by-publication | gone            | gone    | gone    | gone                   |
-      | gone, by word          | leaving-by-word | leaving-by-word        | gone            | gone    | gone    | gone                   |
+      | state                  | ready             | draining               | announcement      | removed | expired | not back               |
+      | serving                | serving           | leaving-by-publication | leaving-announced | gone    | assumed | serving                |
+      | assumed                | serving           | leaving-by-publication | gone              | gone    | assumed | gone                   |
+      | leaving-by-publication | serving           | leaving-by-publication | leaving-announced | gone    | gone    | leaving-by-publication |
+      | leaving-announced      | leaving-announced | leaving-announced      | leaving-announced | gone    | gone    | leaving-announced      |
+      | gone                   | serving           | leaving-by-publication | gone              | gone    | gone    | gone                   |
+      | gone, by announcement  | leaving-announced | leaving-announced      | gone              | gone    | gone    | gone                   |
 
   Scenario: The memory of runners that left is bounded
-    # Guards against memory that grows with each runner that was ever there, and against a word that
+    # Guards against memory that grows with each runner that was ever there, and against an announcement that
     # is forgotten while the runner still answers.
-    Given a listed runner that leaves by its word
+    Given a listed runner that leaves by its announcement
     When its entry is removed and 1199 other runners come and go
     And a late entry lists it as ready
     Then the runner that left is not used
@@ -139,18 +139,18 @@
     Then the runner that left is used
 
   Scenario: A runner that is only assumed to live says that it leaves
-    # Guards against an entry that stays for ever because its removal came before the word.
+    # Guards against an entry that stays for ever because its removal came before the announcement.
     Given a listed runner whose entry is removed while the platform is away
     When an answer says that it leaves
     Then the runner is forgotten
 
   Scenario: Another runner at the address of one that left
     # Guards against a new runner that is taken for the one that had its address.
-    Given a listed runner that leaves by its word
+    Given a listed runner that leaves by its announcement
     When another runner is listed at its address
     Then the other one is used
 
-  Scenario: The word of an earlier incarnation
+  Scenario: The announcement of an earlier incarnation
     # Guards against a restarted runner that is left out because of a late answer.
     Given a listed runner that leaves by its entry
     When a later incarnation is listed and an answer of the earlier one says that it leaves
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -54,9 +54,9 @@
       | 429    | not executed   | not run |
       | 503    | nothing        | unknown |
 
-  Scenario Outline: The word of a runner that leaves
+  Scenario Outline: The announcement of a runner that leaves
     # Guards against a runner that is lost for its life by a value that says something else.
-    When a runner answers with the word "<value>" of its leaving
+    When a runner answers with the announcement "<value>" of its leaving
     Then the runner counts as <state>
 
     Examples:
--- a/features/steps/direct_forwarding_steps.py
+++ b/features/steps/direct_forwarding_steps.py
@@ -245,7 +245,7 @@
             other = fleet.directory.get(f"r-{1 - first}")
             fleet.book.on_report(other, LoadReport(running=4, waiting=2, at=now(), slots=4))
         if "leaves" in but:
-            fleet.published.on_runner_word(fleet.directory.get(f"r-{1 - first}"), "other")
+            fleet.published.on_runner_announced(fleet.directory.get(f"r-{1 - first}"), "other")
         if "budget" in but:
             fleet.on_limits(evolve(LIMITS, retry_ratio=0.0, retry_slack=0.0))
         context.ordered_at = asyncio.get_running_loop().time()
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -85,7 +85,7 @@
     lines = [fields for name, fields in context.stage.log.lines if name == "runner_leaving"]
     (leaving,) = [n for n, scripted in enumerate(context.stage.runners) if scripted.is_leaving]
     assert [line["runner"] for line in lines] == [f"r-{leaving}"], lines
-    assert lines[0]["state"] == "leaving-by-word", lines
+    assert lines[0]["state"] == "leaving-announced", lines
 
 
 @given("one of the runners begins to leave after {count:d} answers")
@@ -143,7 +143,7 @@
     assert len(context.bodies) == len(context.sent_at) and all(context.bodies), context.bodies
 
 
-@then("no request that was sent after a caller had the word reached the runner that leaves")
+@then("no request that was sent after a caller had the announcement reached the runner that leaves")
 def none_after_word(context):
     (leaving,) = [scripted for scripted in context.stage.runners if scripted.is_leaving]
     reached = [re.search(r"Request-Id: (\S+)", head)[1] for head in leaving.requests]
@@ -161,7 +161,7 @@
             if not hasattr(context, "left"):
                 (chosen,) = [r for r in fleet.directory if r.address == address]
                 context.left = int(chosen.id.removeprefix("r-"))
-                fleet.published.on_runner_word(chosen, "other")
+                fleet.published.on_runner_announced(chosen, "other")
             return conn
 
         fleet.pool.acquire = slow
@@ -254,7 +254,7 @@
 @given("a listed runner that leaves by its {way}")
 def leaves_by(context, way):
     list_runner(context)
-    if way == "word":
+    if way == "announcement":
         context.fleet.on_answer_head(READY, WORD)
     else:
         take(context, b"draining", LISTED)
@@ -287,10 +287,10 @@
         take(context, None)
     elif event == "its agent's report of a free runner":
         context.fleet.on_report(RunnerReport(runner="r-1", born_ms=5, is_reachable=True))
-    elif event == "an answer without the word":
+    elif event == "an answer without the announcement":
         context.fleet.on_answer_head(READY, AnswerFacts(request_id="later"))
     else:
-        assert event == "its word and its entry", event
+        assert event == "its announcement and its entry", event
         context.fleet.on_answer_head(READY, WORD)
         take(context, b"ready")
 
@@ -312,14 +312,14 @@
     "serving": [],
     "assumed": ["expired"],
     "leaving-by-publication": ["draining"],
-    "leaving-by-word": ["word"],
+    "leaving-announced": ["announcement"],
     "gone": ["removed"],
-    "gone, by word": ["word", "removed"],
+    "gone, by announcement": ["announcement", "removed"],
 }
 PRESENCE_EVENTS = {
     "ready": lambda p, inc: p.on_listed(inc, is_draining=False, revision=1),
     "draining": lambda p, inc: p.on_listed(inc, is_draining=True, revision=1),
-    "word": lambda p, inc: p.on_word(inc),
+    "announcement": lambda p, inc: p.on_announced(inc),
     "removed": lambda p, inc: p.on_removed(revision=1, is_trusted=True),
     "expired": lambda p, inc: p.on_removed(revision=1, is_trusted=False),
     "not back": lambda p, inc: p.on_not_returned(),
@@ -419,7 +419,7 @@
 EVENTS = st.one_of(
     st.tuples(st.just("listed"), lives(), st.sampled_from([1, 1, 1, -2])),
     st.tuples(st.just("removed"), lives(), st.sampled_from([1, 1, 1, -2])),
-    st.tuples(st.just("word"), lives(), st.just(0)),
+    st.tuples(st.just("announcement"), lives(), st.just(0)),
     st.tuples(st.sampled_from(["lost", "regained", "expired", "restart"]), lives(), st.just(0)),
 )
 
@@ -450,8 +450,8 @@
             elif life.id in self.newest or life.id in {name for name, _ in self.said}:
                 # Only `PublishedState` remembers the removal of a runner that is not known at all.
                 self.newest[life.id] = revision
-        elif kind == "word":
-            self.directory.on_word(life)
+        elif kind == "announcement":
+            self.directory.on_announced(life)
             self.said.add((life.id, life.incarnation))
         elif kind == "lost":
             self.directory.on_platform_lost()
--- /dev/null
+++ b/features/steps/model_view.py
@@ -0,0 +1,32 @@
+"""What an entry process knows of the runners of one model, without a network."""
+
+import random
+
+from forwarding_stage import StoredValues
+from overload_model import ENGINE
+from wasabilb_core.catalog import Catalog, Service
+from wasabilb_core.published import PublishedState
+from wasabilb_entry.fleet_view import FleetLimits, FleetView
+from wasabilb_node.followed_state import FollowedState
+from wasabilb_node.logs import EventLog
+
+
+def view_of(runners, *, processes=1):
+    """Return what an entry process knows of a service with some runners."""
+    log = EventLog(process="t", role="entry", host="t", failure_domain="a", incarnation="1")
+    published = FollowedState(items=PublishedState(), decoder=StoredValues({}), log=log)
+    published.catalog = Catalog(
+        version=1, routes=(), services={"s": Service(name="s", engine=ENGINE)}
+    )
+    for runner in runners:
+        published.directory.on_listed(runner)
+    return FleetView(
+        published=published,
+        failure_domain="a",
+        regions={"a": "r"},
+        pool=None,
+        limits=FleetLimits(retry_ratio=0.2, retry_slack=1, retry_window_s=10, version_s=8),
+        rng=random.Random(1),
+        processes=lambda: processes,
+        tell_sent=lambda runner_id, tokens: None,
+    )
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -5,22 +5,18 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
-from forwarding_stage import StoredValues
+from model_view import view_of
 from overload_model import DEADLINE_S, ENGINE, LATE_WORTH, OBJECTIVE_S, SLOW_ENGINE, Fleet
 from wasabilb_core._batch_backlog import READING_SHARE
-from wasabilb_core.catalog import Catalog, Service, WeightTarget
+from wasabilb_core.catalog import WeightTarget
 from wasabilb_core.directory import Runner
 from wasabilb_core.errors import Outcome
 from wasabilb_core.overload import Decision, HeldLimit, decide
-from wasabilb_core.published import PublishedState
 from wasabilb_core.return_times import NO_RUNNER_RETURN_S, spread_s
 from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView, load_of
 from wasabilb_core.runner_book import LoadReport
-from wasabilb_entry.fleet_view import FleetLimits, FleetView
 from wasabilb_entry.placer import Demand, Placer
 from wasabilb_node.clock import now
-from wasabilb_node.followed_state import FollowedState
-from wasabilb_node.logs import EventLog
 from wasabilb_wire.messages import RunnerReport
 
 
@@ -277,27 +273,6 @@
     assert context.chosen == choice, context.chosen
 
 
-def view_of(runners, *, processes=1):
-    """Return what an entry process knows of a service with some runners."""
-    log = EventLog(process="t", role="entry", host="t", failure_domain="a", incarnation="1")
-    published = FollowedState(items=PublishedState(), decoder=StoredValues({}), log=log)
-    published.catalog = Catalog(
-        version=1, routes=(), services={"s": Service(name="s", engine=ENGINE)}
-    )
-    for runner in runners:
-        published.directory.on_listed(runner)
-    return FleetView(
-        published=published,
-        failure_domain="a",
-        regions={"a": "r"},
-        pool=None,
-        limits=FleetLimits(retry_ratio=0.2, retry_slack=1, retry_window_s=10, version_s=8),
-        rng=random.Random(1),
-        processes=lambda: processes,
-        tell_sent=lambda runner_id, tokens: None,
-    )
-
-
 def runner_of(name):
     return Runner(
         id=name,
--- a/features/steps/pause_placing_steps.py
+++ b/features/steps/pause_placing_steps.py
@@ -1,46 +1,19 @@
 """Steps about requests that are placed while runners have named times, without a network."""
 
 import asyncio
-import random
 from types import SimpleNamespace
 
 from attrs import evolve
 from behave import given, then, when
-from forwarding_stage import StoredValues
-from overload_model import DEADLINE_S, ENGINE
+from model_view import view_of
+from overload_model import DEADLINE_S
 from pause_process import RUNNER
-from wasabilb_core.catalog import Catalog, Service
-from wasabilb_core.published import PublishedState
 from wasabilb_core.runner_book import LoadReport
-from wasabilb_entry.fleet_view import FleetLimits, FleetView
 from wasabilb_entry.placer import Demand, Placer
 from wasabilb_node import clock
-from wasabilb_node.followed_state import FollowedState
-from wasabilb_node.logs import EventLog
 from wasabilb_wire.messages import RunnerReport
 
 
-def fleet_of(*runners):
-    """Return what an entry process knows of some model runners."""
-    log = EventLog(process="t", role="entry", host="t", failure_domain="a", incarnation="1")
-    published = FollowedState(items=PublishedState(), decoder=StoredValues({}), log=log)
-    published.catalog = Catalog(
-        version=1, routes=(), services={"s": Service(name="s", engine=ENGINE)}
-    )
-    for runner in runners:
-        published.directory.on_listed(runner)
-    return FleetView(
-        published=published,
-        failure_domain="a",
-        regions={"a": "r"},
-        pool=None,
-        limits=FleetLimits(retry_ratio=0.2, retry_slack=1, retry_window_s=10, version_s=8),
-        rng=random.Random(1),
-        processes=lambda: 1,
-        tell_sent=lambda runner_id, tokens: None,
-    )
-
-
 @given("a runner that named {seconds:g} s")
 def named_hour(context, seconds):
     context.seconds = seconds
@@ -48,7 +21,7 @@
 
 @when("{word} comes after {age:g} s")
 def word_comes(context, word, age):
-    fleet = fleet_of(RUNNER)
+    fleet = view_of([RUNNER])
     # As if it had been named so long ago.
     fleet.book.pauses.on_named(RUNNER, context.seconds, clock.now() - age, spread=0.0)
     runner = RUNNER
@@ -97,7 +70,7 @@
 
 @given("a full runner for which a request is held")
 def full_runner(context):
-    context.fleet = fleet_of(RUNNER)
+    context.fleet = view_of([RUNNER])
     report = LoadReport(running=16, waiting=4, at=clock.now(), slots=16)
     context.fleet.book.on_report(RUNNER, report)
 
@@ -143,7 +116,7 @@
 
 @given("a runner whose time has ended and which got its first requests")
 def returned_runner(context):
-    context.fleet = fleet_of(RUNNER)
+    context.fleet = view_of([RUNNER])
     pauses = context.fleet.book.pauses
     pauses.on_named(RUNNER, 1.0, clock.now() - 1.01, spread=0.0)
     while pauses.may_try(RUNNER, clock.now()):
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -292,7 +292,7 @@
     assert seen == expected[outcome], seen
 
 
-@when('a runner answers with the word "{value}" of its leaving')
+@when('a runner answers with the announcement "{value}" of its leaving')
 def answers_with_word(context, value):
     headers = HTTPHeaders({} if value == "-" else {"Server-Leaving": value})
     head = Head(status=200, reason="", headers=headers)
--- a/packages/wasabilb-core/src/wasabilb_core/directory.py
+++ b/packages/wasabilb-core/src/wasabilb_core/directory.py
@@ -133,9 +133,9 @@
         presence.on_removed(revision=revision, is_trusted=is_trusted)
         return self._settle(runner_id)
 
-    def on_word(self, runner: Runner) -> bool:
-        """Take the runner's own word that it leaves and return whether it is gone for good."""
-        self._presence(runner.id, runner.incarnation).on_word(runner.incarnation)
+    def on_announced(self, runner: Runner) -> bool:
+        """Take a runner's announcement that it leaves; True if it is gone for good."""
+        self._presence(runner.id, runner.incarnation).on_announced(runner.incarnation)
         return self._settle(runner.id)
 
     def on_weights(
--- a/packages/wasabilb-core/src/wasabilb_core/runner_presence.py
+++ b/packages/wasabilb-core/src/wasabilb_core/runner_presence.py
@@ -1,4 +1,4 @@
-"""Whether a runner may receive requests: its state by its own word and by what is published.
+"""Whether a runner may receive requests, by its own announcements and by what is published.
 
 A runner that leaves says so in its answers, usually before its entry in the platform's list tells
 it, and goes on answering for seconds. Entries are ordered by revision, and incarnations of one
@@ -11,7 +11,7 @@
 from attrs import define, field, frozen
 
 # Incarnations of one runner whose word is remembered. A runner is restarted once or twice a day.
-MAX_WORDS = 8
+MAX_ANNOUNCED = 8
 
 
 @unique
@@ -23,7 +23,7 @@
 
     SERVING = "serving"
     ASSUMED = "assumed"
-    LEAVING_BY_WORD = "leaving-by-word"
+    LEAVING_ANNOUNCED = "leaving-announced"
     LEAVING_BY_PUBLICATION = "leaving-by-publication"
     GONE = "gone"
 
@@ -35,7 +35,7 @@
     @property
     def is_leaving(self) -> bool:
         """Return whether the runner ends soon."""
-        return self in (PresenceState.LEAVING_BY_WORD, PresenceState.LEAVING_BY_PUBLICATION)
+        return self in (PresenceState.LEAVING_ANNOUNCED, PresenceState.LEAVING_BY_PUBLICATION)
 
 
 @frozen(kw_only=True)
@@ -72,15 +72,15 @@
     revision: int = 0
     state: PresenceState = PresenceState.GONE
     # Incarnations that said that they leave. Nothing takes this back, see the decision page.
-    _words: deque[Incarnation] = field(factory=lambda: deque(maxlen=MAX_WORDS))
+    _announced: deque[Incarnation] = field(factory=lambda: deque(maxlen=MAX_ANNOUNCED))
 
     def on_listed(self, incarnation: Incarnation, *, is_draining: bool, revision: int) -> bool:
         """Take an entry of the list; False for one that is out of date."""
         if revision < self.revision or self._is_outlived(incarnation):
             return False
         self.incarnation, self.revision = incarnation, revision
-        if incarnation in self._words:
-            self.state = PresenceState.LEAVING_BY_WORD
+        if incarnation in self._announced:
+            self.state = PresenceState.LEAVING_ANNOUNCED
         elif is_draining:
             self.state = PresenceState.LEAVING_BY_PUBLICATION
         else:
@@ -106,17 +106,17 @@
         if self.state is PresenceState.ASSUMED:
             self.state = PresenceState.GONE
 
-    def on_word(self, incarnation: Incarnation) -> None:
-        """Take the word of an incarnation that it leaves."""
-        if incarnation not in self._words:
-            self._words.append(incarnation)
+    def on_announced(self, incarnation: Incarnation) -> None:
+        """Take the announcement of an incarnation that it leaves."""
+        if incarnation not in self._announced:
+            self._announced.append(incarnation)
         if incarnation != self.incarnation:
             # An answer of an earlier incarnation says nothing of its successor.
             return
         if self.state is PresenceState.ASSUMED:
             self.state = PresenceState.GONE
         elif self.state is not PresenceState.GONE:
-            self.state = PresenceState.LEAVING_BY_WORD
+            self.state = PresenceState.LEAVING_ANNOUNCED
 
     def _is_outlived(self, incarnation: Incarnation) -> bool:
         """Return whether an entry names an earlier incarnation than one that is leaving.
@@ -124,5 +124,5 @@
         After the removal of the entry any other incarnation is a restart, also on a host whose
         clock was set back.
         """
-        is_held = self.state is PresenceState.LEAVING_BY_WORD
+        is_held = self.state is PresenceState.LEAVING_ANNOUNCED
         return is_held and incarnation.born_ms < self.incarnation.born_ms
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -251,7 +251,7 @@
     def on_answer_head(self, runner: Runner, facts: AnswerFacts) -> None:
         """Learn from the head of any answer of a runner, also to an earlier request."""
         if facts.is_leaving:
-            self.published.on_runner_word(runner, facts.request_id)
+            self.published.on_runner_announced(runner, facts.request_id)
         if facts.pause is not None:
             spread = self._rng.random()
             self.book.pauses.on_named(runner, facts.pause.seconds, now(), spread=spread)
--- a/packages/wasabilb-node/src/wasabilb_node/followed_state.py
+++ b/packages/wasabilb-node/src/wasabilb_node/followed_state.py
@@ -89,10 +89,10 @@
             elif item.body is not None:
                 self._log.event("published_unusable", name=item.name, revision=item.revision)
 
-    def on_runner_word(self, runner: Runner, request_id: str) -> None:
-        """Take the word of a runner that it leaves, from its answer to a request."""
+    def on_runner_announced(self, runner: Runner, request_id: str) -> None:
+        """Take the announcement of a runner that it leaves, from its answer to a request."""
         was_used = self.directory.may_receive(runner)
-        is_gone = self.directory.on_word(runner)
+        is_gone = self.directory.on_announced(runner)
         if was_used:
             self._on_leaving(runner, request=request_id, revision=self.revision)
         if is_gone:
