The sharers of a runner are counted only where its load is assumed; two repetitions removed

Cause, found when the change was read again: FleetView counted the entry processes that share a service, by a pass over all runners, for each runner of each view, though only a runner without a report needs it: a cost that grows with the square of the runners on the way of each request. returns_in_s chose the able runners beside _able, and three places of transfer.py listed the same three fields of a log line. Ruled out: a change of behaviour; assume_load returns the same view where there is a report. Change: the count is asked for only without a report; _able and _Job.names are the one copy.

--- a/packages/wasabilb-agent/src/wasabilb_agent/transfer.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/transfer.py
@@ -54,6 +54,15 @@
     is_handed: bool = False
     is_stale: bool = False
 
+    @property
+    def names(self) -> dict[str, Any]:
+        """Return what log lines say of the variant."""
+        return {
+            "ticket": self.number,
+            "model": self.variant.model,
+            "version": self.variant.version,
+        }
+
 
 class ChunkTransfers:
     """Fetches each wanted variant whole before the engine may load it, and serves it to peers.
@@ -204,11 +213,6 @@
         self._store.close()
 
     async def _run(self, job: _Job) -> None:
-        names: dict[str, Any] = {
-            "ticket": job.number,
-            "model": job.variant.model,
-            "version": job.variant.version,
-        }
         self._log_started(job)
         retry_s = FIRST_RETRY_S
         while True:
@@ -228,21 +232,15 @@
         received = job.transfer.receipts.total if job.transfer is not None else {}
         origin = received.get(ORIGIN, 0)
         peers = sum(received.values()) - origin
-        self._log.event("transfer_done", **names, bytes_origin=origin, bytes_peers=peers)
+        self._log.event("transfer_done", **job.names, bytes_origin=origin, bytes_peers=peers)
         job.is_handed = True
         self.held.add(job.variant)
 
     def _log_started(self, job: _Job) -> None:
-        variant = job.variant
-        names: dict[str, Any] = {
-            "ticket": job.number,
-            "model": variant.model,
-            "version": variant.version,
-        }
         if job.is_seed:
-            self._log.event("seed_started", **names)
+            self._log.event("seed_started", **job.names)
         else:
-            self._log.event("transfer_started", **names)
+            self._log.event("transfer_started", **job.names)
 
     async def _wait_refused(self, job: _Job, error: Error) -> None:
         """Log a refused version once and wait until something may have changed."""
@@ -251,9 +249,7 @@
             job.refused = error.detail
             self._log.event(
                 "transfer_refused",
-                ticket=job.number,
-                model=job.variant.model,
-                version=job.variant.version,
+                **job.names,
                 detail=error.detail,
             )
         self._changed.clear()
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -373,8 +373,7 @@
             / SPREAD[0]
             for r in routable
         ]
-        version = self._demanded_version(engine, moment)
-        if any(self._can_serve(r, engine, version) for r in routable):
+        if self._able(service, moment):
             # Its report or its connections keep it out, which lasts as long as a fault does.
             ends.append(NO_RUNNER_RETURN_S)
         return min(NO_VERSION_RETURN_S, *ends)
@@ -394,7 +393,7 @@
             distance_s=self._distance_s(runner.failure_domain),
             is_for_long=is_for_long,
         )
-        if engine is None:
+        if engine is None or view.report_age_s < math.inf:
             return view
         return assume_load(view, sharers=self._sharers(runner.service))
 
