Log and count what runners name as their limit, before any change of what is sent

Callers saw nothing; a server got 24 to 29 requests in 4 s at a limit of 1 a second. The collected logs could not tell whether a process reads the limit, keeps it alone, or misses a way to the server: no line, field or metric speaks of it. Now the adapter reads the header once into NamedLimit, a runner's limit is tracked by incarnation, runner_limited tells each change, and wasabilb_limited_sends_total counts what goes to such runners, first and repeated sends apart. Nothing is decided by it yet. The parsing of numbers is shared with the time that a refusing runner names; an answer 421 is not taken as the asked runner's.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -83,6 +83,34 @@
       | 429    | 1.5  | none    |
       | 200    | 1.5  | none    |
 
+  Scenario Outline: The limit that a runner names
+    # Guards against a limit that is ignored or read from another server's answer, and against
+    # values that take a runner out of use without reason.
+    When a runner answers <status> and names the limit <text>
+    Then the limit is <per_s> a second, read as <reading>
+
+    Examples:
+      | status | text          | per_s | reading          |
+      | 200    | 1             | 1     | exact            |
+      | 503    | 2.5           | 2.5   | exact            |
+      | 500    | 0.25          | 0.25  | exact            |
+      | 200    | 0             | 0     | exact            |
+      | 200    | 3, 2          | 2     | exact            |
+      | 200    | 3, soon       | 3     | partly-readable  |
+      | 200    | -1            | none  | unreadable       |
+      | 200    | -1, 4         | 4     | partly-readable  |
+      | 200    | soon          | none  | unreadable       |
+      | 200    | nan           | none  | unreadable       |
+      | 200    | inf           | none  | unreadable       |
+      | 200    | 1e3           | none  | unreadable       |
+      | 200    | 400 nines     | 1e6   | exact            |
+      | 200    | nothing       | none  | nothing          |
+
+  Scenario: Another server answers at the address of a runner
+    # Guards against the limit of one server that is taken for another's after a reuse of its address.
+    When a runner answers 421 and names the limit 1
+    Then the answer is not the asked runner's
+
   Scenario: The store's readings
     # Guards against missed changes after the history was lost, and against calls that hang.
     Given a stand-in of the store with two pages of items
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -317,6 +317,30 @@
     assert (pause and pause.seconds) == (None if seconds == "none" else float(seconds)), pause
 
 
+@when("a runner answers {status:d} and names the limit {text}")
+def names_limit(context, status, text):
+    headers = HTTPHeaders()
+    if text != "nothing":
+        headers["Server-Limit"] = "9" * 400 if text == "400 nines" else text
+    head = AnswerHead(status=status, reason="", headers=headers)
+    context.answer = PlatformHeaders().read_answer(head, 0.0)
+
+
+@then("the limit is {per_s} a second, read as {reading}")
+def check_limit(context, per_s, reading):
+    limit = context.answer.limit
+    if reading == "nothing":
+        assert limit is None, limit
+        return
+    assert limit.per_s == (None if per_s == "none" else float(per_s)), limit
+    assert limit.reading.value == reading and len(limit.text) <= 40, limit
+
+
+@then("the answer is not the asked runner's")
+def check_other_runner(context):
+    assert not context.answer.is_from_runner, context.answer
+
+
 class ScriptedStore:
     """A stand-in of the store that answers from a script."""
 
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -156,6 +156,10 @@
         "A runner refused a request with 503 and gave a time in which it accepts no others.",
         "request runner asked reading pause_ms",
     ),
+    "runner_limited": _spec(
+        "A runner named, changed or ended its limit for the requests of all entry processes.",
+        "request runner change asked reading limit_per_s",
+    ),
     "request_moved": _spec("A request continues at another runner.", "request host reason tokens"),
     "hedge_sent": _spec("A second attempt was sent.", "request host"),
     "once_unknown": _spec("It is unknown whether a call ran.", "request service host detail"),
--- a/packages/wasabilb-core/src/wasabilb_core/forwarding_metadata.py
+++ b/packages/wasabilb-core/src/wasabilb_core/forwarding_metadata.py
@@ -2,6 +2,7 @@
 
 from attrs import frozen
 
+from wasabilb_core.named_limit import NamedLimit
 from wasabilb_core.requested_pause import RequestedPause
 from wasabilb_core.runner_stats import LoadReport
 
@@ -78,6 +79,11 @@
         Whether the runner announces that it leaves.
     pause : RequestedPause or None
         Pause that a refusing runner requests, if any.
+    limit : NamedLimit or None
+        Limit on the requests of all entry processes that the runner names, if any.
+    is_from_runner : bool
+        Whether it comes from the runner that was asked. After a reuse of its address, another
+        runner answers there.
     """
 
     request_id: str = ""
@@ -86,3 +92,5 @@
     load: LoadReport | None = None
     is_leaving: bool = False
     pause: RequestedPause | None = None
+    limit: NamedLimit | None = None
+    is_from_runner: bool = True
--- a/packages/wasabilb-core/src/wasabilb_core/requested_pause.py
+++ b/packages/wasabilb-core/src/wasabilb_core/requested_pause.py
@@ -1,19 +1,16 @@
 """Parsing of the pause that a runner requests when it refuses a request."""
 
-import re
 from enum import Enum, unique
 
 from attrs import frozen
 
+from wasabilb_core._header_numbers import MAX_LOGGED_CHARS, decimal_values
+
 # Longest accepted pause, seconds: partitions between regions last up to an hour, and no known event
 # takes longer. Larger numbers are likely in another unit.
 MAX_PAUSE_S = 3600.0
 # Pause for an unreadable value, seconds; the same as after repeated failures.
 UNREADABLE_PAUSE_S = 3.0
-# Logged length of a value, enough for a number of seconds.
-MAX_LOGGED_CHARS = 40
-
-_SECONDS = re.compile(r"-?[0-9]+(\.[0-9]+)?", re.ASCII)
 
 
 @unique
@@ -52,9 +49,9 @@
     A date is not converted, as the clocks of hosts differ; it counts as unreadable. Of several
     values, separated by commas, the longest one counts.
     """
-    if text is None or not text.strip():
+    found = decimal_values(text)
+    if text is None or not found:
         return None
-    found = [_parse_seconds(part.strip()) for part in text.split(",")]
     longest = max(UNREADABLE_PAUSE_S if value is None else value for value in found)
     if None in found and longest <= UNREADABLE_PAUSE_S:
         reading = PauseReading.UNREADABLE
@@ -64,7 +61,3 @@
         reading = PauseReading.EXACT if longest > 0 else PauseReading.OVER
     seconds = min(MAX_PAUSE_S, max(0.0, longest))
     return RequestedPause(seconds=seconds, reading=reading, text=text[:MAX_LOGGED_CHARS])
-
-
-def _parse_seconds(text: str) -> float | None:
-    return float(text) if _SECONDS.fullmatch(text) else None
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -20,6 +20,7 @@
 from wasabilb_core.retry_window import RetryWindow
 from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView, expected_wait_s, load_of
 from wasabilb_core.runner_directory import Runner
+from wasabilb_core.runner_limits import LimitChange, RunnerLimits
 from wasabilb_core.runner_stats import LoadReport, RunnerStats, completion_interval_s
 from wasabilb_core.unreported_load import assume_load
 from wasabilb_core.version_steps import VERSION_MARGIN_S
@@ -132,6 +133,7 @@
         self.published = published
         self.directory = published.directory
         self.stats = RunnerStats()
+        self.limits = RunnerLimits()
         self.pool = pool
         self._failure_domain = failure_domain
         self._regions = regions
@@ -194,6 +196,7 @@
     def forget(self, runner_id: str) -> None:
         """Discard the data of a removed runner."""
         self.stats.forget(runner_id, now())
+        self.limits.forget(runner_id)
         self._load_orders.forget(runner_id)
 
     def follow(self, own: EntryPlace, places: Collection[EntryPlace]) -> list[Runner]:
@@ -248,13 +251,19 @@
         has_requested_pause = self.stats.pauses.has_requested_pause(runner, now())
         return self.directory.may_receive(runner) and not has_requested_pause
 
-    def on_answer_head(self, runner: Runner, metadata: AnswerMetadata) -> None:
-        """Process the head of any answer of a runner, also to an earlier request."""
+    def on_answer_head(self, runner: Runner, metadata: AnswerMetadata) -> LimitChange | None:
+        """Process the head of any answer of a runner, also to an earlier request.
+
+        Return what it changes about the runner's limit.
+        """
         if metadata.is_leaving:
             self.published.on_runner_announced(runner, metadata.request_id)
         if metadata.pause is not None:
             spread = self._rng.random()
             self.stats.pauses.on_pause(runner, metadata.pause.seconds, now(), spread=spread)
+        if not metadata.is_from_runner:
+            return None
+        return self.limits.on_answer(runner, metadata.limit)
 
     def on_attempt_ended(self, runner: Runner, end: AttemptEnd, metadata: AnswerMetadata) -> None:
         """Process the end of an attempt."""
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -232,6 +232,8 @@
             keeps_running_without_caller=route.kind is RequestKind.NON_IDEMPOTENT,
         )
         self._fleet.on_sent(runner, ctx.metadata.prompt_tokens)
+        if self._fleet.limits.per_s(runner) is not None:
+            self._metrics.on_limited_send(ctx.service, is_repeated=ctx.history.sent > 0)
         move = partial(self._move_stream, ctx, attempt)
         if route.kind is RequestKind.STREAM and route.is_repeatable:
             self._fleet.stream_mover.add(runner.id, move)
@@ -268,7 +270,17 @@
         self, ctx: _RequestContext, runner: Runner, metadata: AnswerMetadata
     ) -> None:
         """Process the metadata of an answer that must not wait for its end."""
-        self._fleet.on_answer_head(runner, metadata)
+        limit_change = self._fleet.on_answer_head(runner, metadata)
+        if limit_change is not None:
+            self._log.event(
+                "runner_limited",
+                request=ctx.metadata.id,
+                runner=runner.id,
+                change=limit_change.value,
+                asked=metadata.limit.text if metadata.limit else None,
+                reading=metadata.limit.reading.value if metadata.limit else None,
+                limit_per_s=self._fleet.limits.per_s(runner),
+            )
         if metadata.pause is None:
             return
         self._log.event(
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway_metrics.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway_metrics.py
@@ -31,6 +31,12 @@
             ["service", "end"],
             registry=self._registry,
         )
+        self._limited_sends = Counter(
+            "wasabilb_limited_sends",
+            "Requests sent to runners that had named a limit, by whether they are repeated.",
+            ["service", "repeated"],
+            registry=self._registry,
+        )
         self._first_byte = Histogram(
             "wasabilb_first_byte_seconds",
             "Time from the arrival of a request to the first byte of its answer.",
@@ -76,6 +82,10 @@
         """Count an attempt."""
         self._attempts.labels(service, end.value).inc()
 
+    def on_limited_send(self, service: str, *, is_repeated: bool) -> None:
+        """Count a request sent to a runner that has named a limit."""
+        self._limited_sends.labels(service, str(is_repeated).lower()).inc()
+
     def on_connection(self) -> None:
         """Count a new connection to a runner."""
         self._connections.inc()
--- a/tools/check_platform.py
+++ b/tools/check_platform.py
@@ -6,7 +6,7 @@
 
 # Headers, calls, published items and settings as they appear on the wire.
 PLATFORM_NAMES = re.compile(
-    r"X-Wasabilb-|kv-(key|range|watch)|op/config|op/version|platformStore|stage-(put|get)|"
+    r"X-Wasabilb-|Server-(Leaving|Limit)|kv-(key|range|watch)|op/config|op/version|platformStore|stage-(put|get)|"
     r"internalPorts|coldLeftMs|trafficSplit|WASABILB_SETTINGS"
 )
 SOURCES = ("packages", "features", "bench", "tools")
