--- a/features/steps/forwarding_harness.py
+++ b/features/steps/forwarding_harness.py
@@ -14,6 +14,7 @@
     key_digest,
 )
 from wasabilb_core.forwarding_metadata import AnswerMetadata, RequestMetadata
+from wasabilb_core.named_limit import named_limit
 from wasabilb_core.published import PublishedState
 from wasabilb_core.requested_pause import requested_pause
 from wasabilb_core.runner_directory import Runner
@@ -73,6 +74,8 @@
             is_sealed="Seal" in head.headers,
             is_leaving=head.headers.get("Leaving") == "1",
             pause=requested_pause(head.headers.get("Retry-After")) if head.status == 503 else None,
+            limit=named_limit(head.headers.get("Limit")),
+            is_from_runner=head.status != 421,
         )
 
     def label_answer(self, headers, request_id):
--- a/features/steps/scripted_runner.py
+++ b/features/steps/scripted_runner.py
@@ -8,6 +8,7 @@
 EVENTS = [f'id: {n}\ndata: {{"tokens":"t{n}"}}\n\n'.encode() for n in range(1, 6)]
 BODY = b"the whole body"
 LEAVING_SUFFIX = " while leaving"
+LIMIT_SUFFIX = " while naming a limit of "
 REFUSAL_HEADERS = b"Not-Run: 1\r\nRequest-Id: %s\r\n%sContent-Length: 0\r\n\r\n"
 REFUSALS = {
     "refuse as full": b"HTTP/1.1 503 Busy\r\n" + REFUSAL_HEADERS,
@@ -56,7 +57,8 @@
     """Runner that uses one behaviour for each request, and the last one for all further requests.
 
     After a behaviour that ends in `LEAVING_SUFFIX`, this answer and all later ones announce that it
-    leaves, and `late_requests` counts the requests that arrive afterwards.
+    leaves, and `late_requests` counts the requests that arrive afterwards. With `LIMIT_SUFFIX` and a
+    number, an answer names a limit.
     """
 
     def __init__(self, behaviours):
@@ -68,6 +70,8 @@
         self.open_connections = self.connections_at_end = 0
         # Arrival times of requests; time and length of each pause that a refusal named.
         self.arrivals, self.pauses = [], []
+        # Time, limit and request of each answer that names a limit.
+        self.named_limits = []
         self.server = self.address = None
         self.writers = []
 
@@ -109,15 +113,19 @@
         """Answer one request; return False to end the connection."""
         if action.endswith(LEAVING_SUFFIX):
             action, self.is_leaving = action.removesuffix(LEAVING_SUFFIX), True
-        leaving = b"Leaving: 1\r\n" if self.is_leaving else b""
+        notes = b"Leaving: 1\r\n" if self.is_leaving else b""
         request_id = re.search(r"(?im)^request-id: (\S+)", head)[1]
+        action, _, limit = action.partition(LIMIT_SUFFIX)
+        if limit:
+            notes += b"Limit: %s\r\n" % limit.encode()
+            self.named_limits.append((asyncio.get_running_loop().time(), limit, request_id))
         last_event = re.search(r"(?im)^last-event-id: (\d+)", head)
         events = EVENTS[int(last_event[1]) if last_event else 0 :]
         seal = b"" if action == "answer without a seal" else b"Seal: s\r\n"
-        start = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s" % (request_id.encode(), seal + leaving)
+        start = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s" % (request_id.encode(), seal + notes)
         is_stream = head.startswith("POST /stream/")
         if action.startswith("refuse "):
-            return await self.refuse(action, request_id.encode(), leaving, writer)
+            return await self.refuse(action, request_id.encode(), notes, writer)
         if action == "wait without an answer":
             await reader.read(1)
             return False
@@ -162,17 +170,17 @@
             await writer.drain()
             self.flooded_bytes += len(part)
 
-    async def refuse(self, action, request_id, leaving, writer):
+    async def refuse(self, action, request_id, notes, writer):
         """Refuse a request, with the pause that the behaviour names, if any."""
         if action in REFUSALS:
-            writer.write(REFUSALS[action] % (request_id, leaving))
+            writer.write(REFUSALS[action] % (request_id, notes))
             return True
         seconds, has_slow_body = action.split()[3], "slow body" in action
         self.pauses.append((asyncio.get_running_loop().time(), float(seconds)))
         writer.write(
             b"HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: %s\r\n%sRetry-After: %s\r\n"
             b"Content-Length: %d\r\n\r\n"
-            % (request_id, leaving, seconds.encode(), 12 if has_slow_body else 0)
+            % (request_id, notes, seconds.encode(), 12 if has_slow_body else 0)
         )
         if has_slow_body:
             await self.trickle(b"x" * 12, writer)
