--- a/bench/limits.py
+++ b/bench/limits.py
@@ -20,7 +20,7 @@
 class Fixed(AccountLimiter):
     """Baseline: each entry host has an equal share of the limit, regardless of the demand."""
 
-    def _give(self, name: str, bucket: object, now: float) -> None:
+    def _give_excess(self, name: str, bucket: object, now: float) -> None:
         return None
 
 
