--- a/packages/wasabilb-core/src/wasabilb_core/account_limits.py
+++ b/packages/wasabilb-core/src/wasabilb_core/account_limits.py
@@ -15,15 +15,13 @@
 from returns.result import Failure, Result, Success
 
 from wasabilb_core.errors import Error, ErrorKind
+from wasabilb_core.limit_buckets import LimitBucket, LimitBuckets
 from wasabilb_core.retries import jittered_s
 
 # Part of an equal share that a host never gives away. A new incarnation, which does not have its
 # predecessor's counters yet, may use this much at once.
 FLOOR_SHARE = 0.05
 PEER_TIMEOUT_S = 3.0
-# Shares follow demand within about two exchanges of `Usage`, one a second.
-DEMAND_TAU_S = 2.0
-REBALANCE_S = 3.0
 # Smallest part of the limit that is moved, so that noise does not move shares.
 MIN_MOVED_SHARE = 0.01
 
@@ -59,15 +57,9 @@
 
 
 @define(kw_only=True)
-class AccountBucket:
+class AccountBucket(LimitBucket):
     """State of one account at this entry host."""
 
-    limit: float
-    burst: float
-    tokens: float = 0.0
-    filled_at: float = -math.inf
-    demand: float = 0.0
-    demand_at: float = -math.inf
     given: dict[str, float] = field(factory=dict)
     received: dict[str, float] = field(factory=dict)
     received_earlier: dict[str, float] = field(factory=dict)
@@ -81,7 +73,7 @@
     received_at: float
 
 
-class AccountLimiter:
+class AccountLimiter(LimitBuckets[AccountBucket]):
     """One entry host's part in the limits of all accounts.
 
     Parameters
@@ -107,12 +99,10 @@
         rng: random.Random,
         is_first_start: bool = False,
     ) -> None:
-        self._host = host
-        self._hosts = frozenset(hosts) | {host}
+        super().__init__(host=host, hosts=hosts)
         self._incarnation = incarnation
         self._rng = rng
         self._sequence = 0
-        self._buckets: dict[str, AccountBucket] = {}
         self._peers: dict[str, PeerUsage] = {}
         self._awaited_peers = set() if is_first_start else set(self._hosts - {host})
 
@@ -156,7 +146,7 @@
 
     def remove_account(self, name: str) -> None:
         """Remove an account; its requests are refused from now on."""
-        self._buckets.pop(name, None)
+        self.remove(name)
 
     def take(self, account: str, cost: float, now: float) -> Result[None, Error]:
         """Grant a request of `cost`, or refuse it with a retry time."""
@@ -164,7 +154,7 @@
         if bucket is None:
             detail = f"account {account} has no limit in any ticket"
             return Failure(Error(kind=ErrorKind.FORBIDDEN, detail=detail))
-        _record_demand(bucket, cost, now)
+        bucket.on_demand(cost, now)
         share = self.share(account)
         depth = self._bucket_depth(bucket, share)
         if bucket.filled_at == -math.inf:
@@ -176,11 +166,7 @@
         if bucket.tokens >= cost:
             bucket.tokens -= cost
             return Success(None)
-        pause_s = (cost - bucket.tokens) / max(share, 1e-9)
-        # Recently refused requests are retried too, which takes the time of the excess demand.
-        pause_s += DEMAND_TAU_S * max(0.0, _demand(bucket, now) / max(share, 1e-9) - 1.0)
-        # A small share grows with the demand just recorded, so the pause is limited.
-        pause_s = min(pause_s, max(REBALANCE_S, cost / bucket.limit))
+        pause_s = self.pause_s(account, cost, now)
         detail = f"account {account} may use {bucket.limit:g} a second over all entry hosts"
         retry = jittered_s(pause_s, self._rng)
         return Failure(Error(kind=ErrorKind.ACCOUNT_LIMIT, detail=detail, retry_after_s=retry))
@@ -227,7 +213,7 @@
             sequence=self._sequence,
             accounts={
                 name: AccountUsage(
-                    demand=_demand(bucket, now),
+                    demand=bucket.demand_now(now),
                     share=self.share(name),
                     given=dict(bucket.given),
                     received=dict(bucket.received),
@@ -238,7 +224,7 @@
 
     def _give_excess(self, name: str, bucket: AccountBucket, now: float) -> None:
         """Move this host's excess to reachable hosts in proportion to their deficits."""
-        shares, demands = {self._host: self.share(name)}, {self._host: _demand(bucket, now)}
+        shares, demands = {self._host: self.share(name)}, {self._host: bucket.demand_now(now)}
         for peer, known in self._peers.items():
             other = known.usage.accounts.get(name)
             if other is not None and now - known.received_at <= PEER_TIMEOUT_S:
@@ -279,14 +265,3 @@
 def _merge_counter(counters: dict[str, float], peer: str, value: float) -> None:
     if value > counters.get(peer, 0.0):
         counters[peer] = value
-
-
-def _record_demand(bucket: AccountBucket, cost: float, now: float) -> None:
-    bucket.demand = _demand(bucket, now) + cost / DEMAND_TAU_S
-    bucket.demand_at = now
-
-
-def _demand(bucket: AccountBucket, now: float) -> float:
-    if bucket.demand_at == -math.inf:
-        return 0.0
-    return bucket.demand * math.exp(-max(0.0, now - bucket.demand_at) / DEMAND_TAU_S)
