--- a/features/steps/limit_model.py
+++ b/features/steps/limit_model.py
@@ -89,7 +89,9 @@
         self.domains, self.demand, self.weights = domains, demand, weights
         self.limits = {f"s{n}": limit for n, limit in enumerate(limits)}
         self.runners = [self.runner(name) for name in self.limits]
-        self.arrivals, self.told_at, self.refused = [], {}, 0
+        self.arrivals, self.told_at = [], {}
+        self.requests = self.refused = 0
+        self.started_at = self.played_s = 0.0
         self.bytes_sent = self.messages_sent = 0
         self.processes = []
         self.places = [
@@ -172,6 +174,7 @@
             numbers = [self.processes.index(p) for p in up]
             weights = [self.weights(n, now()) for n in numbers]
             process = self.rng.choices(up, weights)[0]
+            self.requests += 1
             self.refused += not process.on_request()
 
     def rate(self, runner_id, start, end):
@@ -205,6 +208,7 @@
         fleet.start()
         fleet.started_at = now()
         await script(fleet)
+        fleet.played_s = now() - fleet.started_at
 
     run_virtual(run)
     return fleet
