A refusal or a late copy of an answer does not end the limit that its server named

Seen while reviewing each answer that reaches on_answer_head: any answer without the header ended a limit, also a refusal, bytes that bear no seal of the server and late copies of earlier answers; until the next answer requests went out without a limit. Only a sealed answer to the own request ends it now.

--- a/features/named_limits.feature
+++ b/features/named_limits.feature
@@ -25,6 +25,18 @@
     Then each caller who is refused is told at once not-run and when to come back
     And the log tells the limit of each runner in each process once
 
+  Scenario Outline: What an answer without a limit ends
+    # Guards against a limit that seems to end with answers that say nothing of it.
+    Given runners that in turn answer while naming a limit of 0.5, answer while naming a limit of 0.5, then <answer>
+    When 1 entry processes send idempotent requests each 50 ms for 5 s
+    Then the limits <end>
+
+    Examples:
+      | answer                 | end       |
+      | answer                 | end       |
+      | refuse as full         | do not end |
+      | answer without a seal  | do not end |
+
   Scenario: A request gets its connection after the server named its limit
     # Guards against requests that were placed before the limit was known and are sent long after it.
     Given runners that in turn answer while naming a limit of 0.5
--- a/features/steps/named_limit_steps.py
+++ b/features/steps/named_limit_steps.py
@@ -145,3 +145,12 @@
 def step_one_request(context):
     (limited,) = (s for s in context.harness.runners if s.named_limits)
     assert len(limited.requests) == 1, limited.requests
+
+
+@then("the limits {end}")
+def step_limits_end(context, end):
+    changes = [
+        fields["change"] for name, fields in context.harness.log.lines if name == "runner_limited"
+    ]
+    assert changes.count("named") == 2, changes
+    assert changes.count("ended") == (2 if end == "end" else 0), changes
--- a/packages/wasabilb-core/src/wasabilb_core/runner_limits.py
+++ b/packages/wasabilb-core/src/wasabilb_core/runner_limits.py
@@ -101,8 +101,15 @@
         """
         if limit is not None and limit.per_s is None:
             return LimitChange.UNREADABLE
+        for known in self._known.values():
+            if known.runner == runner.id and known.born_ms != runner.born_ms:
+                known.gone_at = min(known.gone_at, now)
         per_s = None if limit is None else limit.per_s
-        return self._on_heard(runner.id, runner.born_ms, per_s, now, now)
+        change = self._on_heard(runner.id, runner.born_ms, per_s, now, now)
+        answered = self._known.get(_name(runner.id, runner.born_ms))
+        if answered is not None:
+            answered.gone_at = math.inf
+        return change
 
     def on_news(self, news: LimitNews, now: float) -> LimitChange | None:
         """Apply what a peer heard and return what it changes, None for nothing."""
@@ -191,7 +198,6 @@
         if heard_at <= known.heard_at:
             return None
         before, known.per_s, known.heard_at = known.per_s, per_s, heard_at
-        known.gone_at = math.inf
         if per_s is None:
             self.lent.remove(name)
             return LimitChange.ENDED if before is not None else None
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -266,20 +266,32 @@
         """Record a request that any runner of a service could serve, except the excluded ones."""
         if self.runner_limits:
             moment = now()
-            runners = [r for r in self._capable(service, moment) if r.id not in excluded]
+            followed = self._followed.get(service)
+            runners = [
+                r
+                for r in self._capable(service, moment)
+                if r.id not in excluded and (followed is None or r.id in followed)
+            ]
             self.runner_limits.on_demand(runners, moment)
 
-    def on_answer_head(self, runner: Runner, metadata: AnswerMetadata) -> LimitChange | None:
-        """Process the head of any answer of a runner, also to an earlier request.
+    def on_answer_head(
+        self, runner: Runner, metadata: AnswerMetadata, *, is_own: bool = True
+    ) -> LimitChange | None:
+        """Process the head of any answer of a runner and return what it changes about its limit.
 
-        Return what it changes about the runner's limit.
+        Parameters
+        ----------
+        is_own : bool
+            Whether it answers the request that was sent, and not an earlier one.
         """
         if metadata.is_leaving:
             self.published.on_runner_announced(runner, metadata.request_id)
         if metadata.pause is not None:
             spread = self._rng.random()
             self.stats.pauses.on_pause(runner, metadata.pause.seconds, now(), spread=spread)
-        if not metadata.is_from_runner:
+        # A refusal or a late copy of an answer that names no limit does not end one.
+        has_said = metadata.limit is not None or (metadata.is_sealed and is_own)
+        if not metadata.is_from_runner or not has_said:
             return None
         return self.runner_limits.on_answer(runner, metadata.limit, now())
 
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -276,7 +276,8 @@
         self, ctx: _RequestContext, runner: Runner, metadata: AnswerMetadata
     ) -> None:
         """Process the metadata of an answer that must not wait for its end."""
-        limit_change = self._fleet.on_answer_head(runner, metadata)
+        is_own = metadata.request_id == ctx.metadata.id
+        limit_change = self._fleet.on_answer_head(runner, metadata, is_own=is_own)
         if limit_change is not None:
             self._on_limit_changed()
             self._log.event(
