Runners removed during an outage get no requests once removals are trusted again, also between heartbeats

Trace: a failure domain is cut off from the platform until 13.3 s. Its processes distrust removals for 2.2 s more and tell the others. The runner removed at 13.8 s is dropped at front-cork-a-1 at 16.47 s with "entry was not republished": the distrust had ended at 15.6 s, but it is looked at once in a heartbeat of 0.8 s only, and 2 s after the removal the rule holds. Ruled out: late news, the removal is heard within 0.1 s. Change: placing, and the last check before a request is sent, drop such runners at the moment at which removals are trusted again; the directory keeps which ones these are, so that nothing is scanned otherwise.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -139,6 +139,12 @@
     And a late entry lists it as ready
     Then the runner that left is used
 
+  Scenario: Removals are trusted again between two heartbeats
+    # Guards against requests that a removed runner gets until the next heartbeat.
+    Given a listed runner whose entry is removed while the platform is away
+    When the platform answers again and 2.25 s pass without a heartbeat
+    Then the runner gets no request, also none that was placed before
+
   Scenario: A runner that is only assumed to live says that it leaves
     # Guards against an entry that is never removed because its removal came before the
     # announcement.
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 from types import SimpleNamespace
+from unittest.mock import patch
 
 from attrs import evolve
 from behave import given, then, when
@@ -15,11 +16,13 @@
 from wasabilb_agent._model_fleet import ModelFleet
 from wasabilb_core.forwarding_metadata import AnswerMetadata
 from wasabilb_core.published import PublishedState, StateItem
+from wasabilb_core.routing import RouteRequest
 from wasabilb_core.runner_directory import Runner, RunnerDirectory
 from wasabilb_core.runner_limits import RunnerLimits
 from wasabilb_core.runner_presence import PresenceState, RunnerPresence
 from wasabilb_entry.fleet_view import FleetView
 from wasabilb_entry.placer import ALL_LEAVING_RETRY_S, PlacementNeeds, Placer
+from wasabilb_node import clock
 from wasabilb_node.clock import now
 from wasabilb_node.http_client import ConnectionPool
 from wasabilb_node.logs import EventLog
@@ -372,6 +375,20 @@
     assert context.published_view.directory.may_receive(READY)
 
 
+@when("the platform answers again and {seconds:g} s pass without a heartbeat")
+def platform_answers(context, seconds):
+    context.published_view.on_platform_state(True)
+    context.later = clock.now() + seconds
+
+
+@then("the runner gets no request, also none that was placed before")
+def step_no_request(context):
+    later = SimpleNamespace(CLOCK_BOOTTIME=0, clock_gettime=lambda _: context.later)
+    with patch.object(clock, "time", later):
+        assert not context.fleet.may_send(READY, context.later - 0.1)
+        assert not context.fleet.views("models", RouteRequest())
+
+
 @when("an answer announces that it leaves")
 def assumed_announces(context):
     context.fleet.on_answer_head(READY, LEAVING_ANSWER)
--- a/packages/wasabilb-core/src/wasabilb_core/runner_directory.py
+++ b/packages/wasabilb-core/src/wasabilb_core/runner_directory.py
@@ -90,6 +90,8 @@
         self._presences: dict[str, RunnerPresence] = {}
         # Ids of runners that may receive requests, cached because each request scans all runners.
         self._routable_ids: set[str] = set()
+        # Those of them whose entry was removed while removals were not trusted.
+        self._assumed_ids: set[str] = set()
         self._is_platform_down = False
         self._removals_trusted_at = 0.0
 
@@ -156,13 +158,9 @@
 
     def remove_expired(self, now: float) -> list[str]:
         """Remove the runners whose expired entries did not return, and return their ids."""
-        if self._is_platform_down or now < self._removals_trusted_at:
+        if not self._assumed_ids or self._is_platform_down or now < self._removals_trusted_at:
             return []
-        expired_ids = [
-            runner_id
-            for runner_id in self._runners
-            if self.state(runner_id) is PresenceState.ASSUMED
-        ]
+        expired_ids = sorted(self._assumed_ids)
         for runner_id in expired_ids:
             self._presences[runner_id].on_entry_expired()
             self._apply_state(runner_id)
@@ -210,6 +208,10 @@
             self._routable_ids.add(runner_id)
         else:
             self._routable_ids.discard(runner_id)
+        if presence.state is PresenceState.ASSUMED:
+            self._assumed_ids.add(runner_id)
+        else:
+            self._assumed_ids.discard(runner_id)
         if presence.state is not PresenceState.GONE:
             return False
         self._presences[runner_id] = self._presences.pop(runner_id)
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -255,6 +255,7 @@
 
     def may_send(self, runner: Runner, placed_at: float) -> bool:
         """Return whether a request may still be sent to the runner chosen for it at a time."""
+        self.published.expire_runners()
         moment = now()
         if not self.directory.may_receive(runner):
             return False
@@ -321,6 +322,7 @@
 
     def views(self, service: str, request: RouteRequest) -> list[RunnerView]:
         """Return the runners to which a request may be sent now."""
+        self.published.expire_runners()
         moment = now()
         engine = self.engine(service)
         capable = [r for r in self._capable(service, moment) if r.id not in request.excluded]
--- a/packages/wasabilb-node/src/wasabilb_node/published_view.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_view.py
@@ -118,7 +118,7 @@
         return self.directory.removal_distrust_s(now())
 
     def expire_runners(self) -> None:
-        """Remove the runners whose entries were not republished; called once per heartbeat."""
+        """Remove the runners whose entries were not republished, once removals are trusted."""
         for runner_id in self.directory.remove_expired(now()):
             self._remove_runner(runner_id, "entry was not republished")
 
