A transfer of permits with a number that is none is dropped, and names a newcomer asked for

Read as a newcomer: on_transfer took any number of a peer; an infinite one raised in the handler of the link, and one without a value stayed in the pool for good. Test: "A transfer with numbers that are none". Renamed: what a collector's bound and position are.

--- a/features/named_limits.feature
+++ b/features/named_limits.feature
@@ -79,6 +79,18 @@
     Then what is granted stays within what the limit allows since its start
     And hosts go on to get permits
 
+  Scenario Outline: A transfer with numbers that are none
+    # Guards against one message that ends a process or makes a limit endless.
+    When another process passes <permits> permits with a demand of <demand>
+    Then this process has no permit and goes on
+
+    Examples:
+      | permits | demand |
+      | inf     | 1      |
+      | nan     | 1      |
+      | -5      | 1      |
+      | 0       | nan    |
+
   Scenario Outline: Entry processes that cannot reach each other
     # Guards against parts of a partition that each use the whole limit.
     Given 9 entry processes in 3 failure domains and servers that name <limit>
--- a/features/steps/limit_fleet_steps.py
+++ b/features/steps/limit_fleet_steps.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from limit_model import WEIGHTS, LimitFleet, play
 from named_limit_steps import TOLD_S, allowed_requests, most_in_window
-from wasabilb_core.lent_limits import MOST_PERMITS, MOST_S, LentLimits
+from wasabilb_core.lent_limits import MOST_PERMITS, MOST_S, LentLimits, PermitTransfer
 from wasabilb_node.clock import now
 
 # Time after a limit was first named from which it is judged, as the users' pages have it.
@@ -54,6 +54,23 @@
     check()
 
 
+@when("another process passes {permits:g} permits with a demand of {demand:g}")
+def pass_numbers(context, permits, demand):
+    context.lent = LentLimits(host="h0")
+    context.lent.set_hosts(["h0", "h1"], ["h0", "h1"])
+    context.lent.set_limit("s", 0.0, 0.0)
+    for hosts in (0, 1):
+        transfer = PermitTransfer(name="s", permits=permits, wanted=1, hosts=hosts, demand=demand)
+        context.lent.on_transfer("h1", transfer, 0.1)
+
+
+@then("this process has no permit and goes on")
+def check_no_permit(context):
+    context.lent.on_demand("s", 0.2)
+    assert all(transfer.permits <= 0 for _, transfer in context.lent.exchange(0.2))
+    assert not context.lent.take("s", 0.2)
+
+
 @then("what is granted stays within what the limit allows since its start")
 def check_granted(context):
     assert all(granted <= allowed + 1e-6 for granted, allowed in context.granted), context.granted
--- a/packages/wasabilb-core/src/wasabilb_core/lent_limits.py
+++ b/packages/wasabilb-core/src/wasabilb_core/lent_limits.py
@@ -195,7 +195,7 @@
     def on_transfer(self, host: str, transfer: PermitTransfer, now: float) -> None:
         """Accept permits of another host, and what it wants."""
         bucket = self._buckets.get(transfer.name)
-        if bucket is None:
+        if bucket is None or not math.isfinite(transfer.permits + transfer.demand):
             return
         if transfer.hosts:
             borrower = bucket.borrowers.setdefault(host, _Borrower())
@@ -233,18 +233,18 @@
         for host in silent:
             del bucket.borrowers[host]
         if self.collector(name) == self._host:
-            left = self._most(bucket) - self._held(bucket, now)
+            left = self._max_permits(bucket) - self._held(bucket, now)
             bucket.pool = min(bucket.pool, max(1.0, left))
 
     def _lend(self, name: str, bucket: _LentBucket, now: float) -> list[str]:
         """Lend whole permits and return the hosts that get one, once for each permit."""
-        is_last = self.collector(name) == self._host
+        is_last_collector = self.collector(name) == self._host
         found = []
         while bucket.pool >= 1.0:
             # Only the last collector knows how many permits exist.
-            if is_last and self._held(bucket, now) + 1 > self._most(bucket):
+            if is_last_collector and self._held(bucket, now) + 1 > self._max_permits(bucket):
                 break
-            if not is_last and not bucket.borrowed:
+            if not is_last_collector and not bucket.borrowed:
                 break
             # The requests that came to a host since it was last lent a permit.
             requests = {
@@ -307,7 +307,7 @@
     def _held(self, bucket: _LentBucket, now: float) -> int:
         return int(bucket.tokens) + sum(b.held_now(now) for b in bucket.borrowers.values())
 
-    def _most(self, bucket: _LentBucket) -> float:
+    def _max_permits(self, bucket: _LentBucket) -> float:
         """Return the permits that may exist at this host and those behind it."""
         part = self._host_count(bucket) / len(self._hosts)
         return max(1.0, bucket.burst * part)
