Processes that were cut off from the platform no longer make the others keep runners that have left

Ruled out: late news, the removals are heard within 0.1 s. Change: a peer's distrust does not count while this process reads the platform and trusts removals, or heard in the last 2 s from a peer that does; such a heartbeat also ends the distrust of one that was cut off. Where nobody reads the platform, as in an outage of its store, nothing changes.

--- a/features/readers.feature
+++ b/features/readers.feature
@@ -45,6 +45,15 @@
     And the runner leaves 0.1 s later
     Then every process has dropped it after 1 s
 
+  Scenario: A runner leaves while a failure domain is cut off from everything
+    Guards against requests to a runner that has left, because processes that were cut off tell the
+    others to treat its removed entry as one that only expired.
+    Given 24 entry processes and 6 agents in 2 failure domains
+    And a runner that they all list
+    When they have run for 20 s
+    And one failure domain is cut off for 6 s, and the runner leaves 0.5 s before its end
+    Then every process has dropped it after 1.5 s
+
   Scenario: Calls and messages at 230 processes
     Guards against control traffic that grows with the square of the fleet.
     Given 136 entry processes and 94 agents in 5 failure domains, linked as a large fleet
--- a/features/steps/readers_steps.py
+++ b/features/steps/readers_steps.py
@@ -104,6 +104,7 @@
             on_change=self.on_change,
             on_platform_state=self.on_platform_state,
             on_removal_distrust=self.published_view.on_removal_distrust,
+            on_removal_trust=self.published_view.on_removal_trust,
             removal_distrust_s=self.published_view.removal_distrust_s,
             is_seed=is_seed,
         )
@@ -286,6 +287,29 @@
     context.actions.append(action)
 
 
+@when(
+    "one failure domain is cut off for {seconds:g} s, and the runner leaves {before:g} s before "
+    "its end"
+)
+def step_domain_cut(context, seconds, before):
+    async def action(platform, processes):
+        network = processes[0].links.network
+        away = [p.host for p in processes if p.own.failure_domain == "b"]
+        others = [p.host for p in processes if p.own.failure_domain != "b"]
+        platform.refused_hosts = set(away)
+        for one in away:
+            for two in others:
+                network.block(one, two)
+                network.block(two, one)
+        await asyncio.sleep(seconds - before)
+        platform.publish("runner/r", None)
+        await asyncio.sleep(before)
+        network.unblock_all()
+        platform.refused_hosts = set()
+
+    context.actions.append(action)
+
+
 @when("the runner leaves {seconds:g} s later")
 def step_leaves(context, seconds):
     async def action(platform, processes):
--- a/packages/wasabilb-core/src/wasabilb_core/runner_directory.py
+++ b/packages/wasabilb-core/src/wasabilb_core/runner_directory.py
@@ -112,6 +112,10 @@
         """Treat removed entries as expired for at least as many seconds as a peer does."""
         self._removals_trusted_at = max(self._removals_trusted_at, now + seconds)
 
+    def on_removal_trust(self, now: float) -> None:
+        """Treat removed entries as gone from now on, unless the platform's list cannot be read."""
+        self._removals_trusted_at = min(self._removals_trusted_at, now)
+
     def removal_distrust_s(self, now: float) -> float:
         """Return the seconds for which removed entries are treated as expired."""
         return (
--- a/packages/wasabilb-node/src/wasabilb_node/published_node.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_node.py
@@ -128,6 +128,7 @@
             on_change=self._on_change,
             on_platform_state=self._on_platform_state,
             on_removal_distrust=self.published.on_removal_distrust,
+            on_removal_trust=self.published.on_removal_trust,
             removal_distrust_s=self.published.removal_distrust_s,
             is_seed=is_seed,
         )
--- a/packages/wasabilb-node/src/wasabilb_node/published_sync.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_sync.py
@@ -38,6 +38,8 @@
 # An agent reads the platform itself after this time without a link to an entry process; entry
 # processes redial it at least every 2 s.
 AGENT_UNLINKED_WAIT_S = 2.5
+# Time for which a heartbeat of a peer that trusts removals counts, seconds: two heartbeats.
+TRUST_S = 2.0
 # Peers that started after a process fell behind do not have all the changes that it missed. It
 # reads the platform itself if no other peer has sent them within this time.
 GAP_WAIT_S = 1.2
@@ -70,6 +72,8 @@
         that changes.
     on_removal_distrust, removal_distrust_s : callable
         Set and return for how many seconds removed entries may only have expired in an outage.
+    on_removal_trust : callable
+        Called when a peer that reads the platform treats removed entries as gone.
     is_seed : bool
         Whether starting processes get their state from this one. Other entry processes wait for a
         peer's state before they read the platform themselves.
@@ -87,6 +91,7 @@
         on_change: Callable[[list[StateItem]], None],
         on_platform_state: Callable[[bool], None],
         on_removal_distrust: Callable[[float], None],
+        on_removal_trust: Callable[[], None],
         removal_distrust_s: Callable[[], float],
         is_seed: bool = False,
     ) -> None:
@@ -99,6 +104,9 @@
         self._on_change = on_change
         self._on_platform_state = on_platform_state
         self._on_removal_distrust = on_removal_distrust
+        self._on_removal_trust = on_removal_trust
+        # Newest heartbeat of a peer that reads the platform and treats removed entries as gone.
+        self._trusting_peer_at = float("-inf")
         self._removal_distrust_s = removal_distrust_s
         self._is_seed = is_seed
         self._is_entry = links.identity.role == "entry"
@@ -286,12 +294,25 @@
             self._reading_peers.add(peer)
         else:
             self._reading_peers.discard(peer)
-        if beat.distrust_ms:
-            self._on_removal_distrust(beat.distrust_ms / 1000)
         self._update_platform_state()
+        if beat.reads_platform and not beat.distrust_ms:
+            self._trusting_peer_at = now()
+            self._on_removal_trust()
+        self._on_peer_distrust(beat.distrust_ms)
         if beat.revision > self._state.revision:
             self._on_peer_ahead(peer)
 
+    def _on_peer_distrust(self, distrust_ms: int) -> None:
+        """Take over that a peer treats removed entries as expired ones.
+
+        It does not count while this process or another peer reads the platform and trusts
+        removals: then only the peer was cut off from the platform, and no entry expired.
+        """
+        is_trusted_here = self._is_reading and self._is_platform_up and not self._distrust_ms()
+        is_trusted = is_trusted_here or now() - self._trusting_peer_at < TRUST_S
+        if distrust_ms and not is_trusted:
+            self._on_removal_distrust(distrust_ms / 1000)
+
     def _on_peer_ahead(self, peer: Peer) -> None:
         """Request changes from a peer that is ahead, unless they will soon arrive otherwise."""
         moment = now()
@@ -331,9 +352,8 @@
         peer.send(Published(after=after, revision=revision, items=batch, distrust_ms=distrust_ms))
 
     def _on_published(self, peer: Peer, message: Published) -> None:
-        if message.distrust_ms:
-            # Before the items, as an entry that has only expired must not remove its runner.
-            self._on_removal_distrust(message.distrust_ms / 1000)
+        # Before the items, as an entry that has only expired must not remove its runner.
+        self._on_peer_distrust(message.distrust_ms)
         items = [unpack(item) for item in message.items]
         changed = self._state.on_changes(items, after=message.after, revision=message.revision)
         if changed:
--- a/packages/wasabilb-node/src/wasabilb_node/published_view.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_view.py
@@ -113,6 +113,10 @@
         """Record for how long a peer treats removed entries as possibly expired ones."""
         self.directory.on_removal_distrust(seconds, now())
 
+    def on_removal_trust(self) -> None:
+        """Record that a peer, which reads the platform, treats removed entries as gone."""
+        self.directory.on_removal_trust(now())
+
     def removal_distrust_s(self) -> float:
         """Return for how many seconds removed entries are treated as possibly expired ones."""
         return self.directory.removal_distrust_s(now())
