A request expects the version that its runner holds, not the least one that may answer

Trace (replay with all logs): version 2 has to answer and version 3 is named; a stream moves to a runner that holds 3, ready since 27.2 s, and carries 2 as the expected version; the runner answers 421 as every other version than its own is refused, both attempts of the route are used, and the stream is closed in the middle. Ruled out: a stale report (12 ms old), the runner's identity. Change: the expected version is the one that the runner was chosen with, which is at least the required one. Test: "The version that a request expects of its runner", failed before for a runner that holds version 3.

--- a/features/published_state.feature
+++ b/features/published_state.feature
@@ -38,6 +38,17 @@
     When the platform is away and the runner's entry is removed
     Then after 0 s the runner is gone
 
+  Scenario Outline: The version that a request expects of its runner
+    # Guards against refusals by runners that hold a newer version than the one that must answer.
+    Given a runner that holds version <held>
+    When version 2 must answer and version 3 is named
+    Then a request is placed on it and expects version <expected>
+
+    Examples:
+      | held | expected |
+      | 2    | 2        |
+      | 3    | 3        |
+
   Scenario: Versions named in quick succession keep their own times
     # Guards against requests that start on an old version after a newer one resets its time.
     When version 2 is named at 18 s and version 3 at 20 s
--- a/features/steps/published_state_steps.py
+++ b/features/steps/published_state_steps.py
@@ -6,16 +6,19 @@
 import random
 
 from behave import given, then, when
+from fleet_view_factory import make_fleet_view
 from forwarding_harness import LookupDecoder
+from overload_model import ENGINE
 from wasabilb_agent._load_inputs import LoadInputs
 from wasabilb_agent._model_fleet import ModelFleet
 from wasabilb_agent._version_loader import VersionLoader
 from wasabilb_agent.model_runner import RunnerState
-from wasabilb_core.catalog import Catalog, EngineSpec, OriginSpec, Service
+from wasabilb_core.catalog import Catalog, EngineSpec, OriginSpec, Service, WeightTarget
 from wasabilb_core.named_versions import NamedVersions
 from wasabilb_core.origin_uptime import OriginUptime
 from wasabilb_core.published import PublishedState, StateItem
 from wasabilb_core.reload_waves import LATEST_ORDER_FRACTIONS, WaveMember, is_easing, may_reload
+from wasabilb_core.routing import RouteRequest
 from wasabilb_core.runner_directory import Runner, RunnerDirectory
 from wasabilb_core.version_steps import (
     StepInputs,
@@ -512,3 +515,31 @@
 def step_agent_logs(context, kept):
     found = [line.msg for line in context.lines if line.msg["event"] == "load_steps"]
     assert [(line["path"], str(line.get("kept"))) for line in found] == [("3", kept)], found
+
+
+@given("a runner that holds version {version:d}")
+def step_holds(context, version):
+    context.fleet = make_fleet_view(
+        [runner(service="s", version=version, layer_from=0, layer_to=ENGINE.layers)]
+    )
+
+
+@when("version 2 must answer and version 3 is named")
+def step_two_versions(context):
+    for version, is_found_at_start in ((2, True), (3, False)):
+        item = StateItem(name="weights", revision=version, body=b"%d" % version)
+        target = WeightTarget(model=ENGINE.model, version=version)
+        context.fleet.published._decoder.decode = lambda _, found=target: found
+        if not is_found_at_start:
+            context.fleet.published.apply_items([item])
+            continue
+        # What a process finds before its first catalog may have been named long ago.
+        catalog, context.fleet.published.catalog = context.fleet.published.catalog, None
+        context.fleet.published.apply_items([item])
+        context.fleet.published.catalog = catalog
+
+
+@then("a request is placed on it and expects version {version:d}")
+def step_expects(context, version):
+    (view,) = context.fleet.views("s", RouteRequest())
+    assert context.fleet.placement("s", view).version == version
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -79,7 +79,7 @@
     runner : Runner
         The runner.
     version : int or None
-        Required version of the weights.
+        Version of the weights that the runner holds, None if any may answer.
     load : str
         Requests running and waiting, and slots, as far as known.
     load_age_ms : float or None
@@ -379,9 +379,11 @@
         if runner is None:
             return None
         is_known = chosen.report_age_s < math.inf
+        is_version_required = self._required_version(self.engine(service), now()) is not None
         return Placement(
             runner=runner,
-            version=self._required_version(self.engine(service), now()),
+            # A runner refuses any other version than its own, also an older one.
+            version=runner.version if is_version_required else None,
             load=f"{chosen.reported_running}+{chosen.reported_queued}/{chosen.slots}",
             load_age_ms=chosen.report_age_s * 1000 if is_known else None,
             wait_s=expected_wait_s(chosen),
