Entry processes together move no more streams off a loading runner than there is room for

Cause: each process rounds its part of the free slots up, and all move their streams in the same moment 0.8 s after the order: with 3 free slots 7 processes move 7 streams. The runner that is then full answers 503, both attempts of the route are used, and the stream is closed.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -1,6 +1,20 @@
 Feature: Full runners
   Whether requests are sent, held or refused, and to which runner, while runners are full.
 
+  Scenario Outline: Entry processes move streams at the same time
+    # Guards against more streams that move off a loading runner than there is room for elsewhere:
+    # a full runner refuses them, and they are cut off.
+    Given 7 entry processes that each see <free> free slots beside a runner that loads
+    When each of them decides 200 times how many streams may move
+    Then together they move <free> streams each time on average
+
+    Examples:
+      | free |
+      | 0    |
+      | 1    |
+      | 3    |
+      | 14   |
+
   Scenario: More callers get an answer in time than when everything is sent
     # Load: 5 runners, requests at 1.3 times their capacity, for 12 s, from 7 entry processes.
     # Guards against queues in which every answer begins late.
--- a/features/steps/overload_steps.py
+++ b/features/steps/overload_steps.py
@@ -4,13 +4,14 @@
 import random
 from types import SimpleNamespace
 
+from attrs import evolve
 from behave import given, then, when
 from fleet_view_factory import make_fleet_view
 from overload_model import DEADLINE_S, ENGINE, LATE_WORTH, OBJECTIVE_S, SLOW_ENGINE, FleetModel
 from wasabilb_core._batch_backlog import PREFILL_SHARE
 from wasabilb_core.catalog import WeightTarget
 from wasabilb_core.errors import Outcome
-from wasabilb_core.overload import Decision, HeldLimit, decide_request
+from wasabilb_core.overload import SPARE_SLOTS, Decision, HeldLimit, decide_request
 from wasabilb_core.retry_after import NO_RUNNER_RETRY_S, spread_retry_s
 from wasabilb_core.routing import ROUTING, RouteRequest, RunnerView, load_of
 from wasabilb_core.runner_directory import Runner
@@ -422,3 +423,27 @@
 @then("the held request is refused within {seconds:g} s")
 def held_refused(context, seconds):
     assert context.took_s <= seconds, context.took_s
+
+
+@given("{processes:d} entry processes that each see {free:d} free slots beside a runner that loads")
+def step_free_slots(context, processes, free):
+    other = evolve(runner_of("other"), slots=32)
+    context.processes, context.fleet = processes, make_fleet_view(
+        [runner_of("loading"), other], processes=processes
+    )
+    running = 32 - SPARE_SLOTS - free
+    context.fleet.stats.on_report(other, LoadReport(running=running, waiting=0, at=now()))
+
+
+@when("each of them decides {count:d} times how many streams may move")
+def step_decide_moves(context, count):
+    context.moves = [
+        sum(context.fleet.stream_mover._free_slots("loading") for _ in range(context.processes))
+        for _ in range(count)
+    ]
+
+
+@then("together they move {free:d} streams each time on average")
+def step_moves(context, free):
+    mean = sum(context.moves) / len(context.moves)
+    assert abs(mean - free) <= 0.25, mean
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -457,7 +457,9 @@
             return 0
         views = self.views(runner.service, RouteRequest(excluded={runner_id}))
         free = sum(self._free_slots_at(view) for view in views)
-        return math.ceil(free / self._sharing_processes(runner.service))
+        # Rounded at random: all processes move their streams at once, and rounded up, their parts
+        # of a few slots would exceed these.
+        return math.floor(free / self._sharing_processes(runner.service) + self._rng.random())
 
     def _free_slots_at(self, view: RunnerView) -> float:
         """Return the free slots of a runner, limited to the requests that it may receive now."""
