--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -33,6 +33,25 @@
     When a runner's entry is listed again with a later start
     Then its earlier reports no longer count
 
+  Scenario Outline: Parts of a prompt
+    # Guards against a part that is missed or named in two ways, and against counting the last part,
+    # which no other request shares.
+    When a caller names the parts of a prompt as "<header>"
+    Then the parts that other requests may share are "<parts>"
+
+    Examples:
+      | header                                | parts       |
+      | 5c1e07a2:800,91bd3f06:410,e4402b7d:25 | 5c1e07a2,91bd3f06 |
+      | 5C1E07A2:800, 00005c1e07a2:1,b:2      | 5c1e07a2    |
+      | 5c1e07a2:800                          |             |
+      |                                       |             |
+      | 5c1e07a2,b:2                          | 5c1e07a2    |
+      | ,:7,b:2                               |             |
+
+  Scenario: A part with an identifier that is no short hexadecimal number
+    When a caller names the parts of a prompt as "system prompt:1,5c1e07a25c1e07a25c1e07a2:1,-1:1,b:2"
+    Then three parts are told apart by 64-bit numbers
+
   Scenario: Headers towards a runner
     # Guards against keys, claims of callers and connection headers that reach a runner.
     When a caller's headers are translated for a runner
--- a/features/steps/forwarding_harness.py
+++ b/features/steps/forwarding_harness.py
@@ -57,6 +57,7 @@
             id=headers.get("Request-Id", ""),
             timeout_s=3.0,
             key=headers.get("Authorization", "").partition(" ")[2] or None,
+            shared_parts=tuple(int(part, 16) for part in headers.get("Parts", "").split(",")[:-1]),
         )
 
     def write_request(self, headers, metadata):
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -15,6 +15,7 @@
 from tornado.netutil import bind_sockets
 from wasabilb_core.catalog import Catalog, RequestKind, WeightTarget, key_digest
 from wasabilb_core.forwarding_metadata import ForwardMetadata
+from wasabilb_core.prompt_parts import parts_text
 from wasabilb_core.published import StateItem
 from wasabilb_core.runner_directory import Runner
 from wasabilb_core.runner_stats import LoadReport, RunnerStats
@@ -224,6 +225,25 @@
     assert (context.view.reported_running, context.view.reported_queued) == (0, 0)
 
 
+@when('a caller names the parts of a prompt as "{header}"')
+@when('a caller names the parts of a prompt as ""')
+def names_parts(context, header=""):
+    headers = HTTPHeaders({"X-Wasabilb-Prompt-Prefix": header})
+    context.parts = PlatformHeaders().read_request(headers).shared_parts
+
+
+@then('the parts that other requests may share are "{parts}"')
+@then('the parts that other requests may share are ""')
+def check_parts(context, parts=""):
+    assert parts_text(context.parts) == parts, context.parts
+
+
+@then("three parts are told apart by 64-bit numbers")
+def check_number_range(context):
+    assert len(set(context.parts)) == 3, context.parts
+    assert all(0 <= part < 2**64 for part in context.parts), context.parts
+
+
 @when("a caller's headers are translated for a runner")
 def translate(context):
     caller = HTTPHeaders(
--- a/packages/wasabilb-core/src/wasabilb_core/attempts.py
+++ b/packages/wasabilb-core/src/wasabilb_core/attempts.py
@@ -40,6 +40,19 @@
         return self in (AttemptEnd.NOT_SENT, AttemptEnd.WITHHELD, AttemptEnd.REFUSED)
 
 
+@unique
+class AnswerProgress(Enum):
+    """How far the answer of an attempt has come.
+
+    `WAITING`: nothing has arrived; `STARTED`: the head, and no whole event or body; `BEGUN`: at
+    least one event.
+    """
+
+    WAITING = "waiting"
+    STARTED = "started"
+    BEGUN = "begun"
+
+
 @frozen(kw_only=True)
 class AttemptHistory:
     """Summary of a request's earlier attempts.
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -146,7 +146,7 @@
     ),
     "attempt_ended": _spec(
         "An attempt at a runner ended without the answer that the caller receives.",
-        "request runner end status duration_ms load load_age_ms events left_ms detail",
+        "request runner end status duration_ms load load_age_ms events answer parts left_ms detail",
     ),
     "request_refused": _spec(
         "A request was answered without being sent to a runner.",
--- a/packages/wasabilb-core/src/wasabilb_core/forwarding_metadata.py
+++ b/packages/wasabilb-core/src/wasabilb_core/forwarding_metadata.py
@@ -25,6 +25,8 @@
         The caller's estimate of the answer's size.
     last_event_id : str
         Event after which a stream continues; empty for a new stream.
+    shared_parts : tuple of int
+        Parts of the prompt that other requests may share, as 64-bit numbers.
     """
 
     id: str
@@ -34,6 +36,7 @@
     max_answer_tokens: int = 0
     hinted_answer_tokens: float | None = None
     last_event_id: str = ""
+    shared_parts: tuple[int, ...] = ()
 
 
 @frozen(kw_only=True)
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -18,6 +18,7 @@
 from wasabilb_core.catalog import Catalog, ClientAccount, RequestKind, Route, key_digest
 from wasabilb_core.errors import Error, ErrorKind, Outcome
 from wasabilb_core.forwarding_metadata import AnswerMetadata, ForwardMetadata, RequestMetadata
+from wasabilb_core.prompt_parts import parts_text
 from wasabilb_core.retry_after import spread_retry_s
 from wasabilb_core.runner_directory import Runner
 from wasabilb_node.clock import now
@@ -254,6 +255,8 @@
             self._fleet.on_unsent(runner, placed_at)
         self._fleet.on_attempt_ended(runner, end, ctx.relay.metadata)
         self._metrics.on_attempt_ended(ctx.service, end)
+        if end is AttemptEnd.BROKEN:
+            self._metrics.on_broken(ctx.service, ctx.relay.progress)
         if end is not AttemptEnd.ANSWERED:
             self._log.event(
                 "attempt_ended",
@@ -265,6 +268,8 @@
                 load=placement.load,
                 load_age_ms=placement.load_age_ms,
                 events=ctx.relay.events.count,
+                answer=ctx.relay.progress.value,
+                parts=parts_text(ctx.metadata.shared_parts) or None,
                 left_ms=ctx.left_s * 1000,
                 detail=attempt.abort_reason or None,
             )
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway_metrics.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway_metrics.py
@@ -1,7 +1,7 @@
 """Counters and histograms of the gateway, served as text for Prometheus."""
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
-from wasabilb_core.attempts import AttemptEnd
+from wasabilb_core.attempts import AnswerProgress, AttemptEnd
 from wasabilb_core.errors import ErrorKind
 
 # Upper bounds in seconds, around the latency objectives of 0.15 to 0.5 s and timeouts of 6 s.
@@ -31,6 +31,12 @@
             ["service", "end"],
             registry=self._registry,
         )
+        self._broken = Counter(
+            "wasabilb_broken_attempts",
+            "Attempts whose connection broke, by how far the answer had come.",
+            ["service", "answer"],
+            registry=self._registry,
+        )
         self._limited_sends = Counter(
             "wasabilb_limited_sends",
             "Requests sent to runners that had named a limit, by whether they are repeated.",
@@ -82,6 +88,10 @@
         """Count an attempt."""
         self._attempts.labels(service, end.value).inc()
 
+    def on_broken(self, service: str, progress: AnswerProgress) -> None:
+        """Count an attempt whose connection broke."""
+        self._broken.labels(service, progress.value).inc()
+
     def on_limited_send(self, service: str, *, is_repeated: bool) -> None:
         """Count a request sent to a runner that has named a limit."""
         self._limited_sends.labels(service, str(is_repeated).lower()).inc()
--- a/packages/wasabilb-entry/src/wasabilb_entry/relay.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/relay.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 from tornado.httputil import HTTPHeaders
+from wasabilb_core.attempts import AnswerProgress
 from wasabilb_core.event_stream import EventBuffer
 from wasabilb_core.forwarding_metadata import AnswerMetadata
 from wasabilb_node.clock import now
@@ -64,6 +65,7 @@
     _size_at_progress: int = 0
     _is_streaming: bool = False
     _is_fresh: bool = True
+    _events_before: int = 0
 
     def begin(self, *, is_fresh: bool, on_metadata: Callable[[AnswerMetadata], None]) -> None:
         """Reset the state for the answer of a new attempt.
@@ -81,6 +83,7 @@
         self._size = self._size_at_progress = 0
         self.metadata = AnswerMetadata()
         self.events.drop_partial()
+        self._events_before = self.events.count
         self._parts.clear()
         self._is_streaming = False
         self.progress_at = now()
@@ -90,6 +93,14 @@
         """Return whether the caller has received a part of an answer."""
         return self.req.has_started
 
+    @property
+    def progress(self) -> AnswerProgress:
+        """Return how far the answer of the newest attempt has come."""
+        if self.head is None:
+            return AnswerProgress.WAITING
+        has_event = self.events.count > self._events_before
+        return AnswerProgress.BEGUN if has_event else AnswerProgress.STARTED
+
     def on_head(self, head: AnswerHead) -> bool:
         """Accept the head of an answer; False for one that answers an earlier request."""
         metadata = self.protocol.read_answer(head, now())
