--- a/features/steps/forwarding_harness.py
+++ b/features/steps/forwarding_harness.py
@@ -134,11 +134,11 @@
     with it.
     """
 
-    def __init__(self, behaviours, *, connections=100, shared=None):
+    def __init__(self, behaviours, *, connections=100, shared=None, runners=None):
         self.connections, self.shared = connections, shared
         self.network = Network() if shared is None else shared.network
-        if shared is not None:
-            self.runners = shared.runners
+        if shared is not None or runners is not None:
+            self.runners = shared.runners if shared is not None else runners
             return
         # All runners share one script: the first request gets the first behaviour at any runner.
         self.runners = [ScriptedRunner(behaviours) for _ in range(2 if behaviours else 0)]
