Runners get no requests with a part of a prompt under which runners crashed

Cause: no process read the parts. A broken attempt was put down to the runner alone, so that the retry of the request and each new one with the part went to the next runner. Change: entry processes share the crashes that they see. Parts of the requests that were there and under which no answer went on are suspected; at most one request with a suspected part is under way in the fleet; two crashes at the beginning of an answer, one of them at a probe, block a part, three while runners crash without it. Core decides (crashing_parts, no I/O); a crash is told from a cut or closed connection by a refused connection or the agent's report. Requests placed before are checked again before they are sent. Why this works: a part under which an answer went on is not the one, so that ordinary parts are never suspected for long. The count of message types in features/wire.feature is 29, with the new one.

--- a/features/steps/forwarding_harness.py
+++ b/features/steps/forwarding_harness.py
@@ -14,6 +14,7 @@
     Service,
     key_digest,
 )
+from wasabilb_core.crashing_parts import CrashingParts
 from wasabilb_core.entry_roster import EntryPlace, EntryRoster
 from wasabilb_core.forwarding_metadata import AnswerMetadata, RequestMetadata
 from wasabilb_core.named_limit import named_limit
@@ -23,10 +24,13 @@
 from wasabilb_core.runner_limits import RunnerLimits
 from wasabilb_entry.caller_connection import CallerServer
 from wasabilb_entry.caller_protocol import end_to_end
+from wasabilb_entry.crash_detector import CrashDetector
+from wasabilb_entry.crash_exchange import CrashExchange
 from wasabilb_entry.fleet_view import FleetLimits, FleetView
 from wasabilb_entry.forwarder import Forwarder
 from wasabilb_entry.gateway_metrics import GatewayMetrics
 from wasabilb_entry.limit_exchange import LimitExchange
+from wasabilb_entry.prompt_guard import PromptGuard
 from wasabilb_node.http_client import ConnectionPool
 from wasabilb_node.logs import EventLog
 from wasabilb_node.published_view import PublishedView
@@ -187,6 +191,7 @@
             metrics=GatewayMetrics(),
             rng=rng,
             salt=SALT,
+            guard=self.guard,
             on_limit_changed=limit_exchange.on_changed,
         )
         self.server = CallerServer(
@@ -213,10 +218,29 @@
             own=places[-1],
             log=self.log,
         )
+        self.guard = self.make_guard(name, roster, places[-1])
         for other in others:
             self.network.connect(name, other)
         return exchange
 
+    def make_guard(self, name, roster, place):
+        parts = CrashingParts()
+        return PromptGuard(
+            parts=parts,
+            exchange=CrashExchange(
+                parts=parts,
+                links=self.network.links_by_host[name],
+                roster=roster,
+                own=place,
+                log=self.log,
+                rng=random.Random(name),
+            ),
+            detector=CrashDetector(
+                pool=self.fleet.pool, may_receive=self.fleet.directory.may_receive
+            ),
+            log=self.log,
+        )
+
     async def __aexit__(self, *exc):
         self.server.stop_accepting()
         self.server.close_all()
--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -10,6 +10,7 @@
 from hypothesis import given as property_given
 from hypothesis import strategies as st
 from returns.result import Failure, Success
+from wasabilb_core.crash_reports import BlockedPart, CrashReport
 from wasabilb_core.entry_roster import EntryPlace
 from wasabilb_core.errors import ErrorKind
 from wasabilb_core.lent_limits import PermitTransfer
@@ -81,6 +82,29 @@
         ),
         max_size=3,
     ),
+    list[CrashReport]: st.lists(
+        st.builds(
+            CrashReport,
+            runner=TEXT,
+            born_ms=st.integers(0, 2**48),
+            age_s=st.just(0.5),
+            started=st.lists(st.integers(0, 2**64 - 1), max_size=3),
+            waiting=st.lists(st.integers(0, 2**64 - 1), max_size=3),
+            probes=st.lists(st.integers(0, 2**64 - 1), max_size=3),
+        ),
+        max_size=3,
+    ),
+    list[BlockedPart]: st.lists(
+        st.builds(
+            BlockedPart,
+            part=st.integers(0, 2**64 - 1),
+            age_s=st.just(1.5),
+            crashes=st.integers(0, 2**16),
+            turn=st.integers(0, 2**16),
+            companions=st.lists(st.integers(0, 2**64 - 1), max_size=3),
+        ),
+        max_size=3,
+    ),
     list[PermitTransfer]: st.lists(
         st.builds(
             PermitTransfer,
@@ -142,7 +166,7 @@
 
 @then("the decoded messages equal the sent ones")
 def step_equal(context):
-    assert context.unequal == [] and len(context.kinds) == len(MESSAGE_TYPES) == 28
+    assert context.unequal == [] and len(context.kinds) == len(MESSAGE_TYPES) == 29
 
 
 @when("random, truncated and mutated frames are decoded")
--- /dev/null
+++ b/packages/wasabilb-core/src/wasabilb_core/crashing_parts.py
@@ -0,0 +1,349 @@
+"""Finds the parts of prompts that crash runners, and decides which requests may be sent.
+
+A part crashes each runner that begins an answer on it, so a part under which an answer went on is
+none. The other parts of the requests that were with a crashed runner are suspected. At most one
+request with a suspected part is under way in the fleet, as its probe. A probe whose answer goes on
+clears the part; crashes under the part, one of them at a probe, block it. Crashes of runners that
+had no request with the part speak for another cause, so that more evidence is needed.
+
+Requests that were with the runner by chance do not make their parts suspicious for long: parts of
+ordinary prompts have been cleared before, and others are by their probe.
+"""
+
+import math
+from collections import OrderedDict
+from collections.abc import Collection, Iterable
+from enum import Enum, unique
+
+from attrs import define
+
+from wasabilb_core._crash_evidence import CrashEvidence, RunnerIncarnation
+from wasabilb_core.crash_reports import BlockedPart, CrashReport
+
+# Evidence that blocks a part: two crashes just after the beginning of an answer, or four otherwise.
+BLOCKING_SCORE = 4
+# Additional evidence while runners crash without the part: one more such crash.
+UNRELATED_SCORE = 2
+# Time for which a crash without the part counts as such, seconds: runners of one failure domain or
+# of one faulty version end within seconds of each other.
+UNRELATED_S = 10.0
+# Time within which an answer of another prompt must have gone on for a part to be blocked, seconds:
+# several times the pause between answers of a process with few requests.
+ANSWERED_S = 10.0
+# Time after the head of an answer from which its next event clears the parts, seconds: many steps
+# of a full batch, and several times the time in which runners crashed after the head.
+SURVIVED_S = 0.3
+# Time for which an answer clears its parts, seconds. Parts in use are cleared again and again.
+CLEARED_S = 600.0
+# The same for what another process tells, seconds: it is told again with the next crash.
+TOLD_CLEARED_S = 60.0
+# Parts that are remembered as cleared; at 150 bytes each, 2.5 MB.
+MAX_CLEARED = 16_384
+# Longest time for which a probe excludes others, seconds: the longest wait for a first event, and
+# the time until the end is known elsewhere.
+PROBE_S = 3.0
+# Time without requests after which a probe may find out whether a part still crashes runners.
+BLOCKED_S = 600.0
+# Blocked parts that are kept; those not seen for longest are dropped first.
+MAX_BLOCKED = 256
+
+
+@unique
+class PartDecision(Enum):
+    """What may be done with a request, given the parts of its prompt."""
+
+    SEND = "send"
+    # Sent as the only request with a suspected part.
+    PROBE = "probe"
+    # Not sent while another request is the probe.
+    WAIT = "wait"
+    BLOCK = "block"
+
+
+@define(kw_only=True)
+class _Blocked:
+    """Knowledge of a blocked part; `turn` is even while a probe may be sent."""
+
+    seen_at: float
+    changed_at: float
+    crashes: int
+    turn: int = 1
+    companions: frozenset[int] = frozenset()
+
+    def is_lifted(self, now: float) -> bool:
+        return self.turn % 2 == 0 or now - self.seen_at > BLOCKED_S
+
+
+class CrashingParts:
+    """Parts of prompts as one entry process knows them."""
+
+    def __init__(self) -> None:
+        self._evidence = CrashEvidence()
+        # Times of the last answers under parts, at this process, the oldest first.
+        self._answered: OrderedDict[int, float] = OrderedDict()
+        # Ends of the times for which other processes have cleared parts.
+        self._told_until: dict[int, float] = {}
+        self._blocked: dict[int, _Blocked] = {}
+        self._probed_until: dict[int, float] = {}
+        self._ended_at: OrderedDict[RunnerIncarnation, float] = OrderedDict()
+        self._answered_at = -math.inf
+
+    @property
+    def suspected_count(self) -> int:
+        """Return the number of suspected parts."""
+        return len(self._evidence)
+
+    def blocked_parts(self, now: float) -> set[int]:
+        """Return the blocked parts."""
+        return {part for part, blocked in self._blocked.items() if not blocked.is_lifted(now)}
+
+    def crashed_runners(self, part: int) -> list[str]:
+        """Return the runners that are known to have crashed under a part."""
+        return [crash.incarnation.runner for crash in self._evidence.crashes(part)]
+
+    def blocking_part(self, parts: Collection[int], now: float) -> int | None:
+        """Return the part for which a request is not sent, None without one."""
+        return next((part for part in parts if self._is_blocking(part, parts, now)), None)
+
+    def decide(self, parts: Collection[int], now: float) -> PartDecision:
+        """Decide about a request with some parts that other requests may share."""
+        if not self._blocked and not self._evidence:
+            return PartDecision.SEND
+        suspects = self._suspects(parts)
+        if not suspects:
+            return PartDecision.SEND
+        if self.blocking_part(parts, now) is not None:
+            self._on_blocked_seen(parts, now)
+            return PartDecision.BLOCK
+        is_probed = any(self._is_probed(part, now) for part in suspects)
+        return PartDecision.WAIT if is_probed else PartDecision.PROBE
+
+    def begin(self, parts: Collection[int], now: float) -> frozenset[int] | None:
+        """Record that a request is being sent and return the parts that it probes.
+
+        None if it may not be sent.
+        """
+        decision = self.decide(parts, now)
+        if decision is PartDecision.SEND:
+            return frozenset()
+        if decision is not PartDecision.PROBE:
+            return None
+        probed = frozenset(self._suspects(parts))
+        self.on_probe_begun(probed, now)
+        return probed
+
+    def on_probe_begun(self, parts: Iterable[int], now: float) -> list[int]:
+        """Record that a probe is under way, here or elsewhere; return the parts that had none."""
+        found = [part for part in parts if part in self._evidence or part in self._blocked]
+        new = [part for part in found if not self._is_probed(part, now)]
+        self._probed_until.update(dict.fromkeys(new, now + PROBE_S))
+        return new
+
+    def on_probe_ended(self, parts: Iterable[int]) -> list[int]:
+        """Record that a probe has ended, also without a result; return the parts that had one."""
+        return [part for part in parts if self._probed_until.pop(part, None) is not None]
+
+    def on_answer_going_on(self, parts: Iterable[int], now: float) -> list[int]:
+        """Record an answer that went on after its beginning.
+
+        Returns
+        -------
+        list of int
+            The parts that were suspected or blocked until now.
+        """
+        self._answered_at = now
+        for part in parts:
+            self._answered[part] = now
+            self._answered.move_to_end(part)
+        while len(self._answered) > MAX_CLEARED:
+            self._answered.popitem(last=False)
+        return self._clear(parts)
+
+    def on_answer_told(self, parts: Iterable[int], now: float) -> list[int]:
+        """Record that answers under some parts went on at another process.
+
+        Returns
+        -------
+        list of int
+            The parts that were suspected or blocked until now.
+        """
+        self._told_until = {p: end for p, end in self._told_until.items() if now < end}
+        for part in parts:
+            if len(self._told_until) < MAX_CLEARED:
+                self._told_until[part] = now + TOLD_CLEARED_S
+        return self._clear(parts)
+
+    def _clear(self, parts: Iterable[int]) -> list[int]:
+        if not self._blocked and not self._evidence:
+            return []
+        news = []
+        for part in parts:
+            is_blocked = self._blocked.pop(part, None) is not None
+            if self._evidence.remove_part(part) or is_blocked:
+                news.append(part)
+        if news:
+            self.on_probe_ended(news)
+            self._update_companions()
+        return news
+
+    def uncleared(self, parts: Iterable[int], now: float) -> list[int]:
+        """Return those of some parts under which no answer went on."""
+        return [part for part in parts if not self.is_cleared(part, now)]
+
+    def is_cleared(self, part: int, now: float) -> bool:
+        """Return whether an answer under a part went on lately, here or elsewhere."""
+        return self.has_answered(part, now) or now < self._told_until.get(part, -math.inf)
+
+    def has_answered(self, part: int, now: float) -> bool:
+        """Return whether an answer under a part went on lately at this process."""
+        return now - self._answered.get(part, -math.inf) <= CLEARED_S
+
+    def on_crash(self, report: CrashReport, now: float) -> list[int]:
+        """Merge a report of a crash, of this process or another one.
+
+        Returns
+        -------
+        list of int
+            The parts about which it tells something new.
+        """
+        self.on_runner_ended(report.runner, report.born_ms, now - report.age_s)
+        told = {*report.started, *report.waiting, *report.probes}
+        cleared = [part for part in told if self.is_cleared(part, now)]
+        changed = self._evidence.add(report, cleared, now)
+        for part in changed:
+            if part in report.probes:
+                self.on_probe_ended([part])
+            blocked = self._blocked.get(part)
+            if blocked is not None:
+                self._block_again(part, blocked, now)
+            elif self._has_enough_evidence(part, now):
+                crashes = len(self._evidence.crashes(part))
+                self._add_blocked(part, _Blocked(seen_at=now, changed_at=now, crashes=crashes))
+        if changed:
+            self._update_companions()
+        return changed
+
+    def on_runner_ended(self, runner: str, born_ms: int, at: float) -> None:
+        """Record that an incarnation of a runner has ended without having announced it."""
+        key = RunnerIncarnation(runner=runner, born_ms=born_ms)
+        if key not in self._ended_at and math.isfinite(at):
+            self._ended_at[key] = at
+            if len(self._ended_at) > MAX_BLOCKED:
+                self._ended_at.popitem(last=False)
+
+    def on_blocked_told(self, told: BlockedPart, now: float) -> bool:
+        """Apply what another process tells of a blocked part; return whether that blocks it."""
+        if self.is_cleared(told.part, now) or not 0 <= told.age_s <= BLOCKED_S:
+            return False
+        blocked = self._blocked.get(told.part)
+        if blocked is None:
+            blocked = _Blocked(seen_at=-math.inf, changed_at=now, crashes=0, turn=0)
+            self._add_blocked(told.part, blocked)
+        blocked.seen_at = max(blocked.seen_at, now - told.age_s)
+        blocked.crashes = max(blocked.crashes, told.crashes)
+        if told.turn <= blocked.turn:
+            return False
+        blocked.turn, blocked.changed_at = told.turn, now
+        blocked.companions = frozenset(told.companions)
+        return True
+
+    def lift(self, *, now: float, part: int | None = None, before: float = math.inf) -> list[int]:
+        """Let a probe find out whether blocked parts still crash runners, and return these.
+
+        One more crash under such a part blocks it again.
+
+        Parameters
+        ----------
+        part : int or None
+            The part, None for all.
+        before : float
+            Only parts that were blocked before this time.
+        """
+        lifted = [
+            found
+            for found, blocked in self._blocked.items()
+            if part in (None, found) and not blocked.is_lifted(now) and blocked.changed_at < before
+        ]
+        for found in lifted:
+            self._blocked[found].turn += 1
+            self._blocked[found].changed_at = now
+        return lifted
+
+    def reports(self, now: float) -> tuple[list[CrashReport], list[BlockedPart]]:
+        """Return all that another process should know, and drop what no longer matters."""
+        self._evidence.expire(now)
+        self._probed_until = {p: at for p, at in self._probed_until.items() if now < at}
+        blocked_parts = [
+            BlockedPart(
+                part=part,
+                age_s=max(0.0, now - blocked.seen_at),
+                crashes=blocked.crashes,
+                turn=blocked.turn,
+                companions=sorted(blocked.companions),
+            )
+            for part, blocked in self._blocked.items()
+        ]
+        return [crash.to_report(now) for crash in self._evidence if crash.parts], blocked_parts
+
+    def _is_probed(self, part: int, now: float) -> bool:
+        return now < self._probed_until.get(part, -math.inf)
+
+    def _suspects(self, parts: Collection[int]) -> list[int]:
+        return [part for part in parts if part in self._evidence or part in self._blocked]
+
+    def _is_blocking(self, part: int, parts: Collection[int], now: float) -> bool:
+        blocked = self._blocked.get(part)
+        if blocked is None or blocked.is_lifted(now):
+            return False
+        return blocked.companions.issubset(parts)
+
+    def _on_blocked_seen(self, parts: Collection[int], now: float) -> None:
+        for part in parts:
+            blocked = self._blocked.get(part)
+            if blocked is not None:
+                blocked.seen_at = now
+
+    def _has_enough_evidence(self, part: int, now: float) -> bool:
+        crashes = self._evidence.crashes(part)
+        if not any(part in crash.probes for crash in crashes):
+            return False
+        if now - self._answered_at > ANSWERED_S:
+            # Runners that answer no request at all have another fault.
+            return False
+        own = {crash.incarnation for crash in crashes}
+        has_unrelated = any(
+            now - at <= UNRELATED_S and key not in own for key, at in self._ended_at.items()
+        )
+        needed = BLOCKING_SCORE + (UNRELATED_SCORE if has_unrelated else 0)
+        return self._evidence.score(part) >= needed
+
+    def _block_again(self, part: int, blocked: _Blocked, now: float) -> None:
+        """Record one more crash under a blocked part."""
+        if blocked.is_lifted(now):
+            # Also one that was lifted only by its time, so that both count as a change.
+            blocked.turn += 1 if blocked.turn % 2 == 0 else 2
+            blocked.changed_at = now
+        blocked.seen_at = now
+        blocked.crashes = max(blocked.crashes, len(self._evidence.crashes(part)))
+
+    def _add_blocked(self, part: int, blocked: _Blocked) -> None:
+        self._blocked[part] = blocked
+        if len(self._blocked) > MAX_BLOCKED:
+            del self._blocked[min(self._blocked, key=lambda p: self._blocked[p].seen_at)]
+
+    def _update_companions(self) -> None:
+        """Find out for each blocked part which other parts may be the cause in its place."""
+        for part, blocked in list(self._blocked.items()):
+            if part in self._evidence:
+                blocked.companions = self._evidence.companions(part)
+            if not blocked.companions:
+                self._explain(part)
+
+    def _explain(self, part: int) -> None:
+        """Remove the suspicion of parts that were in no crash without a blocked part."""
+        own = {crash.incarnation for crash in self._evidence.crashes(part)}
+        for other in {p for crash in self._evidence.crashes(part) for p in crash.parts} - {part}:
+            if {crash.incarnation for crash in self._evidence.crashes(other)} <= own:
+                self._evidence.remove_part(other)
+                self._blocked.pop(other, None)
+                self._probed_until.pop(other, None)
--- a/packages/wasabilb-core/src/wasabilb_core/errors.py
+++ b/packages/wasabilb-core/src/wasabilb_core/errors.py
@@ -43,6 +43,8 @@
     STREAM_BROKEN = "stream-broken"
     BACKEND_ERROR = "backend-error"
     BACKEND_UNREACHABLE = "backend-unreachable"
+    PROMPT_BLOCKED = "prompt-blocked"
+    PROMPT_PROBED = "prompt-probed"
     BAD_FRAME = "bad-frame"
     BAD_SETTINGS = "bad-settings"
     BAD_TICKET = "bad-ticket"
@@ -109,6 +111,8 @@
     ErrorKind.STREAM_BROKEN: _row(502, "The answer was cut off", _UNKNOWN, True),
     ErrorKind.BACKEND_ERROR: _row(502, "The backend server failed", _UNKNOWN, True),
     ErrorKind.BACKEND_UNREACHABLE: _row(502, "The backend server is down", _NOT_RUN, True),
+    ErrorKind.PROMPT_BLOCKED: _row(400, "The prompt crashes backend servers", _NOT_RUN, False),
+    ErrorKind.PROMPT_PROBED: _row(503, "A part of the prompt is being probed", _NOT_RUN, True),
     ErrorKind.BAD_FRAME: _row(502, "A message between hosts is malformed", _UNKNOWN, True),
     ErrorKind.BAD_SETTINGS: _row(500, "The settings are wrong", _NOT_RUN, False),
     ErrorKind.BAD_TICKET: _row(500, "The ticket is wrong", _NOT_RUN, False),
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -160,6 +160,17 @@
         "A runner named, changed or ended its limit for the requests of all entry processes.",
         "request runner change asked reading limit_per_s peer",
     ),
+    "runner_crashed": _spec(
+        "A runner crashed while a request with a suspected part was there.",
+        "runner request answer parts is_probe",
+    ),
+    "part_blocked": _spec(
+        "Requests with a part of prompts are refused, as it crashes runners.", "part runners peer"
+    ),
+    "part_cleared": _spec("Suspected or blocked parts of prompts crash no runners.", "parts peer"),
+    "part_lifted": _spec(
+        "A probe is to find out whether blocked parts still crash runners.", "parts reason"
+    ),
     "request_moved": _spec("A request continues at another runner.", "request host reason tokens"),
     "hedge_sent": _spec("A second attempt was sent.", "request host"),
     "once_unknown": _spec("It is unknown whether a call ran.", "request service host detail"),
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -30,7 +30,8 @@
 from wasabilb_entry.fleet_view import FleetView, Placement
 from wasabilb_entry.gateway_metrics import GatewayMetrics
 from wasabilb_entry.placer import PlacementNeeds, Placer
-from wasabilb_entry.relay import BufferedAnswer, Relay, send_buffered_answer
+from wasabilb_entry.prompt_guard import GuardedAttempt, PromptGuard
+from wasabilb_entry.relay import OK, BufferedAnswer, Relay, send_buffered_answer
 from wasabilb_entry.runner_attempt import AttemptLimits, RunnerAttempt
 
 # Time reserved from a route's timeout for writing the final answer, seconds.
@@ -62,6 +63,8 @@
     failed_answer: BufferedAnswer | None = None
     placement: Placement | None = None
     held_s: float = 0.0
+    # Parts of the prompt that the newest attempt probed.
+    probed: frozenset[int] = frozenset()
     last_end: AttemptEnd | None = None
 
     @property
@@ -87,6 +90,8 @@
         Spreads the times at which callers retry.
     salt : bytes
         Salt of the digests of account keys.
+    guard : PromptGuard
+        Protects runners from prompts that crash them.
     on_limit_changed : callable or None
         Called when an answer starts, changes or ends the limit of its runner.
     """
@@ -100,9 +105,11 @@
         metrics: GatewayMetrics,
         rng: random.Random,
         salt: bytes,
+        guard: PromptGuard,
         on_limit_changed: Callable[[], None] | None = None,
     ) -> None:
         self._fleet = fleet
+        self._guard = guard
         self._on_limit_changed = on_limit_changed or (lambda: None)
         self._placer = Placer(fleet=fleet)
         self._protocol = protocol
@@ -199,6 +206,9 @@
 
     async def _place(self, ctx: _RequestContext) -> Placement | Error:
         """Return where to send a request now, or the error if it cannot be sent."""
+        refusal = self._guard.refusal(ctx.metadata.shared_parts)
+        if refusal is not None:
+            return refusal
         route, timeout_s = ctx.route, ctx.metadata.timeout_s
         needs = PlacementNeeds(
             service=ctx.service,
@@ -233,8 +243,9 @@
             headers=self._protocol.write_request(ctx.req.headers, send_metadata),
             relay=ctx.relay,
             limits=self._attempt_limits(ctx, runner),
-            may_send=partial(self._fleet.may_send, runner, placed_at),
+            may_send=partial(self._may_send, ctx, runner, placed_at),
             on_metadata=partial(self._on_answer_metadata, ctx, runner),
+            on_going_on=partial(self._guard.on_answer_going_on, ctx.metadata.shared_parts),
             keeps_running_without_caller=route.kind is RequestKind.NON_IDEMPOTENT,
         )
         self._fleet.on_sent(runner, ctx.metadata.prompt_tokens)
@@ -275,8 +286,32 @@
             )
         if end is AttemptEnd.FAILED:
             ctx.failed_answer = ctx.relay.buffered_answer()
+        await self._tell_guard(ctx, runner, end)
         return end
 
+    def _may_send(self, ctx: _RequestContext, runner: Runner, placed_at: float) -> bool:
+        """Return whether a request may still be sent to the runner chosen for it at a time."""
+        if not self._fleet.may_send(runner, placed_at):
+            return False
+        probed = self._guard.begin(ctx.metadata.shared_parts)
+        ctx.probed = probed or frozenset()
+        return probed is not None
+
+    async def _tell_guard(self, ctx: _RequestContext, runner: Runner, end: AttemptEnd) -> None:
+        probed, ctx.probed = ctx.probed, frozenset()
+        head = ctx.relay.head
+        await self._guard.on_attempt_ended(
+            GuardedAttempt(
+                request_id=ctx.metadata.id,
+                runner=runner,
+                parts=ctx.metadata.shared_parts,
+                probed=probed,
+                end=end,
+                progress=ctx.relay.progress,
+                is_success=head is not None and head.status == OK,
+            )
+        )
+
     def _on_answer_metadata(
         self, ctx: _RequestContext, runner: Runner, metadata: AnswerMetadata
     ) -> None:
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 import attrs
 from attrs import frozen
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 from wasabilb_core.catalog import Catalog
+from wasabilb_core.crashing_parts import CrashingParts
 from wasabilb_core.entry_roster import EntryPlace
 from wasabilb_core.peering import entry_peers
 from wasabilb_core.runner_limits import RunnerLimits
@@ -21,10 +23,13 @@
 
 from wasabilb_entry.caller_connection import CallerServer
 from wasabilb_entry.caller_protocol import CallerProtocol
+from wasabilb_entry.crash_detector import CrashDetector
+from wasabilb_entry.crash_exchange import CrashExchange
 from wasabilb_entry.fleet_view import FleetLimits, FleetView
 from wasabilb_entry.forwarder import Forwarder
 from wasabilb_entry.gateway_metrics import GatewayMetrics
 from wasabilb_entry.limit_exchange import LimitExchange
+from wasabilb_entry.prompt_guard import PromptGuard
 from wasabilb_entry.send_notices import SendNotices
 
 # Idle connections to one runner. Each of 7 entry processes keeps less than its share of the
@@ -133,6 +138,25 @@
             own=EntryPlace(address=cfg.links_address, failure_domain=cfg.failure_domain),
             log=self.log,
         )
+        parts = CrashingParts()
+        self._crash_exchange = CrashExchange(
+            parts=parts,
+            links=self._node.links,
+            roster=self._node.roster,
+            own=EntryPlace(address=cfg.links_address, failure_domain=cfg.failure_domain),
+            log=self.log,
+            rng=self._node.rng,
+        )
+        self._guard = PromptGuard(
+            parts=parts,
+            exchange=self._crash_exchange,
+            detector=CrashDetector(
+                pool=self._pool, may_receive=self._published.directory.may_receive
+            ),
+            log=self.log,
+            on_crash_seen=self._metrics.on_crash_seen,
+        )
+        self._published.on_weights_named.append(self._on_weights_named)
         self._fleet = FleetView(
             published=self._published,
             failure_domain=cfg.failure_domain,
@@ -152,6 +176,7 @@
             metrics=self._metrics,
             rng=self._node.rng,
             salt=salt,
+            guard=self._guard,
             on_limit_changed=limit_exchange.on_changed,
         )
         self._callers = CallerServer(on_request=self._forwarder.on_request, log=self.log)
@@ -219,7 +244,10 @@
 
     def _answer_metrics(self, req: HTTPServerRequest) -> None:
         text = self._metrics.text(
-            in_progress=self._forwarder.in_progress, revision=self._published.revision
+            in_progress=self._forwarder.in_progress,
+            revision=self._published.revision,
+            suspected_parts=self._guard.parts.suspected_count,
+            blocked_parts=len(self._guard.parts.blocked_parts(now())),
         )
         _send_answer(req, 200, text)
 
@@ -263,11 +291,19 @@
     def _on_runner_gone(self, runner_id: str) -> None:
         self._fleet.forget(runner_id)
 
+    def _on_weights_named(self, model: str) -> None:
+        """Let probes find out whether new weights end crashes, once all runners have them."""
+        lift = partial(self._crash_exchange.lift, part=None, before=now(), reason="new weights")
+        asyncio.get_running_loop().call_later(self._cfg.limits.version_s, lift)
+
     def _on_send_notice(self, peer: Peer, notice: SendNotice) -> None:
         for runner_id, tokens in zip(notice.runners, notice.prompt_tokens, strict=False):
             self._fleet.on_peer_sent(runner_id, tokens)
 
     def _on_report(self, peer: Peer, report: RunnerReport) -> None:
+        runner = self._published.directory.get(report.runner)
+        if runner is not None and self._published.directory.may_receive(runner):
+            self._guard.on_report(runner, report)
         self._fleet.on_report(report)
 
 
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway_metrics.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway_metrics.py
@@ -37,6 +37,21 @@
             ["service", "answer"],
             registry=self._registry,
         )
+        self._crashes = Counter(
+            "wasabilb_crashes_seen",
+            "Requests with a suspected part that were with a runner when it crashed.",
+            registry=self._registry,
+        )
+        self._suspected_parts = Gauge(
+            "wasabilb_suspected_parts",
+            "Parts of prompts that may crash runners.",
+            registry=self._registry,
+        )
+        self._blocked_parts = Gauge(
+            "wasabilb_blocked_parts",
+            "Parts of prompts whose requests are refused.",
+            registry=self._registry,
+        )
         self._limited_sends = Counter(
             "wasabilb_limited_sends",
             "Requests sent to runners that had named a limit, by whether they are repeated.",
@@ -92,6 +107,10 @@
         """Count an attempt whose connection broke."""
         self._broken.labels(service, progress.value).inc()
 
+    def on_crash_seen(self) -> None:
+        """Count a request with a suspected part that was with a runner when it crashed."""
+        self._crashes.inc()
+
     def on_limited_send(self, service: str, *, is_repeated: bool) -> None:
         """Count a request sent to a runner that has named a limit."""
         self._limited_sends.labels(service, str(is_repeated).lower()).inc()
@@ -100,8 +119,12 @@
         """Count a new connection to a runner."""
         self._connections.inc()
 
-    def text(self, *, in_progress: int, revision: int) -> bytes:
+    def text(
+        self, *, in_progress: int, revision: int, suspected_parts: int = 0, blocked_parts: int = 0
+    ) -> bytes:
         """Return all metrics in the text format."""
+        self._suspected_parts.set(suspected_parts)
+        self._blocked_parts.set(blocked_parts)
         self._in_progress.set(in_progress)
         self._revision.set(revision)
         return bytes(generate_latest(self._registry))
--- /dev/null
+++ b/packages/wasabilb-entry/src/wasabilb_entry/prompt_guard.py
@@ -0,0 +1,162 @@
+"""Protects runners from requests whose prompts crash them."""
+
+from collections.abc import Callable
+from functools import partial
+
+from attrs import define, frozen
+from wasabilb_core.attempts import AnswerProgress, AttemptEnd
+from wasabilb_core.crash_reports import CrashReport
+from wasabilb_core.crashing_parts import CrashingParts, PartDecision
+from wasabilb_core.errors import Error, ErrorKind
+from wasabilb_core.prompt_parts import parts_text
+from wasabilb_core.runner_directory import Runner
+from wasabilb_node.clock import now
+from wasabilb_node.logs import EventLog
+from wasabilb_wire.messages import RunnerReport
+
+from wasabilb_entry.crash_detector import CrashDetector
+from wasabilb_entry.crash_exchange import CrashExchange
+
+# Time after which a caller retries while a part of its prompt is probed, seconds: the usual time
+# until a probe's answer has gone on for long enough.
+PROBE_RETRY_S = 0.5
+# Parts of one request that a report names; the size of a caller's header limits them further.
+MAX_REPORTED_PARTS = 2048
+
+
+@frozen(kw_only=True)
+class GuardedAttempt:
+    """An attempt that has ended.
+
+    Parameters
+    ----------
+    request_id : str
+        Request.
+    runner : Runner
+        Where it was sent.
+    parts : tuple of int
+        Parts of its prompt that other requests may share.
+    probed : frozenset of int
+        Those of them that it probed.
+    end : AttemptEnd
+        How it ended.
+    progress : AnswerProgress
+        How far its answer had come.
+    is_success : bool
+        Whether the answer has a status of success.
+    """
+
+    request_id: str
+    runner: Runner
+    parts: tuple[int, ...]
+    probed: frozenset[int]
+    end: AttemptEnd
+    progress: AnswerProgress
+    is_success: bool
+
+
+@define(kw_only=True, eq=False)
+class PromptGuard:
+    """Decides which requests may be sent, and learns from the ends of attempts.
+
+    Parameters
+    ----------
+    parts : CrashingParts
+        Parts of prompts as this process knows them.
+    exchange : CrashExchange
+        Tells the other entry processes.
+    detector : CrashDetector
+        Tells crashes of runners from other faults.
+    log : EventLog
+        Receives an event for each request that was with a crashed runner.
+    on_crash_seen : callable
+        Called for each crash of a runner under a request of this process.
+    """
+
+    parts: CrashingParts
+    exchange: CrashExchange
+    detector: CrashDetector
+    log: EventLog
+    on_crash_seen: Callable[[], None] = lambda: None
+
+    def refusal(self, parts: tuple[int, ...]) -> Error | None:
+        """Return the error for a request that must not be sent now, None for any other."""
+        if not parts:
+            return None
+        moment = now()
+        decision = self.parts.decide(parts, moment)
+        if decision is PartDecision.BLOCK:
+            part = self.parts.blocking_part(parts, moment)
+            runners = ", ".join(self.parts.crashed_runners(part)) if part is not None else ""
+            return Error(
+                kind=ErrorKind.PROMPT_BLOCKED,
+                detail=f"part {part or 0:x} of the prompt crashes runners"
+                + (f": {runners}" if runners else ""),
+            )
+        if decision is PartDecision.WAIT:
+            return Error(
+                kind=ErrorKind.PROMPT_PROBED,
+                detail="another request finds out whether a part of the prompt crashes runners",
+                retry_after_s=PROBE_RETRY_S,
+            )
+        return None
+
+    def begin(self, parts: tuple[int, ...]) -> frozenset[int] | None:
+        """Record that a request is being sent and return the parts that it probes.
+
+        None if it must not be sent.
+        """
+        probed = self.parts.begin(parts, now()) if parts else frozenset()
+        if probed:
+            self.exchange.on_probe_begun(probed)
+        return probed
+
+    def on_answer_going_on(self, parts: tuple[int, ...]) -> None:
+        """Record that the answer to a request went on after its beginning."""
+        self.exchange.on_answer_going_on(parts)
+
+    async def on_attempt_ended(self, attempt: GuardedAttempt) -> None:
+        """Process the end of an attempt."""
+        if not attempt.parts:
+            return
+        if attempt.end is AttemptEnd.ANSWERED and attempt.is_success:
+            self.on_answer_going_on(attempt.parts)
+        elif attempt.end is AttemptEnd.BROKEN:
+            at = now()
+            on_crash = partial(self._on_crash, attempt, at)
+            suspects = self.parts.uncleared(attempt.parts, at)
+            if suspects and await self.detector.has_crashed(attempt.runner, on_crash):
+                on_crash()
+                return
+        if attempt.probed:
+            self.exchange.on_probe_ended(attempt.probed)
+
+    def on_report(self, runner: Runner, report: RunnerReport) -> None:
+        """Process a report of the agent beside a runner that is in service."""
+        if not report.is_reachable or report.born_ms > runner.born_ms:
+            self.parts.on_runner_ended(runner.id, runner.born_ms, now())
+            self.detector.on_runner_ended(runner)
+
+    def _on_crash(self, attempt: GuardedAttempt, at: float) -> None:
+        moment = now()
+        suspects = self.parts.uncleared(attempt.parts, moment)[:MAX_REPORTED_PARTS]
+        self.on_crash_seen()
+        self.log.event(
+            "runner_crashed",
+            runner=attempt.runner.id,
+            request=attempt.request_id,
+            answer=attempt.progress.value,
+            parts=parts_text(suspects) or None,
+            is_probe=bool(attempt.probed),
+        )
+        has_started = attempt.progress is AnswerProgress.STARTED
+        self.exchange.on_crash(
+            CrashReport(
+                runner=attempt.runner.id,
+                born_ms=attempt.runner.born_ms,
+                age_s=moment - at,
+                started=suspects if has_started else [],
+                waiting=[] if has_started else suspects,
+                probes=sorted(attempt.probed),
+            )
+        )
--- a/packages/wasabilb-entry/src/wasabilb_entry/relay.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/relay.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 from tornado.httputil import HTTPHeaders
 from wasabilb_core.attempts import AnswerProgress
+from wasabilb_core.crashing_parts import SURVIVED_S
 from wasabilb_core.event_stream import EventBuffer
 from wasabilb_core.forwarding_metadata import AnswerMetadata
 from wasabilb_node.clock import now
@@ -60,6 +61,8 @@
     head: AnswerHead | None = None
     metadata: AnswerMetadata = field(factory=AnswerMetadata)
     _on_metadata: Callable[[AnswerMetadata], None] | None = None
+    _on_going_on: Callable[[], None] | None = None
+    _head_at: float = 0.0
     _parts: list[bytes] = field(factory=list)
     _size: int = 0
     _size_at_progress: int = 0
@@ -67,7 +70,13 @@
     _is_fresh: bool = True
     _events_before: int = 0
 
-    def begin(self, *, is_fresh: bool, on_metadata: Callable[[AnswerMetadata], None]) -> None:
+    def begin(
+        self,
+        *,
+        is_fresh: bool,
+        on_metadata: Callable[[AnswerMetadata], None],
+        on_going_on: Callable[[], None] | None = None,
+    ) -> None:
         """Reset the state for the answer of a new attempt.
 
         Parameters
@@ -76,7 +85,10 @@
             Whether no other request was sent on the connection before.
         on_metadata : callable
             Called with the metadata of each answer on the connection.
+        on_going_on : callable or None
+            Called once if a stream has events some time after its head.
         """
+        self._on_going_on = on_going_on
         self.head = None
         self._on_metadata = on_metadata
         self._is_fresh = is_fresh
@@ -115,7 +127,7 @@
         self._is_streaming = (
             self.is_stream and head.status == OK and self.metadata.is_sealed and is_plain_body
         )
-        self.progress_at = now()
+        self.progress_at = self._head_at = now()
         return True
 
     def on_data(self, data: bytes) -> Awaitable[None] | None:
@@ -134,6 +146,9 @@
         if not whole:
             return None
         self.progress_at = now()
+        if self._on_going_on is not None and self.progress_at - self._head_at >= SURVIVED_S:
+            on_going_on, self._on_going_on = self._on_going_on, None
+            on_going_on()
         return self._forward(whole)
 
     def _buffer(self, data: bytes) -> None:
--- a/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
@@ -66,6 +66,8 @@
         Returns whether the request may still be sent, once a connection is open.
     on_metadata : callable
         Called with the metadata of each answer on the connection.
+    on_going_on : callable or None
+        Called once if a stream has events some time after its head.
     """
 
     pool: ConnectionPool
@@ -76,6 +78,7 @@
     limits: AttemptLimits
     may_send: Callable[[], bool]
     on_metadata: Callable[[AnswerMetadata], None]
+    on_going_on: Callable[[], None] | None = None
     keeps_running_without_caller: bool = False
     # Why this side aborted the answer, for the log.
     abort_reason: str = ""
@@ -112,7 +115,11 @@
         if not self.may_send():
             self.pool.release(conn)
             return AttemptEnd.WITHHELD
-        self.relay.begin(is_fresh=conn.request_count == 0, on_metadata=self.on_metadata)
+        self.relay.begin(
+            is_fresh=conn.request_count == 0,
+            on_metadata=self.on_metadata,
+            on_going_on=self.on_going_on,
+        )
         if self.req.body or self.req.method in BODY_METHODS:
             self.headers["Content-Length"] = str(len(self.req.body))
         try:
--- a/packages/wasabilb-node/src/wasabilb_node/_connection_pool.py
+++ b/packages/wasabilb-node/src/wasabilb_node/_connection_pool.py
@@ -25,6 +25,10 @@
     """The connection could not be established, so nothing was sent."""
 
 
+class ConnectRefusedError(ConnectError):
+    """The host refused the connection, as no process listens there."""
+
+
 class ConnectionPool:
     """Idle connections that are reused, by address.
 
@@ -52,6 +56,16 @@
         conn = self._pop_idle(address)
         return conn if conn is not None else await self._open(address, timeout_s)
 
+    async def check(self, address: str, *, timeout_s: float) -> None:
+        """Open a connection to find out whether a process listens there, and close it.
+
+        Raises
+        ------
+        ConnectError
+            When no connection could be established in time.
+        """
+        (await self._open(address, timeout_s)).close()
+
     def release(self, conn: Connection) -> None:
         """Return a connection whose answer was read completely to the pool, or close it."""
         idle = self._idle.setdefault(conn.address, deque())
@@ -96,8 +110,10 @@
         try:
             await asyncio.wait_for(stream.connect((ip, int(port))), timeout_s)
         except (OSError, StreamClosedError, TimeoutError, ValueError) as exc:
+            is_refused = isinstance(stream.error, ConnectionRefusedError)
             stream.close()
-            raise ConnectError(f"{address}: {type(exc).__name__}") from exc
+            kind = ConnectRefusedError if is_refused else ConnectError
+            raise kind(f"{address}: {type(exc).__name__}") from exc
         except asyncio.CancelledError:
             stream.close()
             raise
--- a/packages/wasabilb-node/src/wasabilb_node/http_client.py
+++ b/packages/wasabilb-node/src/wasabilb_node/http_client.py
@@ -12,7 +12,12 @@
 from tornado.iostream import StreamClosedError
 from wasabilb_core.errors import Error, unavailable
 
-from wasabilb_node._connection_pool import CONNECT_TIMEOUT_S, ConnectError, ConnectionPool
+from wasabilb_node._connection_pool import (
+    CONNECT_TIMEOUT_S,
+    ConnectError,
+    ConnectionPool,
+    ConnectRefusedError,
+)
 from wasabilb_node._http_connection import (
     AnswerHead,
     AnswerReceiver,
@@ -30,6 +35,7 @@
     "AnswerRefusedError",
     "CompleteAnswer",
     "ConnectError",
+    "ConnectRefusedError",
     "Connection",
     "ConnectionPool",
     "NumericResolver",
--- a/packages/wasabilb-node/src/wasabilb_node/published_view.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_view.py
@@ -46,6 +46,8 @@
         self._on_catalog_accepted = on_catalog
         self._on_runner_gone = on_runner_gone
         self._named_versions: dict[str, NamedVersions] = {}
+        # Called with the model of each version of weights that is named.
+        self.on_weights_named: list[Callable[[str], None]] = []
         # Called with each runner that may no longer receive requests.
         self.on_runner_leaving: list[Callable[[Runner], None]] = []
 
@@ -146,6 +148,8 @@
         self._log.event(
             "weights_named", model=target.model, version=target.version, revision=revision
         )
+        for callback in self.on_weights_named:
+            callback(target.model)
 
     def _on_runner(self, runner: Runner, revision: int) -> None:
         previous = self.directory.state(runner.id)
--- a/packages/wasabilb-wire/src/wasabilb_wire/codec.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/codec.py
@@ -9,6 +9,7 @@
 import attrs
 import capnp
 from returns.result import Failure, Result, Success
+from wasabilb_core.crash_reports import BlockedPart, CrashReport
 from wasabilb_core.entry_roster import EntryPlace
 from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.lent_limits import PermitTransfer
@@ -65,6 +66,8 @@
     (messages.NodeBeat, "entries"): EntryPlace,
     (messages.LimitNotice, "transfers"): PermitTransfer,
     (messages.LimitNotice, "news"): LimitNews,
+    (messages.CrashNotice, "crashes"): CrashReport,
+    (messages.CrashNotice, "blocked"): BlockedPart,
 }
 _ITEM_CLASSES = (
     Header,
@@ -74,6 +77,8 @@
     EntryPlace,
     PermitTransfer,
     LimitNews,
+    CrashReport,
+    BlockedPart,
 )
 
 
--- a/packages/wasabilb-wire/src/wasabilb_wire/messages.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/messages.py
@@ -1,6 +1,7 @@
 """The messages between processes: one frozen class per member of the schema's union."""
 
 from attrs import field, frozen
+from wasabilb_core.crash_reports import BlockedPart, CrashReport
 from wasabilb_core.entry_roster import EntryPlace
 from wasabilb_core.lent_limits import PermitTransfer
 from wasabilb_core.runner_limits import LimitNews
@@ -423,3 +424,18 @@
 
     transfers: list[PermitTransfer] = field(factory=list)
     news: list[LimitNews] = field(factory=list)
+
+
+@frozen(kw_only=True, slots=True)
+class CrashNotice(Message):
+    """What an entry process tells another of crashed runners and parts of prompts.
+
+    `cleared` are suspected or blocked parts under which an answer went on; `probes_begun` and
+    `probes_ended` are parts whose probe the sender has begun or ended.
+    """
+
+    crashes: list[CrashReport] = field(factory=list)
+    blocked: list[BlockedPart] = field(factory=list)
+    cleared: list[int] = field(factory=list)
+    probes_begun: list[int] = field(factory=list)
+    probes_ended: list[int] = field(factory=list)
--- a/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
+++ b/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
@@ -31,6 +31,7 @@
     sendNotice @25 :SendNotice;
     originAnswer @26 :OriginAnswer;
     limitNotice @27 :LimitNotice;
+    crashNotice @28 :CrashNotice;
   }
 }
 
@@ -311,3 +312,28 @@
   transfers @0 :List(PermitTransfer);
   news @1 :List(LimitNews);
 }
+
+struct CrashReport {
+  runner @0 :Text;
+  bornMs @1 :UInt64;
+  ageS @2 :Float64;
+  started @3 :List(UInt64);
+  waiting @4 :List(UInt64);
+  probes @5 :List(UInt64);
+}
+
+struct BlockedPart {
+  part @0 :UInt64;
+  ageS @1 :Float64;
+  crashes @2 :UInt32;
+  turn @3 :UInt32;
+  companions @4 :List(UInt64);
+}
+
+struct CrashNotice {
+  crashes @0 :List(CrashReport);
+  blocked @1 :List(BlockedPart);
+  cleared @2 :List(UInt64);
+  probesBegun @3 :List(UInt64);
+  probesEnded @4 :List(UInt64);
+}
