A stream that has begun goes on only with an event stream

Callers got the text of a page or object in the middle of their stream, or a stream that ended as whole with events missing: after a stream had broken off, the next runner answered 200 with something else. Cause: a status of 200 on a stream route counted as event stream whatever its media type, and a buffered 200 counted as the answer although the stream had begun. Change: a begun stream is continued only by text/event-stream, and ends as broken after any other answer; a first answer may omit the type.

--- a/features/direct_forwarding.feature
+++ b/features/direct_forwarding.feature
@@ -31,6 +31,40 @@
       | stream       | answer without a length    | answer                 | all events once            | 1     |
       | stream       | reset without a length     | answer                 | all events once            | 2     |
 
+  Scenario Outline: What follows a stream that has begun and broken off
+    # Guards against the text of another answer in the middle of a stream, and against streams that
+    # end as whole although events are missing.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that reset after two events and then <second>
+    When a caller sends a request on the stream route
+    Then the caller gets a broken stream
+    And the stream has two events
+
+    Examples:
+      | second                      |
+      | answer with a page          |
+      | answer with an object       |
+      | answer with an empty body   |
+      | answer with an empty object |
+      | fail with status 500        |
+      | refuse as full              |
+      | stop within the head        |
+
+  Scenario Outline: A runner stops within the head of its answer
+    # Guards against a short answer that is framed as whole.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that stop within the head and then <second>
+    When a caller sends a request on the <kind> route
+    Then the caller gets <answer>
+
+    Examples:
+      | kind         | second               | answer                      |
+      | idempotent   | answer               | the whole answer            |
+      | idempotent   | stop within the head | status 502, outcome unknown |
+      | at-most-once | answer               | status 502, outcome unknown |
+      | stream       | answer               | all events once             |
+      | stream       | stop within the head | status 502, outcome unknown |
+
   Scenario: An extra answer on a kept connection goes to nobody
     # Guards against an answer to an earlier request, left unread on a connection that is used
     # again.
--- a/features/steps/direct_forwarding_steps.py
+++ b/features/steps/direct_forwarding_steps.py
@@ -163,6 +163,22 @@
     assert b"".join(EVENTS).startswith(body), body
 
 
+@then("the stream has two events")
+def two_events(context):
+    assert context.result[2] == b"".join(EVENTS[:2]), context.result
+
+
+@when("a caller sends a request on the {kind} route and repeats it after the refusal")
+def repeat_request(context, kind):
+    async def repeat(harness):
+        status, *_ = await fetch(harness, raw_request(PATHS[kind]))
+        assert status == 503, status
+        await asyncio.sleep(0.3)
+        return await fetch(harness, raw_request(PATHS[kind]))
+
+    run_in_harness(context, repeat)
+
+
 @then("the caller gets status {status:d} of the runner")
 def status_of_runner(context, status):
     assert context.result[0] == status and "Seal: s" in context.result[1], context.result
--- a/features/steps/scripted_runner.py
+++ b/features/steps/scripted_runner.py
@@ -43,6 +43,17 @@
 }
 
 
+# What a runner sends before it closes the connection, without a whole head.
+NO_ANSWERS = {"wait without an answer": b"", "stop within the head": b"STARTContent-Le"}
+# Headers and bodies of successful answers that are no event streams.
+OTHER_BODIES = {
+    "answer with a page": (b"Content-Type: text/html\r\n", b"<p>one</p>\n\n<p>two</p>\n\n"),
+    "answer with an object": (b"Content-Type: application/json\r\n", b'{"tokens":"t1"}\n\n'),
+    "answer with an empty body": (b"", b""),
+    "answer with an empty object": (b"Content-Type: application/json\r\n", b""),
+}
+
+
 class ChunkWriter:
     """Writer that sends each part as an HTTP chunk."""
 
@@ -64,7 +75,7 @@
     def __init__(self, behaviours):
         self.behaviours = list(behaviours)
         self.requests, self.run_count, self.closed_at = [], 0, None
-        self.last_answers, self.flooded_bytes = {}, 0
+        self.last_answers, self.last_refusals, self.flooded_bytes = {}, {}, 0
         self.is_leaving, self.late_requests = False, 0
         # Open connections, now and at the last call of `ForwardingHarness.settle`.
         self.open_connections = self.connections_at_end = 0
@@ -118,10 +129,15 @@
         seal = b"" if action == "answer without a seal" else b"Seal: s\r\n"
         start = b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s" % (request_id.encode(), seal + notes)
         is_stream = head.startswith("POST /stream/")
+        if action == "repeat the refusal before and answer":
+            writer.write(self.last_refusals.get(writer, b""))
         if action.startswith("refuse "):
             return await self.refuse(action, request_id.encode(), notes, writer)
-        if action == "wait without an answer":
-            await reader.read(1)
+        if action in NO_ANSWERS:
+            writer.write(NO_ANSWERS[action].replace(b"START", start))
+            await writer.drain()
+            if action == "wait without an answer":
+                await reader.read(1)
             return False
         self.run_count += 1
         if action == "reset without an answer":
@@ -130,9 +146,14 @@
         if action == "fail with status 500":
             writer.write(start.replace(b"200 OK", b"500 Bad") + b"Content-Length: 3\r\n\r\nbad")
             return True
+        if action in OTHER_BODIES:
+            headers, body = OTHER_BODIES[action]
+            writer.write(start + headers + b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
+            return True
         if action in FLOODS:
             return await self.flood(FLOODS[action], start, writer)
         if is_stream:
+            start += b"Content-Type: text/event-stream\r\n"
             return await self.stream(action, start, events, reader, writer)
         if action == "trickle a body":
             writer.write(start + b"Content-Length: 500\r\n\r\n")
@@ -178,7 +199,8 @@
     async def refuse(self, action, request_id, notes, writer):
         """Refuse a request, with the pause that the behaviour names, if any."""
         if action in REFUSALS:
-            writer.write(REFUSALS[action] % (request_id, notes))
+            self.last_refusals[writer] = REFUSALS[action] % (request_id, notes)
+            writer.write(self.last_refusals[writer])
             return True
         seconds, has_slow_body = action.split()[3], "slow body" in action
         self.pauses.append((asyncio.get_running_loop().time(), float(seconds)))
--- a/packages/wasabilb-entry/src/wasabilb_entry/relay.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/relay.py
@@ -16,6 +16,7 @@
 from wasabilb_entry.caller_protocol import CallerProtocol, end_to_end
 
 OK = 200
+EVENT_STREAM = "text/event-stream"
 # Longest answer that is buffered until it is whole: the longest body that callers may send in the
 # known deployments. An entry host has 200 MB.
 MAX_BUFFERED_BYTES = 4 << 20
@@ -124,8 +125,14 @@
             return False
         self.head, self.metadata = head, metadata
         is_plain_body = "Content-Encoding" not in head.headers
+        # Only an event stream may continue one; a runner may omit the type of a first answer.
+        media_type = head.headers.get("Content-Type", "" if self.has_begun_answer else EVENT_STREAM)
         self._is_streaming = (
-            self.is_stream and head.status == OK and self.metadata.is_sealed and is_plain_body
+            self.is_stream
+            and head.status == OK
+            and self.metadata.is_sealed
+            and is_plain_body
+            and media_type.partition(";")[0].strip().lower() == EVENT_STREAM
         )
         self.progress_at = self._head_at = now()
         return True
--- a/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
@@ -15,7 +15,7 @@
 from wasabilb_node.http_client import ConnectError, Connection, ConnectionPool, ReadOutcome
 
 from wasabilb_entry.caller_connection import ReceivedRequest
-from wasabilb_entry.relay import OK, Relay
+from wasabilb_entry.relay import Relay
 
 MIN_SERVER_ERROR = 500
 # Methods whose requests state a length even without a body (RFC 9110, 8.6).
@@ -195,5 +195,5 @@
             return AttemptEnd.BROKEN
         if head.status >= MIN_SERVER_ERROR:
             return AttemptEnd.FAILED
-        is_unusable = self.relay.is_stream and head.status != OK and self.relay.has_begun_answer
+        is_unusable = self.relay.is_stream and self.relay.has_begun_answer
         return AttemptEnd.BROKEN if is_unusable else AttemptEnd.ANSWERED
