Scenarios of what counts as a crash, of reports in any order, and of prompts with invented parts

A part that was probed counts as such only where the same report has it, found by the property on reports in any order. All pass; core and detector on a virtual clock, requests that were placed before on real sockets.

--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -85,3 +85,50 @@
     When new weights are there and the part no longer crashes runners while such requests come, 1 times
     Then 0 more runners crash
     And such requests are answered again
+
+  Scenario: Requests that were placed before the part was blocked
+    # Guards against requests that wait for a connection and are sent all the same.
+    When 4 requests with the part wait for their connection while the part is blocked
+    Then none of them reaches a runner, and each is told that it has not run
+
+  Scenario: Reports of crashes in any order
+    # Guards against one crash that counts twice, as several processes saw it, late and repeatedly.
+    When reports of crashes come in any order, in parts and repeatedly
+    Then the evidence is the same, and no part is blocked with too little of it
+
+  Scenario: Callers that invent parts do not fill the memory
+    When callers send 20000 invented parts in requests that are with crashed runners
+    Then a bounded number of them is kept, and the part that crashes runners is blocked
+
+  Scenario Outline: Two parts that cannot be told apart
+    Given two parts that are in the prompts of all requests that crash runners
+    Then requests with both are refused, and one with the <one> alone is a probe
+    When the answer of the probe with the <one> goes on
+    Then requests with the <one> alone are sent
+    And requests with the <other> alone are refused
+
+    Examples:
+      | one    | other  |
+      | first  | second |
+      | second | first  |
+
+  Scenario: Runners that answer nothing have another fault
+    # Guards against blocking what all prompts share while a faulty version ends all runners.
+    When runners crash under the same part, and no answer at all goes on
+    Then the part is not blocked
+
+  Scenario Outline: What counts as a crash
+    # Guards against cut links, closed connections and leaving runners that count as crashes, and
+    # against a runner that is back before the connection attempt.
+    When the connections of 3 requests break because <cause>, and <then>
+    Then it counts as <what> for all of them, after <checks> connection attempt
+
+    Examples:
+      | cause                                 | then                                   | what     | checks |
+      | the runner has ended                  | nothing follows                        | a crash  | 1      |
+      | the runner only closed the connection | nothing follows                        | no crash | 1      |
+      | the link to the runner is cut         | nothing follows                        | no crash | 1      |
+      | the runner has ended                  | it was leaving                         | no crash | 0      |
+      | the runner only closed the connection | its agent soon reports another start   | a crash  | 1      |
+      | the link to the runner is cut         | its agent soon reports no answer       | a crash  | 1      |
+      | the runner only closed the connection | its agent reports another start late   | no crash | 1      |
--- a/packages/wasabilb-core/src/wasabilb_core/_crash_evidence.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_crash_evidence.py
@@ -98,7 +98,7 @@
         for own, told in (
             (crash.started, report.started),
             (crash.waiting, report.waiting),
-            (crash.probes, report.probes),
+            (crash.probes, set(report.probes) & {*report.started, *report.waiting}),
         ):
             new = set(told) - left_out - own - crash.dismissed
             own |= new
