The product's own interface protects engines from prompts that crash them, with the same mechanism

Callers: a request whose prompt crashes the engine was sent to up to four engines (MAX_ATTEMPTS), and each repeat to as many again. Cause: the router took the broken answer for a fault of the runner. Change: agents tell when their engine has crashed (Fail.crash_ms, the same for all answers of one crash); the router asks the guard before each attempt, does not hedge suspected prompts, and tells it of crashes and of answers that go on. The exchange no longer needs the roster, so that both kinds of entry process share it. Test: 'Prompts of the product's own interface': 2 engines crash, all other requests with the block are refused as not run, all without it are answered; 'An agent tells crashes of its engine' on real sockets. The code before has no such check at all.

--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -132,3 +132,16 @@
       | the runner only closed the connection | its agent soon reports another start   | a crash  | 1      |
       | the link to the runner is cut         | its agent soon reports no answer       | a crash  | 1      |
       | the runner only closed the connection | its agent reports another start late   | no crash | 1      |
+
+  Scenario: Prompts of the product's own interface
+    # Guards against an interface whose prompts are not looked at.
+    Given two engines that crash on a block of the prompt, after answers to other prompts
+    When 4 requests with the block and as many without it come in turn
+    Then 2 engines crash, and the other requests with the block are refused as not run
+    And all requests without it are answered
+
+  Scenario: An agent tells crashes of its engine
+    # Guards against one crash that counts once for each answer, and against a broken connection that
+    # counts as a crash.
+    When an engine ends under three answers, is back, and ends again
+    Then its agent tells two crashes, each the same for all answers, and none before and after
--- a/features/steps/crash_model.py
+++ b/features/steps/crash_model.py
@@ -15,8 +15,9 @@
 from wasabilb_core.crashing_parts import SURVIVED_S, CrashingParts
 from wasabilb_core.entry_roster import EntryPlace, EntryRoster
 from wasabilb_core.errors import ErrorKind
-from wasabilb_core.peering import entry_peers
+from wasabilb_core.peering import entry_peers, is_hub
 from wasabilb_core.runner_directory import Runner
+from wasabilb_core.topology import MAX_MESH_HOSTS
 from wasabilb_entry.crash_exchange import CrashExchange
 from wasabilb_entry.prompt_guard import GuardedAttempt, PromptGuard
 from wasabilb_node.clock import now
@@ -97,8 +98,8 @@
         self.exchange = ModelExchange(
             parts=self.parts,
             links=self.links,
-            roster=roster,
-            own=self.place,
+            has_full_mesh=lambda: len(roster) <= MAX_MESH_HOSTS,
+            is_relay=lambda: is_hub(self.place, roster.places()),
             log=self.log,
             rng=random.Random(f"{self.fleet.seed} {self.place.address}"),
         )
--- a/features/steps/crash_rules_steps.py
+++ b/features/steps/crash_rules_steps.py
@@ -38,7 +38,7 @@
 
 
 def evidence_of(reports, moment=10.0):
-    """Return what is known of some parts after reports, and the parts that are blocked too early."""
+    """Return what is known of some parts after reports, and the parts blocked too early."""
     parts = CrashingParts()
     parts.on_answer_going_on([99], moment)
     for report in reports:
--- a/features/steps/forwarding_harness.py
+++ b/features/steps/forwarding_harness.py
@@ -18,10 +18,12 @@
 from wasabilb_core.entry_roster import EntryPlace, EntryRoster
 from wasabilb_core.forwarding_metadata import AnswerMetadata, RequestMetadata
 from wasabilb_core.named_limit import named_limit
+from wasabilb_core.peering import is_hub
 from wasabilb_core.published import PublishedState
 from wasabilb_core.requested_pause import requested_pause
 from wasabilb_core.runner_directory import Runner
 from wasabilb_core.runner_limits import RunnerLimits
+from wasabilb_core.topology import MAX_MESH_HOSTS
 from wasabilb_entry.caller_connection import CallerServer
 from wasabilb_entry.caller_protocol import end_to_end
 from wasabilb_entry.crash_detector import CrashDetector
@@ -232,8 +234,8 @@
             exchange=CrashExchange(
                 parts=parts,
                 links=self.network.links_by_host[name],
-                roster=roster,
-                own=place,
+                has_full_mesh=lambda: len(roster) <= MAX_MESH_HOSTS,
+                is_relay=lambda: is_hub(place, roster.places()),
                 log=self.log,
                 rng=random.Random(name),
             ),
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -10,6 +10,7 @@
 
 import attrs
 from behave import then, when
+from guard_factory import make_guard
 from hypothesis import given as property_given
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -155,7 +156,7 @@
             self.on_link_down[0](peer)
 
 
-def make_router(links, *, hedging=None, watch=None, routing=None):
+def make_router(links, *, hedging=None, watch=None, routing=None, guard=None):
     """Return the router of an entry host with two runners."""
     variant = Variant(model="m", adapter="", version="v1")
     membership = SimpleNamespace(
@@ -174,6 +175,7 @@
         log=LOG,
         credit_bytes=1000,
         progress_s=1.0,
+        guard=guard or make_guard(LOG),
     )
 
 
--- a/features/steps/memory_fleet.py
+++ b/features/steps/memory_fleet.py
@@ -8,6 +8,7 @@
 import logging
 import random
 
+from guard_factory import make_guard
 from returns.result import Failure, Success
 from wasabilb_agent._http_stream import ExchangeStoppedError
 from wasabilb_agent.engine_client import Finished, Tokens
@@ -244,6 +245,7 @@
             log=LOG,
             credit_bytes=4096,
             progress_s=PROGRESS_TIMEOUT_S,
+            guard=make_guard(LOG),
         )
         self.services = ServiceRouter(
             **shared, fleet=self.fleet, links=links, add_target=lambda _: None, credit_bytes=4096
--- /dev/null
+++ b/packages/wasabilb-agent/src/wasabilb_agent/engine_crashes.py
@@ -0,0 +1,65 @@
+"""Finds out whether the engine has crashed, after it broke off an answer."""
+
+import asyncio
+from collections.abc import Callable
+from urllib.parse import urlsplit
+
+from attrs import define
+from wasabilb_node.clock import wall_ms
+from wasabilb_node.http_client import ConnectError, ConnectionPool, ConnectRefusedError
+
+# Longest time to wait for a connection to the engine on this host, seconds.
+CHECK_TIMEOUT_S = 0.5
+
+
+@define(kw_only=True, eq=False)
+class EngineCrashes:
+    """Tells a crash of the engine from an answer that it broke off.
+
+    Parameters
+    ----------
+    address : str
+        `IP:PORT` of the engine.
+    pool : ConnectionPool
+        Opens the connection that tells it.
+    wall_ms : callable
+        Returns the wall time in milliseconds.
+    """
+
+    address: str
+    pool: ConnectionPool
+    wall_ms: Callable[[], int] = wall_ms
+    _crashed_ms: int = 0
+    _check: "asyncio.Task[int] | None" = None
+
+    @classmethod
+    def from_url(cls, url: str) -> "EngineCrashes":
+        """Return the state for the engine at a base URL."""
+        parts = urlsplit(url)
+        address = f"{parts.hostname}:{parts.port or 80}"
+        return cls(address=address, pool=ConnectionPool(max_idle=0))
+
+    def on_answering(self) -> None:
+        """Record that the engine answers; the next crash is another one."""
+        self._crashed_ms = 0
+
+    async def crash_ms(self) -> int:
+        """Return the wall time at which the engine was found crashed, 0 if it was not.
+
+        It is the same for all answers that one crash broke off.
+        """
+        if self._crashed_ms:
+            return self._crashed_ms
+        if self._check is None or self._check.done():
+            self._check = asyncio.ensure_future(self._find_out())
+        return await asyncio.shield(self._check)
+
+    async def _find_out(self) -> int:
+        try:
+            await self.pool.check(self.address, timeout_s=CHECK_TIMEOUT_S)
+        except ConnectRefusedError:
+            self._crashed_ms = self.wall_ms()
+        except ConnectError:
+            # A host that is too busy to accept a connection tells nothing.
+            return 0
+        return self._crashed_ms
--- a/packages/wasabilb-agent/src/wasabilb_agent/model_calls.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/model_calls.py
@@ -16,6 +16,7 @@
 
 from wasabilb_agent._http_stream import ExchangeStoppedError
 from wasabilb_agent.engine_client import EngineClient, Finished, Tokens
+from wasabilb_agent.engine_crashes import EngineCrashes
 from wasabilb_agent.outgoing_answer import OutgoingAnswer
 
 # Largest size class of short work in `short_first`, in predicted tokens.
@@ -53,6 +54,8 @@
         Returns whether the engine serves a variant that the tickets allow.
     progress_s : float
         Longest time without data from the engine within an answer, seconds.
+    crashes : EngineCrashes or None
+        Tells whether the engine has crashed; None if nobody needs to know.
     """
 
     def __init__(
@@ -63,8 +66,10 @@
         is_servable: Callable[[str], bool],
         progress_s: float,
         metrics: Metrics,
+        crashes: EngineCrashes | None = None,
     ) -> None:
         self._engine = engine
+        self._crashes = crashes
         self._make_queue = make_queue
         self._is_servable = is_servable
         self._progress_s = progress_s
@@ -231,7 +236,7 @@
                 on_head=lambda variant: self._on_head(run, variant),
                 on_tokens=lambda tokens: self._on_tokens(run, tokens),
             )
-            self._on_result(run, result)
+            await self._on_result(run, result)
         except (ExchangeStoppedError, ValueError, KeyError, TypeError) as exc:
             self._on_aborted(run, exc)
         finally:
@@ -268,9 +273,13 @@
             self._metrics.count(Metric.PREEMPTIONS)
             raise ExchangeStoppedError
 
-    def _on_result(self, run: _Run, result: Result[Finished, Error]) -> None:
+    async def _on_result(self, run: _Run, result: Result[Finished, Error]) -> None:
         if isinstance(result, Failure):
-            run.answer.fail(result.failure())
+            error = result.failure()
+            crash_ms = 0
+            if self._crashes is not None and error.kind is ErrorKind.STREAM_BROKEN:
+                crash_ms = await self._crashes.crash_ms()
+            run.answer.fail(error, crash_ms=crash_ms)
         else:
             finished = result.unwrap()
             run.answer.end(position=finished.position, reason=finished.reason)
--- a/packages/wasabilb-agent/src/wasabilb_agent/outgoing_answer.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/outgoing_answer.py
@@ -85,8 +85,8 @@
         timestamp = to_wire(self._log.timestamp())
         self.peer.send(End(id=self.call.id, position=position, finish_reason=reason, hlc=timestamp))
 
-    def fail(self, error: Error) -> None:
-        """End the answer with an error."""
+    def fail(self, error: Error, *, crash_ms: int = 0) -> None:
+        """End the answer with an error, and tell when the engine was found crashed, if it was."""
         if self.is_ended:
             return
         self._close()
@@ -98,6 +98,7 @@
                 detail=error.detail,
                 outcome=error.effective_outcome.value,
                 retry_after_ms=retry_after_ms,
+                crash_ms=crash_ms,
             )
         )
 
--- a/packages/wasabilb-agent/src/wasabilb_agent/process.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/process.py
@@ -26,6 +26,7 @@
 from wasabilb_agent._participants import TicketParticipants
 from wasabilb_agent._store_client import StoreClient
 from wasabilb_agent.engine_client import EngineClient, EngineStatus
+from wasabilb_agent.engine_crashes import EngineCrashes
 from wasabilb_agent.model_calls import ModelCalls
 from wasabilb_agent.outgoing_answer import OutgoingAnswer
 from wasabilb_agent.ownership_exchange import OwnershipExchange
@@ -159,12 +160,14 @@
             metrics=self.node.metrics,
             on_status=self._on_status,
         )
+        self._crashes = EngineCrashes.from_url(url)
         self._model_calls = ModelCalls(
             engine=engine,
             make_queue=self._make_queue,
             is_servable=self._reconciler.is_servable,
             progress_s=self._cfg.timeouts.progress_s,
             metrics=self.node.metrics,
+            crashes=self._crashes,
         )
 
     def _build_service(self, url: str, name: str, incarnation: int) -> None:
@@ -250,6 +253,7 @@
 
     def _on_status(self, status: EngineStatus) -> None:
         if self._model_calls is not None:
+            self._crashes.on_answering()
             self._model_calls.set_slots(status.slots)
             self._model_calls.start_waiting_calls()
         self._send_report(only_changed=True)
--- a/packages/wasabilb-core/src/wasabilb_core/peering.py
+++ b/packages/wasabilb-core/src/wasabilb_core/peering.py
@@ -70,6 +70,11 @@
     return peers - {own.address}
 
 
+def is_hub(own: EntryPlace, places: Collection[EntryPlace]) -> bool:
+    """Return whether a process passes news on between processes that are not linked."""
+    return own.address in hubs(places, own.failure_domain)
+
+
 def limit_collectors(
     own: EntryPlace, places: Collection[EntryPlace], is_linked: Callable[[str], bool]
 ) -> list[str]:
--- a/packages/wasabilb-entry/src/wasabilb_entry/agent_attempts.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/agent_attempts.py
@@ -6,6 +6,7 @@
 from typing import TypeAlias
 
 import attrs
+from wasabilb_core.attempts import AnswerProgress
 from wasabilb_core.errors import Error, ErrorKind, Outcome
 from wasabilb_node.clock import now, wall_ms
 from wasabilb_node.hlc_encoding import from_wire, to_wire
@@ -44,6 +45,11 @@
         self.has_data = False
         self.is_withdrawal_requested = False
         self.is_moved = False
+        # When the agent found its engine crashed, wall time in milliseconds, 0 if it did not.
+        self.crash_ms = 0
+        self.head_at: float | None = None
+        # Parts of the prompt that this attempt probes.
+        self.probed: frozenset[int] = frozenset()
 
     @property
     def host(self) -> str:
@@ -84,6 +90,13 @@
             data.append(self._parts.popleft())  # type: ignore[arg-type]
         return data
 
+    @property
+    def progress(self) -> AnswerProgress:
+        """Return how far the answer has come."""
+        if self.has_data:
+            return AnswerProgress.BEGUN
+        return AnswerProgress.WAITING if self.head_at is None else AnswerProgress.STARTED
+
     @property
     def has_error_next(self) -> bool:
         """Return whether the next part is an error."""
@@ -227,6 +240,7 @@
     def _on_fail(self, peer: Peer, fail: Fail) -> None:
         attempt = self._find_attempt(peer, fail.id)
         if attempt is not None:
+            attempt.crash_ms = fail.crash_ms
             attempt.on_part(_to_error(fail))
 
     def _on_link_down(self, peer: Peer) -> None:
--- a/packages/wasabilb-entry/src/wasabilb_entry/crash_exchange.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/crash_exchange.py
@@ -2,13 +2,11 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from wasabilb_core.crash_reports import CrashReport
 from wasabilb_core.crashing_parts import CrashingParts
-from wasabilb_core.entry_roster import EntryPlace, EntryRoster
-from wasabilb_core.peering import hubs
 from wasabilb_core.prompt_parts import parts_text
-from wasabilb_core.topology import MAX_MESH_HOSTS
 from wasabilb_node.clock import now
 from wasabilb_node.links import LinkManager, Peer
 from wasabilb_node.logs import EventLog
@@ -31,10 +29,10 @@
         Parts of prompts as this process knows them.
     links : LinkManager
         Links to peers.
-    roster : EntryRoster
-        The known entry processes.
-    own : EntryPlace
-        This process.
+    has_full_mesh : callable
+        Returns whether all entry processes are linked with each other.
+    is_relay : callable
+        Returns whether this process passes news on where they are not.
     log : EventLog
         Receives an event for each part that is blocked or cleared.
     rng : random.Random
@@ -46,15 +44,15 @@
         *,
         parts: CrashingParts,
         links: LinkManager,
-        roster: EntryRoster,
-        own: EntryPlace,
+        has_full_mesh: Callable[[], bool],
+        is_relay: Callable[[], bool],
         log: EventLog,
         rng: random.Random,
     ) -> None:
         self._parts = parts
         self._links = links
-        self._roster = roster
-        self._own = own
+        self._has_full_mesh = has_full_mesh
+        self._is_relay = is_relay
         self._log = log
         self._rng = rng
         self._is_repeating = False
@@ -142,7 +140,7 @@
         )
         if news != CrashNotice():
             self._start_repeating()
-            if self._is_hub():
+            if not self._has_full_mesh() and self._is_relay():
                 self._tell(news, skip=peer)
 
     def _correct(self, notice: CrashNotice) -> None:
@@ -152,8 +150,8 @@
         known = {part for part in told if self._parts.has_answered(part, now())}
         if known - self._pending_corrections:
             self._pending_corrections |= known
-            is_large = len(self._roster) > MAX_MESH_HOSTS
-            delay_s = self._rng.uniform(0.0, CORRECTION_SPREAD_S) if is_large else 0.0
+            spread_s = 0.0 if self._has_full_mesh() else CORRECTION_SPREAD_S
+            delay_s = self._rng.uniform(0.0, spread_s)
             asyncio.get_running_loop().call_later(delay_s, self._send_corrections)
 
     def _send_corrections(self) -> None:
@@ -161,13 +159,6 @@
         if parts:
             self._tell(CrashNotice(cleared=sorted(parts)))
 
-    def _is_hub(self) -> bool:
-        """Return whether this process passes news on, as not all processes are linked."""
-        places = self._roster.places()
-        if len(places) <= MAX_MESH_HOSTS:
-            return False
-        return self._own.address in hubs(places, self._own.failure_domain)
-
     def _apply_crash(self, report: CrashReport, peer: str) -> bool:
         moment = now()
         before = self._parts.blocked_parts(moment)
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -11,8 +11,9 @@
 from wasabilb_core.catalog import Catalog
 from wasabilb_core.crashing_parts import CrashingParts
 from wasabilb_core.entry_roster import EntryPlace
-from wasabilb_core.peering import entry_peers
+from wasabilb_core.peering import entry_peers, is_hub
 from wasabilb_core.runner_limits import RunnerLimits
+from wasabilb_core.topology import MAX_MESH_HOSTS
 from wasabilb_node.clock import now
 from wasabilb_node.http_client import ConnectionPool
 from wasabilb_node.links import Peer
@@ -142,8 +143,11 @@
         self._crash_exchange = CrashExchange(
             parts=parts,
             links=self._node.links,
-            roster=self._node.roster,
-            own=EntryPlace(address=cfg.links_address, failure_domain=cfg.failure_domain),
+            has_full_mesh=lambda: len(self._node.roster) <= MAX_MESH_HOSTS,
+            is_relay=lambda: is_hub(
+                EntryPlace(address=cfg.links_address, failure_domain=cfg.failure_domain),
+                self._node.roster.places(),
+            ),
             log=self.log,
             rng=self._node.rng,
         )
--- a/packages/wasabilb-entry/src/wasabilb_entry/model_requests.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/model_requests.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import json
+import math
 import random
 from collections.abc import AsyncGenerator, AsyncIterator
 
 import attrs
 from returns.result import Failure, Success
+from wasabilb_core.crashing_parts import SURVIVED_S
 from wasabilb_core.errors import Error, ErrorKind, Outcome
 from wasabilb_core.membership import Membership
 from wasabilb_core.metric_names import Metric
@@ -22,6 +24,7 @@
 
 from wasabilb_entry.agent_attempts import Attempt, AttemptTable, Part
 from wasabilb_entry.attempt_watch import AttemptWatch, MovableRequest
+from wasabilb_entry.prompt_guard import CrashedAttempt, PromptGuard
 from wasabilb_entry.prompts import ModelPrompt
 from wasabilb_entry.request_state import MOVABLE, OVERLOADS, REFUSALS, AnswerPart, RequestState
 from wasabilb_entry.requests import CallerRequest, RequestFailedError, RequestRecord, new_error
@@ -58,6 +61,8 @@
         Window of one answer: bytes that may be buffered for a slow caller.
     progress_s : float
         Longest silence within an answer, in seconds.
+    guard : PromptGuard
+        Protects runners from prompts that crash them.
     """
 
     def __init__(
@@ -75,7 +80,9 @@
         log: EventLog,
         credit_bytes: int,
         progress_s: float,
+        guard: PromptGuard,
     ) -> None:
+        self._guard = guard
         self._selector = RunnerSelector(
             membership=membership, attempts=attempts, routing=routing, rng=rng
         )
@@ -141,7 +148,13 @@
             has_other_runner=has_other_runner,
         )
         state = RequestState(
-            req=req, prompt=prompt, record=record, route=route, movable=movable, cursor=cursor
+            req=req,
+            prompt=prompt,
+            record=record,
+            route=route,
+            movable=movable,
+            cursor=cursor,
+            parts=prompt.shared_parts,
         )
         return state
 
@@ -156,10 +169,15 @@
             if chosen is None:
                 raise self._final_error(state)
             host, variant = chosen
+            probed = self._guard.begin(state.parts)
+            if probed is None:
+                raise self._refusal(state)
             attempt = self._attempts.start(host, self._to_call(state, variant))
             if attempt is None:
+                self._guard.on_probe_ended(probed)
                 state.excluded.add(host)
                 continue
+            attempt.probed = probed
             state.pinned_variant = variant
             state.avoided_host = ""
             state.record.attempts += 1
@@ -238,6 +256,8 @@
 
     def _start_hedge(self, state: RequestState, first: Attempt) -> Attempt | None:
         """Send the second attempt to another runner of the same variant."""
+        if not self._guard.may_hedge(state.parts):
+            return None
         pinned_variant, state.excluded = state.pinned_variant, state.excluded | {first.host}
         chosen = self._selector.choose(state)
         state.excluded.discard(first.host)
@@ -264,6 +284,7 @@
                 self._record_times(attempt, last_at, moment)
                 last_at = moment
                 # Parts that wait together are combined into one event and one write.
+                self._check_survival(state, attempt, moment)
                 parts = [part, *attempt.take_waiting_data()]
                 texts, error = self._accept_all(state, parts)
                 state.record.tokens = state.cursor.position
@@ -274,6 +295,7 @@
                 continue
             if isinstance(part, Head):
                 has_head = True
+                attempt.head_at = now()
                 continue
             if isinstance(part, End) and isinstance(
                 state.cursor.on_end(position=part.position), Failure
@@ -281,6 +303,7 @@
                 part = Error(kind=ErrorKind.STREAM_BROKEN, detail="the answer ended too early")
             if isinstance(part, End):
                 state.last_error = None
+                self._guard.on_answer_going_on(state.parts)
                 yield AnswerPart(reason=part.finish_reason)
                 return
             state.last_error = attempt.error = self._to_error(state, part)
@@ -299,6 +322,40 @@
             texts += _JSON_DECODER.decode(part.payload.decode())[accepted.unwrap().skip :]
         return texts, None
 
+    def _check_survival(self, state: RequestState, attempt: Attempt, moment: float) -> None:
+        """Clear the parts of a prompt once its answer has gone on for long enough."""
+        if attempt.head_at is not None and moment - attempt.head_at >= SURVIVED_S:
+            attempt.head_at = math.inf
+            self._guard.on_answer_going_on(state.parts)
+
+    def _refusal(self, state: RequestState) -> RequestFailedError:
+        """Return the error for a request whose prompt must not be sent now."""
+        error = self._guard.refusal(state.parts)
+        if error is None:
+            # Another request became the probe of the part in this moment.
+            error = Error(kind=ErrorKind.PROMPT_PROBED, detail="a part of the prompt is probed")
+        if state.may_have_run:
+            error = Error(kind=ErrorKind.OUTCOME_UNKNOWN, detail=error.detail)
+        return RequestFailedError(error)
+
+    def _tell_guard(self, state: RequestState, attempt: Attempt) -> None:
+        """Report the end of an attempt."""
+        probed, attempt.probed = attempt.probed, frozenset()
+        if not attempt.crash_ms or not state.parts:
+            self._guard.on_probe_ended(probed)
+            return
+        self._guard.on_crash(
+            CrashedAttempt(
+                request_id=state.req.id,
+                runner_id=attempt.host,
+                born_ms=attempt.crash_ms,
+                parts=state.parts,
+                probed=probed,
+                progress=attempt.progress,
+            ),
+            now(),
+        )
+
     def _record_times(self, attempt: Attempt, last_at: float, moment: float) -> None:
         if not attempt.has_data:
             attempt.has_data = True
@@ -370,6 +427,7 @@
 
     def _finish_attempt(self, state: RequestState, attempt: Attempt) -> None:
         self._attempts.finish(attempt)
+        self._tell_guard(state, attempt)
         if self._watch is not None:
             self._watch.remove(attempt)
         state.may_have_run = state.may_have_run or attempt.may_have_run
--- a/packages/wasabilb-entry/src/wasabilb_entry/process.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/process.py
@@ -14,6 +14,7 @@
 from wasabilb_core.account_keys import AccountKeyVerifier
 from wasabilb_core.account_limits import AccountLimiter
 from wasabilb_core.admission import Admission, AdmissionOptions
+from wasabilb_core.crashing_parts import CrashingParts
 from wasabilb_core.errors import Error
 from wasabilb_core.membership import HostReport
 from wasabilb_core.metric_names import Metric
@@ -22,6 +23,7 @@
 from wasabilb_core.settings import EntrySettings, plaintext_warnings
 from wasabilb_core.size_predictor import SizePredictor
 from wasabilb_core.tickets import HostRole
+from wasabilb_core.topology import MAX_MESH_HOSTS
 from wasabilb_node.clock import now, wall_ms
 from wasabilb_node.lifecycle import run_until_signal
 from wasabilb_node.links import Peer
@@ -34,8 +36,10 @@
 from wasabilb_entry.agent_attempts import AttemptTable
 from wasabilb_entry.attempt_watch import AttemptWatch
 from wasabilb_entry.bounded_server import BoundedServer, ConnectionLimits
+from wasabilb_entry.crash_exchange import CrashExchange
 from wasabilb_entry.entry import Entry
 from wasabilb_entry.model_requests import ModelRouter
+from wasabilb_entry.prompt_guard import PromptGuard
 from wasabilb_entry.service_requests import ServiceRouter
 from wasabilb_entry.usage_exchange import UsageExchange
 
@@ -72,6 +76,7 @@
             incarnation=f"{incarnation:x}",
         )
         self.node = Node(cfg=cfg, role=HostRole.ENTRY, incarnation=incarnation, log=self.log)
+        self._guard = self._build_guard()
         self.entry = self._build_entry(incarnation)
         self._usage_exchange = UsageExchange(
             fleet=self.node.fleet,
@@ -145,6 +150,7 @@
             log=self.log,
             credit_bytes=cfg.limits.stream_credit_bytes,
             progress_s=cfg.timeouts.progress_s,
+            guard=self._guard,
         )
         services = ServiceRouter(
             fleet=node.fleet,
@@ -174,6 +180,22 @@
             max_header_bytes=cfg.limits.header_bytes,
         )
 
+    def _build_guard(self) -> PromptGuard:
+        fleet, parts = self.node.fleet, CrashingParts()
+
+        def has_full_mesh() -> bool:
+            return sum(host.is_entry for host in fleet.hosts()) <= MAX_MESH_HOSTS
+
+        exchange = CrashExchange(
+            parts=parts,
+            links=self.node.links,
+            has_full_mesh=has_full_mesh,
+            is_relay=lambda: True,
+            log=self.log,
+            rng=self._rng,
+        )
+        return PromptGuard(parts=parts, exchange=exchange, log=self.log)
+
     def _build_server(self) -> BoundedServer:
         limits = self._cfg.limits
         server = BoundedServer(
--- a/packages/wasabilb-entry/src/wasabilb_entry/prompt_guard.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/prompt_guard.py
@@ -55,6 +55,26 @@
     is_success: bool
 
 
+@frozen(kw_only=True)
+class CrashedAttempt:
+    """An attempt that a crash of its runner has ended; see `GuardedAttempt`.
+
+    Parameters
+    ----------
+    runner_id : str
+        The runner.
+    born_ms : int
+        Number that tells its crashes apart.
+    """
+
+    request_id: str
+    runner_id: str
+    born_ms: int
+    parts: tuple[int, ...]
+    probed: frozenset[int]
+    progress: AnswerProgress
+
+
 @define(kw_only=True, eq=False)
 class PromptGuard:
     """Decides which requests may be sent, and learns from the ends of attempts.
@@ -65,8 +85,8 @@
         Parts of prompts as this process knows them.
     exchange : CrashExchange
         Tells the other entry processes.
-    detector : CrashDetector
-        Tells crashes of runners from other faults.
+    detector : CrashDetector or None
+        Tells crashes of runners from other faults; None where agents do.
     log : EventLog
         Receives an event for each request that was with a crashed runner.
     on_crash_seen : callable
@@ -75,7 +95,7 @@
 
     parts: CrashingParts
     exchange: CrashExchange
-    detector: CrashDetector
+    detector: CrashDetector | None = None
     log: EventLog
     on_crash_seen: Callable[[], None] = lambda: None
 
@@ -101,6 +121,15 @@
             )
         return None
 
+    def may_hedge(self, parts: tuple[int, ...]) -> bool:
+        """Return whether a request may be with two runners: not if its prompt may crash them."""
+        return not parts or self.parts.decide(parts, now()) is PartDecision.SEND
+
+    def on_probe_ended(self, probed: frozenset[int]) -> None:
+        """Record that a probe has ended without a result."""
+        if probed:
+            self.exchange.on_probe_ended(probed)
+
     def begin(self, parts: tuple[int, ...]) -> frozenset[int] | None:
         """Record that a request is being sent and return the parts that it probes.
 
@@ -125,25 +154,41 @@
             at = now()
             on_crash = partial(self._on_crash, attempt, at)
             suspects = self.parts.uncleared(attempt.parts, at)
-            if suspects and await self.detector.has_crashed(attempt.runner, on_crash):
+            has_crashed = self.detector.has_crashed if suspects and self.detector else None
+            if has_crashed is not None and await has_crashed(attempt.runner, on_crash):
                 on_crash()
                 return
-        if attempt.probed:
-            self.exchange.on_probe_ended(attempt.probed)
+        self.on_probe_ended(attempt.probed)
 
     def on_report(self, runner: Runner, report: RunnerReport) -> None:
         """Process a report of the agent beside a runner that is in service."""
         if not report.is_reachable or report.born_ms > runner.born_ms:
             self.parts.on_runner_ended(runner.id, runner.born_ms, now())
-            self.detector.on_runner_ended(runner)
+            if self.detector is not None:
+                self.detector.on_runner_ended(runner)
 
     def _on_crash(self, attempt: GuardedAttempt, at: float) -> None:
+        runner = attempt.runner
+        self.on_crash(
+            CrashedAttempt(
+                request_id=attempt.request_id,
+                runner_id=runner.id,
+                born_ms=runner.born_ms,
+                parts=attempt.parts,
+                probed=attempt.probed,
+                progress=attempt.progress,
+            ),
+            at,
+        )
+
+    def on_crash(self, attempt: CrashedAttempt, at: float) -> None:
+        """Process an attempt that a crash of its runner has ended at a time."""
         moment = now()
         suspects = self.parts.uncleared(attempt.parts, moment)[:MAX_REPORTED_PARTS]
         self.on_crash_seen()
         self.log.event(
             "runner_crashed",
-            runner=attempt.runner.id,
+            runner=attempt.runner_id,
             request=attempt.request_id,
             answer=attempt.progress.value,
             parts=parts_text(suspects) or None,
@@ -152,8 +197,8 @@
         has_started = attempt.progress is AnswerProgress.STARTED
         self.exchange.on_crash(
             CrashReport(
-                runner=attempt.runner.id,
-                born_ms=attempt.runner.born_ms,
+                runner=attempt.runner_id,
+                born_ms=attempt.born_ms,
                 age_s=moment - at,
                 started=suspects if has_started else [],
                 waiting=[] if has_started else suspects,
--- a/packages/wasabilb-entry/src/wasabilb_entry/prompts.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/prompts.py
@@ -61,6 +61,13 @@
             hashes.append(hasher.intdigest())
         return tuple(hashes)
 
+    @property
+    def shared_parts(self) -> tuple[int, ...]:
+        """Return the parts that other prompts may share: the prefixes but for the whole prompt."""
+        hashes = self.prefix_hashes
+        is_whole = len(self.prompt) == len(hashes) * PREFIX_BLOCK_CHARS
+        return hashes[:-1] if is_whole else hashes
+
     def to_engine_body(self, variant: Variant) -> bytes:
         """Return the engine's request without the fields that differ between attempts."""
         body = {
--- a/packages/wasabilb-entry/src/wasabilb_entry/request_state.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/request_state.py
@@ -47,6 +47,8 @@
     route: RouteRequest
     movable: MovableRequest
     cursor: StreamCursor
+    # Parts of the prompt that other requests may share.
+    parts: tuple[int, ...] = ()
     pinned_variant: Variant | None = None
     excluded: set[str] = field(factory=set)
     avoided_host: str = ""
--- a/packages/wasabilb-wire/src/wasabilb_wire/messages.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/messages.py
@@ -202,13 +202,18 @@
 
 @frozen(kw_only=True, slots=True)
 class Fail(Message):
-    """The attempt failed; `kind` and `outcome` are values of the core's enumerations."""
+    """The attempt failed; `kind` and `outcome` are values of the core's enumerations.
+
+    `crash_ms` is the wall time in milliseconds at which the agent found its engine crashed, 0 if it
+    did not crash; it is the same for all attempts that one crash ended.
+    """
 
     id: int
     kind: str
     detail: str
     outcome: str = ""
     retry_after_ms: int = 0
+    crash_ms: int = 0
 
 
 @frozen(kw_only=True, slots=True)
--- a/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
+++ b/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
@@ -159,6 +159,7 @@
   detail @2 :Text;
   outcome @3 :Text;
   retryAfterMs @4 :UInt32;
+  crashMs @5 :UInt64;
 }
 
 struct Release {
