--- a/features/processes.feature
+++ b/features/processes.feature
@@ -25,6 +25,13 @@
     And the traffic had answers from other hosts meanwhile
     And no promise is broken
 
+  Scenario: A prompt crashes the engines that begin an answer on it
+    Guards against a request, its retries and the repeats of callers that end one engine after the
+    other, at all entry processes.
+    When 9 requests with a text that crashes engines and as many without it come to all entry hosts in turn
+    Then at most 5 engines crash, and the last requests with the text are refused as not run
+    And the requests without it are answered
+
   Scenario: Two agents are paused and wake late
     Guards against streams that hang with a paused host, and against work that runs again or frames
     that reach another request after it resumes.
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -1,11 +1,13 @@
 """Steps about failures of processes and links, on real processes."""
 
 import asyncio
+import json
 import signal
 import time
 
 from behave import given, then, when
 from fleet_harness import FleetHarness, check_whole
+from tornado.httpclient import AsyncHTTPClient
 
 HARNESSES = {}
 
@@ -119,6 +121,60 @@
     assert {rec.kind for rec in whole} >= {"short", "issued"}, during
 
 
+@when(
+    "{count:d} requests with a text that crashes engines and as many without it come to all entry "
+    "hosts in turn"
+)
+def crash_engines(context, count):
+    harness = context.harness
+    fleet = harness.fleet
+    text = "this block crashes engines".ljust(64, "!")
+    system = "You help salons and donors. ".ljust(128, ".")
+    key = next(iter(fleet.account_keys.values()))
+
+    async def complete(address, prompt):
+        body = json.dumps({"model": "draft", "prompt": prompt, "max_tokens": 5})
+        headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+        response = await AsyncHTTPClient().fetch(
+            f"http://{address}/v1/completions",
+            method="POST",
+            headers=headers,
+            body=body,
+            raise_error=False,
+        )
+        return response.code, json.loads(response.body)
+
+    async def run():
+        for number in range(12):
+            address = fleet.entry_hosts[number % len(fleet.entry_hosts)].callers
+            await complete(address, f"{system}{'good'.ljust(64)}{number} tail")
+        for host in fleet.runners:
+            host.engine.set_faults(crash_text=text, crash_s=0.5)
+        context.bad, context.sound = [], []
+        for number in range(count):
+            address = fleet.entry_hosts[number % len(fleet.entry_hosts)].callers
+            context.bad.append(await complete(address, f"{system}{text}{number} tail"))
+            context.sound.append(await complete(address, f"{system}{'good'.ljust(64)}{number}"))
+        await asyncio.sleep(1)
+        context.crashes = sum(host.engine.crashes for host in fleet.runners)
+
+    harness.run(run())
+
+
+@then("at most {most:d} engines crash, and the last requests with the text are refused as not run")
+def check_engines(context, most):
+    assert context.crashes <= most, (context.crashes, context.bad)
+    for status, problem in context.bad[-3:]:
+        found = (status, problem["type"].rpartition(":")[2], problem["outcome"])
+        assert found == (400, "prompt-blocked", "not-run"), context.bad
+
+
+@then("the requests without it are answered")
+def check_sound_answers(context):
+    statuses = [status for status, _ in context.sound]
+    assert statuses == [200] * len(statuses), (statuses, context.crashes)
+
+
 @when("{count:d} long streams and {bookings:d} bookings run and their busiest agents are paused")
 def step_pause(context, count, bookings):
     async def scene():
--- a/packages/wasabilb-standins/src/wasabilb_standins/_engine_settings.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/_engine_settings.py
@@ -60,6 +60,10 @@
         Close an answer's connection after this many tokens.
     die_answers : int
         Number of answers that `die_after_tokens` applies to; -1 is all.
+    crash_text : str
+        Crash when an answer to a prompt with this text begins; empty for never.
+    crash_s : float
+        Time until a crashed engine accepts connections again.
     refuse_orders : bool
         Refuse orders with 503.
     delay_next_order_s : float
@@ -70,5 +74,7 @@
     stall: bool = field(default=False, validator=instance_of(bool))
     die_after_tokens: int | None = field(default=None, validator=optional(instance_of(int)))
     die_answers: int = field(default=1, validator=instance_of(int))
+    crash_text: str = field(default="", validator=instance_of(str))
+    crash_s: float = field(default=1.0, converter=float)
     refuse_orders: bool = field(default=False, validator=instance_of(bool))
     delay_next_order_s: float = field(default=0.0, converter=float)
