An operator can lift blocked parts of prompts from the command line

'wasabilb lift ADDRESS [--part PART]' lets one request through as the probe; the process tells the others. It asks the operators' listener of the product, and the metrics address on the platform. Test: in the scenario with real processes the block is lifted at one of three entry hosts by the command, and a request with the text is answered at each of them.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -31,6 +31,8 @@
     When 9 requests with a text that crashes engines and as many without it come to all entry hosts in turn
     Then at most 5 engines crash, and the last requests with the text are refused as not run
     And the requests without it are answered
+    When the engines no longer crash and an operator lifts the block at one entry host
+    Then a request with the text is answered at each entry host
 
   Scenario: Two agents are paused and wake late
     Guards against streams that hang with a paused host, and against work that runs again or frames
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+import sys
 import time
 
 from behave import given, then, when
@@ -144,6 +145,8 @@
         )
         return response.code, json.loads(response.body)
 
+    context.complete, context.bad_prompt = complete, system + text
+
     async def run():
         for number in range(12):
             address = fleet.entry_hosts[number % len(fleet.entry_hosts)].callers
@@ -169,6 +172,38 @@
         assert found == (400, "prompt-blocked", "not-run"), context.bad
 
 
+@when("the engines no longer crash and an operator lifts the block at one entry host")
+def lift_block(context):
+    harness = context.harness
+    for host in harness.fleet.runners:
+        host.engine.set_faults(crash_text="")
+
+    async def run():
+        command = [
+            sys.executable,
+            "-m",
+            "wasabilb_entry",
+            "lift",
+            harness.fleet.entry_hosts[0].admin,
+        ]
+        process = await asyncio.create_subprocess_exec(*command, stdout=asyncio.subprocess.PIPE)
+        output, _ = await process.communicate()
+        assert process.returncode == 0 and b"lifted " in output, output
+        assert b"nothing" not in output, output
+        await asyncio.sleep(0.2)
+        context.bad = [
+            await context.complete(host.callers, f"{context.bad_prompt} again")
+            for host in harness.fleet.entry_hosts
+        ]
+
+    harness.run(run())
+
+
+@then("a request with the text is answered at each entry host")
+def check_lifted(context):
+    assert [status for status, _ in context.bad] == [200] * len(context.bad), context.bad
+
+
 @then("the requests without it are answered")
 def check_sound_answers(context):
     statuses = [status for status, _ in context.sound]
--- a/packages/wasabilb-entry/src/wasabilb_entry/cli.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/cli.py
@@ -57,6 +57,23 @@
     return show_status(_require_any(addresses, "ADDRESS"))
 
 
+def lift(*addresses: str, part: str = "") -> int:
+    """Let one request find out whether blocked parts of prompts still crash runners.
+
+    The processes tell all others, so one address is enough. One more crash blocks a part again.
+
+    Parameters
+    ----------
+    addresses : ADDRESS
+        HOST:PORT of the operators' listeners, as in [admin] listen.
+    part : PART
+        The part, in hexadecimal as in the log; all of them if it is missing.
+    """
+    from wasabilb_entry.lift import lift_parts
+
+    return lift_parts(_require_any(addresses, "ADDRESS"), part=part)
+
+
 def timeline(
     *logs: str, request: str = "", ticket: str = "", host: str = "", since: str = ""
 ) -> None:
@@ -133,6 +150,7 @@
         "entry": entry,
         "check": check,
         "status": status,
+        "lift": lift,
         "timeline": timeline,
         "drill": drill,
         "key-hash": key_hash,
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -1,8 +1,10 @@
 """The entry process of a deployment whose runners are called directly."""
 
 import asyncio
+import json
 from collections.abc import Callable
 from functools import partial
+from http.client import responses
 
 import attrs
 from attrs import frozen
@@ -29,6 +31,7 @@
 from wasabilb_entry.fleet_view import FleetLimits, FleetView
 from wasabilb_entry.forwarder import Forwarder
 from wasabilb_entry.gateway_metrics import GatewayMetrics
+from wasabilb_entry.lift import LIFT_PATH, part_number
 from wasabilb_entry.limit_exchange import LimitExchange
 from wasabilb_entry.prompt_guard import PromptGuard
 from wasabilb_entry.send_notices import SendNotices
@@ -140,7 +143,7 @@
             log=self.log,
         )
         parts = CrashingParts()
-        self._crash_exchange = CrashExchange(
+        exchange = CrashExchange(
             parts=parts,
             links=self._node.links,
             has_full_mesh=lambda: len(self._node.roster) <= MAX_MESH_HOSTS,
@@ -153,7 +156,7 @@
         )
         self._guard = PromptGuard(
             parts=parts,
-            exchange=self._crash_exchange,
+            exchange=exchange,
             detector=CrashDetector(
                 pool=self._pool, may_receive=self._published.directory.may_receive
             ),
@@ -247,6 +250,9 @@
         _send_answer(req, 200 if self.is_ready else 503, b"")
 
     def _answer_metrics(self, req: HTTPServerRequest) -> None:
+        if req.path == LIFT_PATH and req.method == "POST":
+            self._answer_lift(req)
+            return
         text = self._metrics.text(
             in_progress=self._forwarder.in_progress,
             revision=self._published.revision,
@@ -255,6 +261,16 @@
         )
         _send_answer(req, 200, text)
 
+    def _answer_lift(self, req: HTTPServerRequest) -> None:
+        """Lift blocked parts by the word of an operator, as the command `lift` asks."""
+        try:
+            part = part_number(req.arguments.get("part", [b""])[0].decode("ascii", "replace"))
+        except ValueError:
+            _send_answer(req, 400, b"")
+            return
+        lifted = self._guard.lift(part=part, reason="operator")
+        _send_answer(req, 200, json.dumps({"lifted": [f"{p:x}" for p in lifted]}).encode())
+
     async def _tick(self) -> None:
         self._node.tick(self._select_targets())
         self._pool.sweep()
@@ -297,7 +313,7 @@
 
     def _on_weights_named(self, model: str) -> None:
         """Let probes find out whether new weights end crashes, once all runners have them."""
-        lift = partial(self._crash_exchange.lift, part=None, before=now(), reason="new weights")
+        lift = partial(self._guard.lift, before=now(), reason="new weights")
         asyncio.get_running_loop().call_later(self._cfg.limits.version_s, lift)
 
     def _on_send_notice(self, peer: Peer, notice: SendNotice) -> None:
@@ -313,7 +329,7 @@
 
 def _send_answer(req: HTTPServerRequest, status: int, body: bytes) -> None:
     assert req.connection is not None
-    reason = "OK" if status == 200 else "Service Unavailable"
+    reason = responses[status]
     headers = HTTPHeaders({"Content-Length": str(len(body))})
     req.connection.write_headers(ResponseStartLine("HTTP/1.1", status, reason), headers, body)
     req.connection.finish()
--- a/packages/wasabilb-entry/src/wasabilb_entry/model_requests.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/model_requests.py
@@ -82,7 +82,7 @@
         progress_s: float,
         guard: PromptGuard,
     ) -> None:
-        self._guard = guard
+        self.guard = guard
         self._selector = RunnerSelector(
             membership=membership, attempts=attempts, routing=routing, rng=rng
         )
@@ -169,12 +169,12 @@
             if chosen is None:
                 raise self._final_error(state)
             host, variant = chosen
-            probed = self._guard.begin(state.parts)
+            probed = self.guard.begin(state.parts)
             if probed is None:
                 raise self._refusal(state)
             attempt = self._attempts.start(host, self._to_call(state, variant))
             if attempt is None:
-                self._guard.on_probe_ended(probed)
+                self.guard.on_probe_ended(probed)
                 state.excluded.add(host)
                 continue
             attempt.probed = probed
@@ -256,7 +256,7 @@
 
     def _start_hedge(self, state: RequestState, first: Attempt) -> Attempt | None:
         """Send the second attempt to another runner of the same variant."""
-        if not self._guard.may_hedge(state.parts):
+        if not self.guard.may_hedge(state.parts):
             return None
         pinned_variant, state.excluded = state.pinned_variant, state.excluded | {first.host}
         chosen = self._selector.choose(state)
@@ -303,7 +303,7 @@
                 part = Error(kind=ErrorKind.STREAM_BROKEN, detail="the answer ended too early")
             if isinstance(part, End):
                 state.last_error = None
-                self._guard.on_answer_going_on(state.parts)
+                self.guard.on_answer_going_on(state.parts)
                 yield AnswerPart(reason=part.finish_reason)
                 return
             state.last_error = attempt.error = self._to_error(state, part)
@@ -326,11 +326,11 @@
         """Clear the parts of a prompt once its answer has gone on for long enough."""
         if attempt.head_at is not None and moment - attempt.head_at >= SURVIVED_S:
             attempt.head_at = math.inf
-            self._guard.on_answer_going_on(state.parts)
+            self.guard.on_answer_going_on(state.parts)
 
     def _refusal(self, state: RequestState) -> RequestFailedError:
         """Return the error for a request whose prompt must not be sent now."""
-        error = self._guard.refusal(state.parts)
+        error = self.guard.refusal(state.parts)
         if error is None:
             # Another request became the probe of the part in this moment.
             error = Error(kind=ErrorKind.PROMPT_PROBED, detail="a part of the prompt is probed")
@@ -342,9 +342,9 @@
         """Report the end of an attempt."""
         probed, attempt.probed = attempt.probed, frozenset()
         if not attempt.crash_ms or not state.parts:
-            self._guard.on_probe_ended(probed)
+            self.guard.on_probe_ended(probed)
             return
-        self._guard.on_crash(
+        self.guard.on_crash(
             CrashedAttempt(
                 request_id=state.req.id,
                 runner_id=attempt.host,
--- a/packages/wasabilb-entry/src/wasabilb_entry/operator_pages.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/operator_pages.py
@@ -7,6 +7,7 @@
 from wasabilb_node.clock import now
 
 from wasabilb_entry.entry import Entry
+from wasabilb_entry.lift import part_number
 
 _PAGE = Environment(autoescape=True).from_string("""<!doctype html>
 <html lang="en"><head><meta charset="utf-8"><title>wasabilb {{ status.host }}</title>
@@ -72,6 +73,20 @@
         self.set_header("Cache-Control", "no-store")
 
 
+class LiftHandler(OperatorHandler):
+    """`POST /blocked-parts/lift`: let a probe find out whether parts still crash runners."""
+
+    def post(self) -> None:
+        """Answer with the lifted parts."""
+        try:
+            part = part_number(self.get_query_argument("part", ""))
+        except ValueError:
+            self.set_status(400)
+            return
+        lifted = self.entry.models.guard.lift(part=part, reason="operator")
+        self.write({"lifted": [f"{part:x}" for part in lifted]})
+
+
 class HealthHandler(OperatorHandler):
     """`GET /healthz`: the event loop runs."""
 
--- a/packages/wasabilb-entry/src/wasabilb_entry/process.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/process.py
@@ -38,6 +38,7 @@
 from wasabilb_entry.bounded_server import BoundedServer, ConnectionLimits
 from wasabilb_entry.crash_exchange import CrashExchange
 from wasabilb_entry.entry import Entry
+from wasabilb_entry.lift import LIFT_PATH
 from wasabilb_entry.model_requests import ModelRouter
 from wasabilb_entry.prompt_guard import PromptGuard
 from wasabilb_entry.service_requests import ServiceRouter
@@ -234,6 +235,7 @@
             tornado.web.url(r"/healthz", operator_pages.HealthHandler, args),
             tornado.web.url(r"/readyz", operator_pages.ReadyHandler, args),
             tornado.web.url(r"/status", operator_pages.StatusHandler, args),
+            tornado.web.url(LIFT_PATH, operator_pages.LiftHandler, args),
             tornado.web.url(r"/status\.html", operator_pages.StatusPageHandler, args),
         ]
 
--- a/packages/wasabilb-entry/src/wasabilb_entry/prompt_guard.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/prompt_guard.py
@@ -1,5 +1,6 @@
 """Protects runners from requests whose prompts crash them."""
 
+import math
 from collections.abc import Callable
 from functools import partial
 
@@ -121,6 +122,20 @@
             )
         return None
 
+    def lift(self, *, part: int | None = None, before: float = math.inf, reason: str) -> list[int]:
+        """Let a probe find out whether blocked parts still crash runners, and return these.
+
+        Parameters
+        ----------
+        part : int or None
+            The part, None for all.
+        before : float
+            Only parts that were blocked before this time.
+        reason : str
+            Why, for the log.
+        """
+        return self.exchange.lift(part=part, before=before, reason=reason)
+
     def may_hedge(self, parts: tuple[int, ...]) -> bool:
         """Return whether a request may be with two runners: not if its prompt may crash them."""
         return not parts or self.parts.decide(parts, now()) is PartDecision.SEND
