The entry process of the platform starts without the operators' commands

Cause: the gateway took the path of the lift interface from the module of the command, which imports fire; the platform installs only platform/requirements.txt, and tests run with all packages. So no test showed it. Change: the interface has a module of its own. Test: both programs are loaded while all packages but their requirements are missing; it failed for the entry program before ('fire is not installed there').

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -142,3 +142,13 @@
     # Guards against settings that are read with another meaning or unit.
     When the example of a settings file is read
     Then addresses, rates and bounds have the product's units
+
+  Scenario Outline: What the programs of the platform need
+    # Guards against a module that is not installed there, which ends every process at its start.
+    When the <program> program is loaded with only the packages of its requirements
+    Then it can be loaded
+
+    Examples:
+      | program |
+      | entry   |
+      | agent   |
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import subprocess
 import sys
 from pathlib import Path
 
@@ -457,3 +458,48 @@
     assert boot.link_bits_per_s == 4.7e6 and boot.version_s == 8.0
     assert (boot.retry_ratio, boot.retry_slack, boot.grace_s) == (0.2, 102.0, 8.0)
     assert boot.runner_address == ""
+
+
+# Loads a program while all packages but the named ones and the product's own are missing.
+LOAD_PROGRAM = """
+import subprocess
+import sys
+sys.path[:0] = {paths!r}
+allowed = {allowed!r}
+class Missing:
+    def find_spec(self, name, path=None, target=None):
+        top = name.partition(".")[0]
+        if top in sys.stdlib_module_names or top in allowed or top.startswith("_"):
+            return None
+        raise ModuleNotFoundError(f"{{name}} is not installed there", name=name)
+sys.meta_path.insert(0, Missing())
+import wasabilb_platform.{program}_program
+"""
+# Packages by the names under which they are imported, with those that they need themselves.
+IMPORT_NAMES = {
+    "attrs": ("attr", "attrs"),
+    "pycapnp": ("capnp",),
+    "prometheus-client": ("prometheus_client",),
+}
+
+
+@when("the {program} program is loaded with only the packages of its requirements")
+def load_program(context, program):
+    root = Path(__file__).resolve().parents[2]
+    lines = (root / "platform" / "requirements.txt").read_text().splitlines()
+    names = [line.partition("=")[0].strip().lower() for line in lines if line[:1].isalpha()]
+    allowed = {part for name in names for part in IMPORT_NAMES.get(name.replace("_", "-"), (name,))}
+    allowed |= {"typing_extensions", "wasabilb_platform"}
+    sources = sorted(str(path) for path in root.glob("packages/wasabilb-*/src"))
+    allowed |= {Path(path).parent.name.replace("-", "_") for path in sources}
+    code = LOAD_PROGRAM.format(
+        paths=[str(root / "platform"), *sources], allowed=sorted(allowed), program=program
+    )
+    context.loaded = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=False, timeout=60
+    )
+
+
+@then("it can be loaded")
+def check_loaded(context):
+    assert context.loaded.returncode == 0, context.loaded.stderr[-600:]
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -1,7 +1,6 @@
 """The entry process of a deployment whose runners are called directly."""
 
 import asyncio
-import json
 from collections.abc import Callable
 from functools import partial
 from http.client import responses
@@ -31,7 +30,7 @@
 from wasabilb_entry.fleet_view import FleetLimits, FleetView
 from wasabilb_entry.forwarder import Forwarder
 from wasabilb_entry.gateway_metrics import GatewayMetrics
-from wasabilb_entry.lift import LIFT_PATH, part_number
+from wasabilb_entry.lift_interface import LIFT_PATH, lift_answer
 from wasabilb_entry.limit_exchange import LimitExchange
 from wasabilb_entry.prompt_guard import PromptGuard
 from wasabilb_entry.send_notices import SendNotices
@@ -263,13 +262,9 @@
 
     def _answer_lift(self, req: HTTPServerRequest) -> None:
         """Lift blocked parts by the word of an operator, as the command `lift` asks."""
-        try:
-            part = part_number(req.arguments.get("part", [b""])[0].decode("ascii", "replace"))
-        except ValueError:
-            _send_answer(req, 400, b"")
-            return
-        lifted = self._guard.lift(part=part, reason="operator")
-        _send_answer(req, 200, json.dumps({"lifted": [f"{p:x}" for p in lifted]}).encode())
+        text = req.arguments.get("part", [b""])[0].decode("ascii", "replace")
+        lift = partial(self._guard.lift, reason="operator")
+        _send_answer(req, *lift_answer(text, lambda part: lift(part=part)))
 
     async def _tick(self) -> None:
         self._node.tick(self._select_targets())
--- a/packages/wasabilb-entry/src/wasabilb_entry/lift.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/lift.py
@@ -8,19 +8,9 @@
 from wasabilb_core.settings import check_host_port
 from wasabilb_node.commands import EXIT_FAILED, CommandError
 
-LIFT_PATH = "/blocked-parts/lift"
-_TIMEOUT_S = 3.0
-
+from wasabilb_entry.lift_interface import LIFT_PATH, part_number
 
-def part_number(text: str) -> int | None:
-    """Return the number of a part as the log names it, None for an empty text.
-
-    Raises
-    ------
-    ValueError
-        When it is not hexadecimal.
-    """
-    return int(text, 16) if text else None
+_TIMEOUT_S = 3.0
 
 
 def lift_parts(addresses: list[str], *, part: str) -> int:
--- a/packages/wasabilb-entry/src/wasabilb_entry/operator_pages.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/operator_pages.py
@@ -7,7 +7,7 @@
 from wasabilb_node.clock import now
 
 from wasabilb_entry.entry import Entry
-from wasabilb_entry.lift import part_number
+from wasabilb_entry.lift_interface import lift_answer
 
 _PAGE = Environment(autoescape=True).from_string("""<!doctype html>
 <html lang="en"><head><meta charset="utf-8"><title>wasabilb {{ status.host }}</title>
@@ -78,13 +78,14 @@
 
     def post(self) -> None:
         """Answer with the lifted parts."""
-        try:
-            part = part_number(self.get_query_argument("part", ""))
-        except ValueError:
-            self.set_status(400)
-            return
-        lifted = self.entry.models.guard.lift(part=part, reason="operator")
-        self.write({"lifted": [f"{part:x}" for part in lifted]})
+        guard = self.entry.models.guard
+        status, body = lift_answer(
+            self.get_query_argument("part", ""),
+            lambda part: guard.lift(part=part, reason="operator"),
+        )
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.write(body)
 
 
 class HealthHandler(OperatorHandler):
--- a/packages/wasabilb-entry/src/wasabilb_entry/process.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/process.py
@@ -38,7 +38,7 @@
 from wasabilb_entry.bounded_server import BoundedServer, ConnectionLimits
 from wasabilb_entry.crash_exchange import CrashExchange
 from wasabilb_entry.entry import Entry
-from wasabilb_entry.lift import LIFT_PATH
+from wasabilb_entry.lift_interface import LIFT_PATH
 from wasabilb_entry.model_requests import ModelRouter
 from wasabilb_entry.prompt_guard import PromptGuard
 from wasabilb_entry.service_requests import ServiceRouter
