A late report of an earlier crash does not end the lift of a part

Found by reading the change: a process that learns of a crash after the part was lifted took it for one at the probe and blocked the part again, for all. Test: fails before ('a request with the part is a probe'), passes now. Change: only a crash after the lift blocks again.

--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -133,6 +133,13 @@
       | the link to the runner is cut         | its agent soon reports no answer       | a crash  | 1      |
       | the runner only closed the connection | its agent reports another start late   | no crash | 1      |
 
+  Scenario: A late report of an earlier crash does not end a lift
+    # Guards against a process that blocks a part again, as it learns late of a crash before the lift.
+    When a blocked part is lifted and another crash is reported that was before
+    Then a request with the part is a probe
+    When another crash is reported that was after
+    Then a request with the part is refused
+
   Scenario: Prompts of the product's own interface
     # Guards against an interface whose prompts are not looked at.
     Given two engines that crash on a block of the prompt, after answers to other prompts
--- a/features/steps/crash_rules_steps.py
+++ b/features/steps/crash_rules_steps.py
@@ -144,6 +144,28 @@
     assert not context.parts.blocked_parts(8.0)
 
 
+@when("a blocked part is lifted and another crash is reported that was before")
+def lifted_and_late(context):
+    parts = context.parts = CrashingParts()
+    parts.on_answer_going_on([99], 0.0)
+    for number in range(2):
+        report = crash_report(f"r-{number}", started=[1], probes=[1] if number else [])
+        parts.on_crash(report, float(number))
+    assert parts.lift(now=10.0) == [1]
+    parts.on_crash(crash_report("r-2", started=[1], age_s=8.0), 10.5)
+
+
+@when("another crash is reported that was after")
+def later_crash(context):
+    context.parts.on_crash(crash_report("r-3", started=[1], probes=[1], age_s=0.1), 11.0)
+
+
+@then("a request with the part is {what}")
+def check_part(context, what):
+    expected = {"a probe": PartDecision.PROBE, "refused": PartDecision.BLOCK}[what]
+    assert context.parts.decide([1], 11.0) is expected
+
+
 class StubPool:
     """Pool whose connection attempts end as given."""
 
--- a/packages/wasabilb-core/src/wasabilb_core/crashing_parts.py
+++ b/packages/wasabilb-core/src/wasabilb_core/crashing_parts.py
@@ -216,7 +216,7 @@
                 self.on_probe_ended([part])
             blocked = self._blocked.get(part)
             if blocked is not None:
-                self._block_again(part, blocked, now)
+                self._block_again(part, blocked, now - report.age_s, now)
         if changed:
             self._update_blocked(now)
         return changed
@@ -323,13 +323,13 @@
         needed = BLOCKING_SCORE + ADDITIONAL_SCORE * (has_unrelated + bool(companions))
         return self._evidence.score(part) >= needed
 
-    def _block_again(self, part: int, blocked: _Blocked, now: float) -> None:
-        """Record one more crash under a blocked part."""
-        if blocked.is_lifted(now):
+    def _block_again(self, part: int, blocked: _Blocked, at: float, now: float) -> None:
+        """Record a crash under a blocked part, perhaps from before it was lifted."""
+        if blocked.is_lifted(now) and at > blocked.changed_at:
             # Also one that was lifted only by its time, so that both count as a change.
             blocked.turn += 1 if blocked.turn % 2 == 0 else 2
             blocked.changed_at = now
-        blocked.seen_at = now
+        blocked.seen_at = max(blocked.seen_at, at)
         blocked.crashes = max(blocked.crashes, len(self._evidence.crashes(part)))
 
     def _add_blocked(self, part: int, blocked: _Blocked) -> None:
