An unreadable limit is logged once a minute for a runner, and starts no message to other processes

Operators would see a log line, and while any limit is known linked processes a message, for each answer of a server whose every answer names an unreadable limit. Cause: the change UNREADABLE was returned for each answer, and each change was told to the peers, though it changes nothing.

--- a/features/named_limits.feature
+++ b/features/named_limits.feature
@@ -37,6 +37,13 @@
       | refuse as full         | do not end |
       | answer without a seal  | do not end |
 
+  Scenario: Servers whose every answer names an unreadable limit
+    # Guards against a log line, and a message to all entry processes, for each answer.
+    Given runners that in turn answer while naming a limit of 50, answer while naming a limit of soon
+    When 2 entry processes send idempotent requests each 50 ms for 3 s
+    Then each process logs the unreadable limit of a runner once
+    And the processes exchange no more messages about limits than without it
+
   Scenario: A request gets its connection after the server named its limit
     # Guards against requests that were placed before the limit was known and are sent long after it.
     Given runners that in turn answer while naming a limit of 0.5
--- a/features/steps/named_limit_steps.py
+++ b/features/steps/named_limit_steps.py
@@ -147,6 +147,23 @@
     assert len(limited.requests) == 1, limited.requests
 
 
+@then("each process logs the unreadable limit of a runner once")
+def step_unreadable_once(context):
+    lines = [
+        fields["runner"]
+        for name, fields in context.harness.log.lines
+        if name == "runner_limited" and fields["change"] == "unreadable"
+    ]
+    assert lines and len(lines) == len(set(lines)), lines
+
+
+@then("the processes exchange no more messages about limits than without it")
+def step_few_messages(context):
+    # Permits move each 0.2 s and all limits are told each 2 s, in both directions.
+    bound = 2 * (3 / 0.2 + 3 / 2 + 2)
+    assert context.harness.network.seen["LimitNotice"] <= bound, context.harness.network.seen
+
+
 @then("the limits {end}")
 def step_limits_end(context, end):
     changes = [
--- a/packages/wasabilb-core/src/wasabilb_core/runner_limits.py
+++ b/packages/wasabilb-core/src/wasabilb_core/runner_limits.py
@@ -20,6 +20,9 @@
 MIN_LIMIT_PER_S = 1 / 30
 # Time for which the end of a limit is told, seconds; several messages may be lost.
 ENDED_TOLD_S = 10.0
+# Interval at which an unreadable value of one runner is told again, seconds: all its answers may
+# have it.
+UNREADABLE_REPEAT_S = 60.0
 # Time for which the limit of a runner that is gone is kept, seconds: its entry may be listed again,
 # at the latest after an outage of the platform.
 GONE_KEPT_S = 60.0
@@ -90,6 +93,8 @@
     def __init__(self, *, host: str) -> None:
         self.lent = LentLimits(host=host)
         self._known: dict[str, _KnownLimit] = {}
+        # Times at which unreadable values were last told, by incarnation.
+        self._unreadable_at: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self.lent)
@@ -97,10 +102,11 @@
     def on_answer(self, runner: Runner, limit: NamedLimit | None, now: float) -> LimitChange | None:
         """Apply an answer of a runner and return what it changes, None for nothing.
 
-        An unreadable value is no limit, but does not end one.
+        An unreadable value is no limit, but does not end one. It is returned once in
+        `UNREADABLE_REPEAT_S`.
         """
         if limit is not None and limit.per_s is None:
-            return LimitChange.UNREADABLE
+            return self._on_unreadable(_name(runner.id, runner.born_ms), now)
         for known in self._known.values():
             if known.runner == runner.id and known.born_ms != runner.born_ms:
                 known.gone_at = min(known.gone_at, now)
@@ -185,6 +191,15 @@
             if known.runner == runner_id:
                 known.gone_at = now
 
+    def _on_unreadable(self, name: str, now: float) -> LimitChange | None:
+        if now - self._unreadable_at.get(name, -math.inf) < UNREADABLE_REPEAT_S:
+            return None
+        self._unreadable_at = {
+            n: at for n, at in self._unreadable_at.items() if now - at < UNREADABLE_REPEAT_S
+        }
+        self._unreadable_at[name] = now
+        return LimitChange.UNREADABLE
+
     def _on_heard(
         self, runner: str, born_ms: int, per_s: float | None, heard_at: float, now: float
     ) -> LimitChange | None:
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -21,6 +21,7 @@
 from wasabilb_core.prompt_parts import parts_text
 from wasabilb_core.retry_after import spread_retry_s
 from wasabilb_core.runner_directory import Runner
+from wasabilb_core.runner_limits import LimitChange
 from wasabilb_node.clock import now
 from wasabilb_node.logs import EventLog
 
@@ -319,7 +320,8 @@
         is_own = metadata.request_id == ctx.metadata.id
         limit_change = self._fleet.on_answer_head(runner, metadata, is_own=is_own)
         if limit_change is not None:
-            self._on_limit_changed()
+            if limit_change is not LimitChange.UNREADABLE:
+                self._on_limit_changed()
             self._log.event(
                 "runner_limited",
                 request=ctx.metadata.id,
