--- a/features/steps/operators_steps.py
+++ b/features/steps/operators_steps.py
@@ -229,7 +229,7 @@
         assert context.exit == 0 and not context.err, context.err
         usage, *rest = context.out.splitlines()
         assert usage.startswith(f"usage: {page}"), usage
-        several = page.endswith(("check", "status", "timeline", "drill"))
+        several = page.endswith(("check", "status", "lift", "timeline", "drill"))
         assert ("... " in f"{usage} ") == several, usage
         named = {part.strip("[]") for part in usage.split() if part.strip("[]").startswith("--")}
         for flag in named:
