--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -52,6 +52,17 @@
     When a caller names the parts of a prompt as "system prompt:1,5c1e07a25c1e07a25c1e07a2:1,-1:1,b:2"
     Then three parts are told apart by 64-bit numbers
 
+  Scenario Outline: Identifiers that only look like a hexadecimal number
+    # Guards against a caller who clears a part that crashes runners by an answer to another name.
+    When a caller names the parts of a prompt as "<other>:1,b:2"
+    Then its part is not the one that is named "5c1e"
+
+    Examples:
+      | other  |
+      | +5c1e  |
+      | 0x5c1e |
+      | 5_c1e  |
+
   Scenario: Headers towards a runner
     # Guards against keys, claims of callers and connection headers that reach a runner.
     When a caller's headers are translated for a runner
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -239,6 +239,12 @@
     assert parts_text(context.parts) == parts, context.parts
 
 
+@then('its part is not the one that is named "{name}"')
+def check_other_part(context, name):
+    (part,) = context.parts
+    assert part != int(name, 16), context.parts
+
+
 @then("three parts are told apart by 64-bit numbers")
 def check_number_range(context):
     assert len(set(context.parts)) == 3, context.parts
