--- a/packages/wasabilb-core/src/wasabilb_core/_value_checks.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_value_checks.py
@@ -16,6 +16,23 @@
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,62}")
 
 
+# Longest value that a message shows, in characters and, for an integer, in bits.
+MAX_SHOWN_CHARS = 80
+MAX_SHOWN_BITS = 128
+
+
+def shown(value: object) -> str:
+    """Return a short form of a value for a message, whatever its size."""
+    if isinstance(value, int) and value.bit_length() > MAX_SHOWN_BITS:
+        # Python refuses to convert an integer of more than some thousand digits to text.
+        return f"an integer of {value.bit_length()} bits"
+    if isinstance(value, str):
+        return ascii(value[:MAX_SHOWN_CHARS])
+    if value is None or isinstance(value, bool | int | float):
+        return str(value)
+    return f"a value of type {type(value).__name__}"
+
+
 def matches(
     pattern: re.Pattern[str], expected: str, *, allow_empty: bool = False, is_secret: bool = False
 ) -> Check:
--- /dev/null
+++ b/packages/wasabilb-core/src/wasabilb_core/json_fields.py
@@ -0,0 +1,203 @@
+"""Checked reading of JSON that another program wrote.
+
+A value that is missing, of another type or out of its range raises `InvalidFieldError`, which names
+its path. What is read is finite, within its range and can be encoded in messages and log lines.
+"""
+
+import json
+import re
+from collections.abc import Iterator
+from typing import Any, TypeGuard
+
+from attrs import frozen
+
+from wasabilb_core._value_checks import shown
+
+# Deeper than any content that is read here, and well below the depth at which parsers and Python's
+# recursion fail.
+MAX_DEPTH = 32
+# Longest text value, bytes; names travel in headers, messages and log lines.
+MAX_TEXT_BYTES = 4096
+
+# A string up to its end or, if it has none, up to the end of the text.
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*+(?:"|\\?\Z)', re.DOTALL)
+_NOT_BRACKETS = bytes(set(range(256)) - set(b"[]{}"))
+
+
+class InvalidFieldError(ValueError):
+    """A value of a JSON text cannot be used; the message names its path."""
+
+    def __init__(self, path: str, problem: str) -> None:
+        super().__init__(f"{path}: {problem}" if path else problem)
+
+
+@frozen(kw_only=True)
+class NumberRange:
+    """The range of a number, with both ends."""
+
+    low: float
+    high: float
+
+    def __contains__(self, value: float) -> bool:
+        return self.low <= value <= self.high
+
+    def __str__(self) -> str:
+        return f"from {self.low} to {self.high}"
+
+
+def parse_json(data: bytes, *, max_bytes: int) -> Any:
+    """Return the value of a JSON text in UTF-8.
+
+    Raises
+    ------
+    InvalidFieldError
+        When the text is too long, nested more than `MAX_DEPTH` deep, not JSON by RFC 8259 or has an
+        object with a repeated name.
+    """
+    if len(data) > max_bytes:
+        raise InvalidFieldError("", f"{len(data)} bytes, expected at most {max_bytes}")
+    if not _is_shallow(data):
+        raise InvalidFieldError("", f"nested more than {MAX_DEPTH} deep")
+    try:
+        return json.loads(
+            data.decode(), parse_constant=_refuse_constant, object_pairs_hook=_to_object
+        )
+    except InvalidFieldError:
+        raise
+    except (ValueError, RecursionError) as exc:
+        raise InvalidFieldError("", f"not JSON: {type(exc).__name__}") from None
+
+
+def _is_shallow(data: bytes) -> bool:
+    """Return whether brackets outside of strings are nested at most `MAX_DEPTH` deep.
+
+    The parser's own limit depends on the build of Python, and all processes must agree.
+    """
+    if data.count(b"[") + data.count(b"{") <= MAX_DEPTH:
+        return True
+    brackets = _STRING.sub(b"", data).translate(None, _NOT_BRACKETS)
+    for _ in range(MAX_DEPTH):
+        brackets = brackets.replace(b"[]", b"").replace(b"{}", b"")
+    # Unbalanced brackets remain, too, but are no JSON.
+    return not brackets
+
+
+def _is_text(value: object, max_bytes: int) -> TypeGuard[str]:
+    """Return whether a value is a text that headers, messages and log lines can hold.
+
+    Characters that are not printable include line breaks and lone surrogates; the latter cannot be
+    encoded.
+    """
+    if not isinstance(value, str) or not value.isprintable():
+        return False
+    return 0 < len(value.encode()) <= max_bytes
+
+
+def _refuse_constant(text: str) -> None:
+    raise InvalidFieldError("", f"{text} is not a JSON number")
+
+
+def _to_object(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    fields = dict(pairs)
+    if len(fields) != len(pairs):
+        raise InvalidFieldError("", "an object has a repeated name")
+    return fields
+
+
+class JsonObject:
+    """Reads the fields of one JSON object.
+
+    A field whose value is null counts as absent. An absent field raises `InvalidFieldError` unless
+    a default is given.
+
+    Parameters
+    ----------
+    raw : object
+        The parsed value.
+    path : str
+        Its path in the text, empty for the whole.
+    """
+
+    def __init__(self, raw: object, *, path: str = "") -> None:
+        if not isinstance(raw, dict):
+            raise InvalidFieldError(path, f"expected an object, got {shown(raw)}")
+        self._fields: dict[str, Any] = raw
+        self._path = path
+
+    def path_of(self, name: str) -> str:
+        """Return the path of a field."""
+        return f"{self._path}.{name}" if self._path else name
+
+    def error(self, name: str, problem: str) -> InvalidFieldError:
+        """Return the error that a field has a problem."""
+        return InvalidFieldError(self.path_of(name), problem)
+
+    def has(self, name: str) -> bool:
+        """Return whether a field is present."""
+        return self._fields.get(name) is not None
+
+    def text(
+        self, name: str, *, default: str | None = None, max_bytes: int = MAX_TEXT_BYTES
+    ) -> str:
+        """Return a non-empty text of printable characters."""
+        if default is not None and not self.has(name):
+            return default
+        value: object = self._value(name, None)
+        if not _is_text(value, max_bytes):
+            expected = f"expected a printable text of 1 to {max_bytes} bytes"
+            raise self.error(name, f"{expected}, got {shown(value)}")
+        return value
+
+    def texts(self, name: str) -> "list[str]":
+        """Return a list of such texts, empty if the field is absent; errors do not show them."""
+        values = self.list(name, default=[])
+        for index, value in enumerate(values):
+            if not _is_text(value, MAX_TEXT_BYTES):
+                raise self.error(f"{name}[{index}]", "expected a printable text")
+        return values
+
+    def whole(self, name: str, allowed: NumberRange, *, default: int | None = None) -> int:
+        """Return a whole number in a range."""
+        value = self._value(name, default)
+        # Python accepts a boolean as an integer.
+        if type(value) is not int or value not in allowed:
+            raise self.error(name, f"expected a whole number {allowed}, got {shown(value)}")
+        return value
+
+    def number(self, name: str, allowed: NumberRange, *, default: float | None = None) -> float:
+        """Return a finite number in a range."""
+        value = self._value(name, default)
+        if type(value) not in (int, float) or value not in allowed:
+            raise self.error(name, f"expected a number {allowed}, got {shown(value)}")
+        return float(value)
+
+    def flag(self, name: str, *, default: bool | None = None) -> bool:
+        """Return a boolean."""
+        value = self._value(name, default)
+        if not isinstance(value, bool):
+            raise self.error(name, f"expected true or false, got {shown(value)}")
+        return value
+
+    def object(self, name: str) -> "JsonObject":
+        """Return an object, one without fields if the field is absent."""
+        return JsonObject(self._value(name, {}), path=self.path_of(name))
+
+    def objects(self, name: str) -> Iterator["JsonObject"]:
+        """Return the objects of a list, none if the field is absent."""
+        for index, value in enumerate(self.list(name, default=[])):
+            yield JsonObject(value, path=f"{self.path_of(name)}[{index}]")
+
+    def list(self, name: str, *, default: "list[Any] | None" = None) -> "list[Any]":
+        """Return a list of any values."""
+        value = self._value(name, default)
+        if not isinstance(value, list):
+            raise self.error(name, f"expected a list, got {shown(value)}")
+        return value
+
+    def _value(self, name: str, default: Any) -> Any:
+        value = self._fields.get(name)
+        if value is not None:
+            return value
+        if default is None:
+            raise self.error(name, "is missing")
+        return default
--- a/tools/check_platform.py
+++ b/tools/check_platform.py
@@ -12,6 +12,8 @@
 SOURCES = ("packages", "features", "bench", "tools")
 ALLOWED_FILES = (
     "features/steps/platform_adapter_steps.py",
+    "features/steps/platform_entries_steps.py",
+    "features/steps/platform_examples.py",
     "tools/check_platform.py",
 )
 
