An odd entry of a runner names no runner, and the log says why

What callers saw: an entry of another writer could become a runner to which requests go (ports 99999, 0, "²" and of 5,000 digits, host names, 0.0.0.0, addresses that cannot be encoded, slots that make it look empty), and a request placed there ended as an internal error. A coldLeftMs of 400 digits raised OverflowError out of apply_items: the other changes of that batch were merged into PublishedState but never applied, and the reader's loop started anew. Starts, versions and layers beyond the wire's integers became runners about which no message could be encoded.

Cause: the decoder checked types of some fields only; ranges, text and addresses not at all.

Change: the decoder reads each field with wasabilb_core.json_fields and the ranges of wasabilb_core.published_bounds, all fields that an entry has, also those of no use here; an entry with another type in one of them is another writer's. Addresses are IPv4 (the connections are), in their usual form. Content over 1 MiB, nested over 32 deep, with a repeated name or not UTF-8 is unusable on each build of Python. An unknown zone stays usable, and a service that the catalog does not name has no route, so that it receives nothing until it is named. The decoder returns why an item cannot be used, published_unusable logs it once a change, also for runners (before: no line), at most 20 lines in 10 s. An error of the decoder no longer loses the other changes of its batch.

Ruled out: validators on Runner itself; tests and peers build runners with names for addresses, and the path of the value would be lost.

Two checks of platform_adapter.feature ask for the new type Unusable where they asked for None: as strict as before.

--- a/features/steps/forwarding_harness.py
+++ b/features/steps/forwarding_harness.py
@@ -36,6 +36,7 @@
 from wasabilb_node.clock import now
 from wasabilb_node.http_client import ConnectionPool
 from wasabilb_node.logs import EventLog
+from wasabilb_node.published_source import Unusable
 from wasabilb_node.published_view import PublishedView
 
 SALT = b"salt" * 8
@@ -129,7 +130,7 @@
         self._values = values
 
     def decode(self, item):
-        return self._values.get(item.body)
+        return self._values.get(item.body, Unusable(detail="not in the table"))
 
     def runner_id(self, name):
         return name.removeprefix("runner/") if name.startswith("runner/") else None
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -17,6 +17,7 @@
 from wasabilb_core.runner_directory import Runner
 from wasabilb_core.runner_stats import LoadReport, RunnerStats
 from wasabilb_node.http_client import AnswerHead, ConnectionPool
+from wasabilb_node.published_source import Unusable
 from wasabilb_platform import store as store_module
 from wasabilb_platform.headers import PlatformHeaders
 from wasabilb_platform.settings import to_settings
@@ -99,7 +100,7 @@
 
 @then("it is decoded as nothing")
 def check_nothing_decoded(context):
-    assert context.decoded is None
+    assert isinstance(context.decoded, Unusable), context.decoded
 
 
 @when("random JSON is published under each name")
@@ -121,7 +122,7 @@
 
 @then("each is decoded into a known type or nothing")
 def check_types(context):
-    assert context.kinds <= {Catalog, Runner, WeightTarget, type(None)}
+    assert context.kinds <= {Catalog, Runner, WeightTarget, Unusable}
 
 
 @when("a runner's entry is listed again with a later start")
--- a/packages/wasabilb-core/src/wasabilb_core/_value_checks.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_value_checks.py
@@ -83,6 +83,25 @@
     return None if is_valid else f"expected IP:PORT, got {value[:80]!r}"
 
 
+def is_dialable(address: str) -> bool:
+    """Return whether a text is the `IP:PORT` of one IPv4 host, in the usual form of both parts.
+
+    Connections to backend servers are IPv4, and a host name would be resolved on the event loop.
+    """
+    text, _, port = address.rpartition(":")
+    try:
+        ip = ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    is_host = not (ip.is_unspecified or ip.is_multicast or ip.is_reserved)
+    return is_host and _is_port(port) and port == str(int(port))
+
+
+def _is_port(text: str) -> bool:
+    # Python refuses to convert thousands of digits to a number.
+    return text.isascii() and text.isdigit() and len(text) <= 5 and 0 < int(text) < 65536
+
+
 def between(low: float, high: float) -> Check:
     """Return a check that a number lies strictly between two bounds."""
 
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -82,7 +82,10 @@
     "settings_reloaded": _spec("Changed settings are in force.", "seeds"),
     # Published state
     "published_from_peer": _spec("Published items arrived from a peer.", "peer revision items"),
-    "published_unusable": _spec("A published item cannot be used.", "name revision"),
+    "published_unusable": _spec(
+        "A published item cannot be used; `omitted` counts those before it that are not logged.",
+        "name revision detail omitted",
+    ),
     "catalog_accepted": _spec(
         "A version of routes, services and accounts is in force here.",
         "catalog revision routes accounts",
--- a/packages/wasabilb-core/src/wasabilb_core/json_fields.py
+++ b/packages/wasabilb-core/src/wasabilb_core/json_fields.py
@@ -11,7 +11,7 @@
 
 from attrs import frozen
 
-from wasabilb_core._value_checks import shown
+from wasabilb_core._value_checks import is_dialable, shown
 
 # Deeper than any content that is read here, and well below the depth at which parsers and Python's
 # recursion fail.
@@ -156,6 +156,13 @@
                 raise self.error(f"{name}[{index}]", "expected a printable text")
         return values
 
+    def address(self, name: str) -> str:
+        """Return an `IP:PORT` to which a connection can be opened."""
+        value = self.text(name)
+        if not is_dialable(value):
+            raise self.error(name, f"expected the IP:PORT of an IPv4 host, got {shown(value)}")
+        return value
+
     def whole(self, name: str, allowed: NumberRange, *, default: int | None = None) -> int:
         """Return a whole number in a range."""
         value = self._value(name, default)
--- a/packages/wasabilb-core/src/wasabilb_core/published_bounds.py
+++ b/packages/wasabilb-core/src/wasabilb_core/published_bounds.py
@@ -8,3 +8,15 @@
 MAX_ITEM_BYTES = 1 << 20
 # Messages hold revisions in 64 bits; half of the range leaves room for sums.
 REVISIONS = NumberRange(low=1, high=(1 << 63) - 1)
+# Milliseconds since 1970; JSON holds whole numbers up to this one exactly.
+WALL_MS = NumberRange(low=0, high=(1 << 53) - 1)
+# Durations and counts; messages hold milliseconds and counts in 32 bits.
+DURATION_MS = NumberRange(low=0, high=(1 << 31) - 1)
+COUNTS = NumberRange(low=0, high=(1 << 31) - 1)
+# Requests at once at one runner, which takes one on each connection: at most as many as its address
+# has ports. Routing takes a runner with more slots for an emptier one.
+SLOTS = NumberRange(low=1, high=(1 << 16) - 1)
+# Layers of a model, in messages 16 bits.
+LAYERS = NumberRange(low=0, high=(1 << 16) - 1)
+# Versions of weights, in messages 32 bits; 0 for no weights.
+HELD_VERSIONS = NumberRange(low=0, high=(1 << 32) - 1)
--- a/packages/wasabilb-node/src/wasabilb_node/published_source.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_source.py
@@ -28,11 +28,24 @@
     is_history_lost: bool = False
 
 
+@frozen(kw_only=True)
+class Unusable:
+    """Content of a published item that cannot be used.
+
+    Parameters
+    ----------
+    detail : str
+        What is wrong, with the path of the value; short whatever the content is.
+    """
+
+    detail: str
+
+
 class PublishedDecoder(Protocol):
     """Decodes published items into the types of the core."""
 
-    def decode(self, item: StateItem) -> Catalog | Runner | WeightTarget | None:
-        """Return the decoded item, None if it cannot be used."""
+    def decode(self, item: StateItem) -> Catalog | Runner | WeightTarget | Unusable:
+        """Return the decoded item, or why it cannot be used."""
 
     def runner_id(self, name: str) -> str | None:
         """Return the id of the runner that an item name refers to, if any."""
--- a/packages/wasabilb-node/src/wasabilb_node/published_view.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_view.py
@@ -7,9 +7,10 @@
 from wasabilb_core.published import PublishedState, StateItem
 from wasabilb_core.runner_directory import Runner, RunnerDirectory
 
+from wasabilb_node._unusable_items import UnusableItems
 from wasabilb_node.clock import now
 from wasabilb_node.logs import EventLog
-from wasabilb_node.published_source import PublishedDecoder
+from wasabilb_node.published_source import PublishedDecoder, Unusable
 
 
 class PublishedView:
@@ -43,6 +44,7 @@
         self._items = items
         self._decoder = decoder
         self._log = log
+        self._unusable_items = UnusableItems(log=log)
         self._on_catalog_accepted = on_catalog
         self._on_runner_gone = on_runner_gone
         self._named_versions: dict[str, NamedVersions] = {}
@@ -83,7 +85,9 @@
         is_initial = self.catalog is None
         for item in items:
             runner_id = self._decoder.runner_id(item.name)
-            value = self._decoder.decode(item) if item.body is not None else None
+            value = self._decode(item) if item.body is not None else None
+            if isinstance(value, Unusable):
+                self._unusable_items.on_unusable(item, value.detail)
             if isinstance(value, Catalog):
                 self._on_catalog(value, item.revision)
             elif isinstance(value, WeightTarget):
@@ -92,8 +96,6 @@
                 self._on_runner(value, item.revision)
             elif runner_id is not None:
                 self._on_removed(runner_id, item.revision)
-            elif item.body is not None:
-                self._log.event("published_unusable", name=item.name, revision=item.revision)
 
     def on_runner_announced(self, runner: Runner, request_id: str) -> None:
         """Handle the announcement in an answer that its runner is leaving."""
@@ -128,6 +130,13 @@
         for runner_id in self.directory.remove_expired(now()):
             self._remove_runner(runner_id, "entry was not republished")
 
+    def _decode(self, item: StateItem) -> Catalog | Runner | WeightTarget | Unusable:
+        try:
+            return self._decoder.decode(item)
+        except Exception as exc:
+            # The other changes that arrived with this one must still be applied.
+            return Unusable(detail=f"the decoder failed: {type(exc).__name__}")
+
     def _on_catalog(self, catalog: Catalog, revision: int) -> None:
         if self.catalog is not None and catalog.version <= self.catalog.version:
             return
--- a/tools/check_platform.py
+++ b/tools/check_platform.py
@@ -14,6 +14,7 @@
     "features/steps/platform_adapter_steps.py",
     "features/steps/platform_entries_steps.py",
     "features/steps/platform_examples.py",
+    "features/steps/platform_runner_entries_steps.py",
     "tools/check_platform.py",
 )
 
