An odd configuration is refused as a whole, with the path of what is wrong

What callers saw: configurations with a timeout of 0, NaN or 1e999, negative or only zero weights, prefixes without slashes, two routes of one prefix, limits of 0 or below, or a route to a service that is not there came into force: routes that answer nothing or end every request at once, limits that refuse all. An engine without slots raised ZeroDivisionError at each request to it. Times of 400 digits raised OverflowError out of the reader. A text as the keys of a tenant became one key for each of its letters, so that a caller with a key of one letter was that tenant.

Cause: the decoder took what converts; ranges and references were not checked.

Change: each field of the configuration is read with its type and range. An item that is not valid in one place is refused as a whole, the last valid one stays in force, and published_unusable names the path; a key is never shown. Absent optional fields have the meaning that they had.

Ruled out: taking the valid routes of an invalid configuration; what the operator wrote would be in force nowhere as written.

Any JSON at any place: what is taken has finite numbers, services that exist and routes that are found. The example of the adapter's tests names the service that its split goes to, which it had left out.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -157,3 +157,98 @@
     When the list has every odd entry beside a sound one, and then changes
     Then both processes have the sound runners and no other, and their link stays up
     And each process logs at most 20 short lines about the odd ones
+
+  Scenario Outline: An odd configuration
+    # Guards against an invalid configuration that is taken in part or as a whole: a route that answers
+    # nothing, a limit that refuses every request, an error at each request.
+    When a configuration with <oddity> is published
+    Then it is refused as a whole, and the reason is short and holds no key
+
+    Examples:
+      | oddity |
+      | a version of 70 bits |
+      | a negative version |
+      | true as its version |
+      | the version 7.0 |
+      | no version |
+      | no routes |
+      | null as its routes |
+      | an object as its routes |
+      | a text as a route |
+      | no services |
+      | a text as its services |
+      | no limits |
+      | a list as its limits |
+      | a text as its tenants |
+      | the timeout NaN |
+      | the timeout Infinity |
+      | the timeout 1e999 |
+      | a timeout of 400 digits |
+      | the timeout 0 |
+      | a negative timeout |
+      | true as a timeout |
+      | a text as a timeout |
+      | the objective 1e999 |
+      | a negative objective |
+      | a negative pause |
+      | a negative weight |
+      | the weight NaN |
+      | the weight 1e999 |
+      | a weight of 400 digits |
+      | a text as a weight |
+      | weights of 0 alone |
+      | attempts of 70 bits |
+      | negative attempts |
+      | 1.5 attempts |
+      | a prefix without a slash at its end |
+      | a prefix without a slash at its start |
+      | a number as a prefix |
+      | a number as a host |
+      | a lone surrogate in a host |
+      | two routes of one prefix |
+      | two routes of one prefix in other letters |
+      | a route to a service that is not there |
+      | a split to a service that is not there |
+      | an unknown kind |
+      | a list as a kind |
+      | a negative priority |
+      | a priority of 70 bits |
+      | a text as a flag |
+      | a number as a flag |
+      | two services of one name |
+      | a negative connection limit |
+      | an engine without slots |
+      | an engine step of 1e999 |
+      | a negative engine step |
+      | a negative reading rate |
+      | a list as an engine |
+      | a text as the models |
+      | layers of 70 bits |
+      | negative chunks |
+      | an origin with port 99999 |
+      | an origin rate of 1e999 |
+      | a negative origin rate |
+      | two tenants of one name |
+      | two tenants with one key |
+      | a number as a key |
+      | a text as the keys |
+      | an empty key |
+      | a line break in a tenant's name |
+      | a negative tenant priority |
+      | a text as a tenant's priority |
+      | the header limit 0 |
+      | a negative body limit |
+      | a body limit of 70 bits |
+      | the header time 0 |
+      | a negative idle time |
+      | the idle time 1e999 |
+      | nesting of 100,000 levels |
+      | 100 MB |
+      | a field twice |
+      | broken text |
+
+  Scenario: Any value anywhere in a configuration
+    # Guards against errors out of the reader, and at the requests that a configuration allows.
+    When random values replace random parts of a sound configuration
+    Then each configuration that is taken can be used for every request that it allows
+    And each reason why the others are refused is short
--- a/features/steps/forwarding_harness.py
+++ b/features/steps/forwarding_harness.py
@@ -52,7 +52,7 @@
         super().__init__(process="t", role="entry", host="t", failure_domain="a", incarnation="1")
         self.lines, self.timed = [], []
 
-    def event(self, name, **fields):
+    def event(self, name, /, **fields):
         self.lines.append((name, fields))
         self.timed.append((now(), name, fields))
         super().event(name, **fields)
--- a/features/steps/platform_examples.py
+++ b/features/steps/platform_examples.py
@@ -61,6 +61,7 @@
     ],
     "services": [
         {"name": "plain", "healthPath": "/health", "maxConnections": 100},
+        {"name": "other", "healthPath": "/health"},
         {"name": "src", "origin": "10.0.0.9:81", "zone": "c", "linkMbps": 15.0},
         {
             "name": "llm",
--- a/features/steps/platform_runner_entries_steps.py
+++ b/features/steps/platform_runner_entries_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from hypothesis import given as property_given
 from hypothesis import strategies as st
+from odd_json import any_json
 from platform_examples import DECODER, RUNNER, item
 from returns.result import Success
 from wasabilb_core.crash_reports import CrashReport
@@ -180,30 +181,14 @@
     assert is_usable(context.decoded) and fits_messages(context.decoded)
 
 
-LEAVES = (
-    st.none()
-    | st.booleans()
-    | st.integers()
-    | st.integers(-(1 << 80), 1 << 80)
-    | st.floats()
-    | st.text(max_size=9)
-    | st.sampled_from(["\ud800", "10.0.0.1:80", "[::1]:1", "ready", "a\r\n", 10**400, 1e300, "0"])
-)
-ANY_JSON = st.recursive(
-    LEAVES,
-    lambda inner: (
-        st.lists(inner, max_size=3)
-        | st.dictionaries(st.sampled_from([*RUNNER, *LAYERS]) | st.text(max_size=3), inner)
-    ),
-    max_leaves=8,
-)
+VALUES = any_json([*RUNNER, *LAYERS])
 
 
 @when("random values replace random fields of a sound entry")
 def step_random_fields(context):
     context.runners, context.reasons, context.unusable = 0, [], []
-    fields = st.dictionaries(st.sampled_from([*RUNNER]), ANY_JSON, min_size=1, max_size=3)
-    layers = st.dictionaries(st.sampled_from([*LAYERS]), ANY_JSON, max_size=2)
+    fields = st.dictionaries(st.sampled_from([*RUNNER]), VALUES, min_size=1, max_size=3)
+    layers = st.dictionaries(st.sampled_from([*LAYERS]), VALUES, max_size=2)
 
     @property_given(fields, layers, st.binary(max_size=2))
     def check(changes, layer_changes, tail):
--- a/packages/wasabilb-core/src/wasabilb_core/json_fields.py
+++ b/packages/wasabilb-core/src/wasabilb_core/json_fields.py
@@ -5,7 +5,6 @@
 """
 
 import json
-import re
 from collections.abc import Iterator
 from typing import Any, TypeGuard
 
@@ -16,13 +15,10 @@
 # Deeper than any content that is read here, and well below the depth at which parsers and Python's
 # recursion fail.
 MAX_DEPTH = 32
+_TOO_DEEP = f"nested more than {MAX_DEPTH} deep"
 # Longest text value, bytes; names travel in headers, messages and log lines.
 MAX_TEXT_BYTES = 4096
 
-# A string up to its end or, if it has none, up to the end of the text.
-_STRING = re.compile(rb'"(?:[^"\\]|\\.)*+(?:"|\\?\Z)', re.DOTALL)
-_NOT_BRACKETS = bytes(set(range(256)) - set(b"[]{}"))
-
 
 class InvalidFieldError(ValueError):
     """A value of a JSON text cannot be used; the message names its path."""
@@ -56,30 +52,35 @@
     """
     if len(data) > max_bytes:
         raise InvalidFieldError("", f"{len(data)} bytes, expected at most {max_bytes}")
-    if not _is_shallow(data):
-        raise InvalidFieldError("", f"nested more than {MAX_DEPTH} deep")
     try:
-        return json.loads(
+        value = json.loads(
             data.decode(), parse_constant=_refuse_constant, object_pairs_hook=_to_object
         )
     except InvalidFieldError:
         raise
-    except (ValueError, RecursionError) as exc:
+    except RecursionError:
+        raise InvalidFieldError("", _TOO_DEEP) from None
+    except ValueError as exc:
         raise InvalidFieldError("", f"not JSON: {type(exc).__name__}") from None
+    if not _is_shallow(value):
+        # The parser's own limit depends on the build of Python, and all processes must agree.
+        raise InvalidFieldError("", _TOO_DEEP)
+    return value
 
 
-def _is_shallow(data: bytes) -> bool:
-    """Return whether brackets outside of strings are nested at most `MAX_DEPTH` deep.
-
-    The parser's own limit depends on the build of Python, and all processes must agree.
-    """
-    if data.count(b"[") + data.count(b"{") <= MAX_DEPTH:
-        return True
-    brackets = _STRING.sub(b"", data).translate(None, _NOT_BRACKETS)
+def _is_shallow(value: Any) -> bool:
+    """Return whether objects and lists are nested at most `MAX_DEPTH` deep."""
+    level = [value] if type(value) in (dict, list) else []
     for _ in range(MAX_DEPTH):
-        brackets = brackets.replace(b"[]", b"").replace(b"{}", b"")
-    # Unbalanced brackets remain, too, but are no JSON.
-    return not brackets
+        level = [
+            inner
+            for outer in level
+            for inner in (outer.values() if type(outer) is dict else outer)
+            if type(inner) in (dict, list)
+        ]
+        if not level:
+            return True
+    return False
 
 
 def _is_text(value: object, max_bytes: int) -> TypeGuard[str]:
@@ -90,7 +91,7 @@
     """
     if not isinstance(value, str) or not value.isprintable():
         return False
-    return 0 < len(value.encode()) <= max_bytes
+    return 0 < (len(value) if value.isascii() else len(value.encode())) <= max_bytes
 
 
 def _refuse_constant(text: str) -> None:
@@ -120,10 +121,14 @@
 
     def __init__(self, raw: object, *, path: str = "") -> None:
         if not isinstance(raw, dict):
-            raise InvalidFieldError(path, f"expected an object, got {shown(raw)}")
+            raise InvalidFieldError(path, "expected an object")
         self._fields: dict[str, Any] = raw
         self._path = path
 
+    def __bool__(self) -> bool:
+        """Return whether the object has any field."""
+        return bool(self._fields)
+
     def path_of(self, name: str) -> str:
         """Return the path of a field."""
         return f"{self._path}.{name}" if self._path else name
@@ -140,9 +145,9 @@
         self, name: str, *, default: str | None = None, max_bytes: int = MAX_TEXT_BYTES
     ) -> str:
         """Return a non-empty text of printable characters."""
-        if default is not None and not self.has(name):
-            return default
-        value: object = self._value(name, None)
+        value: object = self._fields.get(name)
+        if value is None:
+            return str(self._value(name, default))
         if not _is_text(value, max_bytes):
             expected = f"expected a printable text of 1 to {max_bytes} bytes"
             raise self.error(name, f"{expected}, got {shown(value)}")
@@ -189,16 +194,16 @@
         """Return an object, one without fields if the field is absent."""
         return JsonObject(self._value(name, {}), path=self.path_of(name))
 
-    def objects(self, name: str) -> Iterator["JsonObject"]:
-        """Return the objects of a list, none if the field is absent."""
-        for index, value in enumerate(self.list(name, default=[])):
+    def objects(self, name: str, *, is_required: bool = False) -> Iterator["JsonObject"]:
+        """Return the objects of a list, none if the field is absent and not required."""
+        for index, value in enumerate(self.list(name, default=None if is_required else [])):
             yield JsonObject(value, path=f"{self.path_of(name)}[{index}]")
 
     def list(self, name: str, *, default: "list[Any] | None" = None) -> "list[Any]":
         """Return a list of any values."""
         value = self._value(name, default)
         if not isinstance(value, list):
-            raise self.error(name, f"expected a list, got {shown(value)}")
+            raise self.error(name, "expected a list")
         return value
 
     def _value(self, name: str, default: Any) -> Any:
--- a/packages/wasabilb-core/src/wasabilb_core/published_bounds.py
+++ b/packages/wasabilb-core/src/wasabilb_core/published_bounds.py
@@ -20,3 +20,14 @@
 LAYERS = NumberRange(low=0, high=(1 << 16) - 1)
 # Versions of weights, in messages 32 bits; 0 for no weights.
 HELD_VERSIONS = NumberRange(low=0, high=(1 << 32) - 1)
+# Versions of the catalog; log lines and comparisons hold any, 64 bits leave room for all.
+CATALOG_VERSIONS = NumberRange(low=0, high=(1 << 63) - 1)
+# Timeouts, milliseconds: a shorter one ends every request before it is sent.
+TIMEOUT_MS = NumberRange(low=1, high=(1 << 31) - 1)
+# Weights of a split; sums of them stay exact enough to compare.
+SPLIT_WEIGHTS = NumberRange(low=0, high=1e9)
+# Rates in units a second; 0 stands for an unknown one.
+RATES = NumberRange(low=0, high=1e12)
+# Limits of a caller's request, which a process holds in memory, bytes. A body may be forbidden.
+HEADER_BYTES = NumberRange(low=1, high=16 << 20)
+BODY_BYTES = NumberRange(low=0, high=1 << 30)
--- a/tools/check_platform.py
+++ b/tools/check_platform.py
@@ -12,6 +12,7 @@
 SOURCES = ("packages", "features", "bench", "tools")
 ALLOWED_FILES = (
     "features/steps/platform_adapter_steps.py",
+    "features/steps/platform_config_entries_steps.py",
     "features/steps/platform_entries_steps.py",
     "features/steps/platform_examples.py",
     "features/steps/platform_runner_entries_steps.py",
