A named version of weights is a number that messages can carry

What callers saw: a version of 33 bits or more was demanded of all runners, which none can ever report (messages hold it in 32 bits), so that from the bound on no runner of the model is usable; 0 and negative numbers, which stand for no weights, became named versions; a model whose name cannot be encoded broke messages about its transfer.

Cause: only the type of the version was checked.

Change: the version is a whole number from 1 to 2^32 - 1 and the model a printable text; otherwise the item is unusable, the versions named before stay, and one log line names the path.

A version that is merely far too high cannot be told from a right one and is not refused.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -252,3 +252,37 @@
     When random values replace random parts of a sound configuration
     Then each configuration that is taken can be used for every request that it allows
     And each reason why the others are refused is short
+
+  Scenario: An invalid configuration between two valid ones
+    # Guards against a process without a configuration, and against one that misses the next one.
+    Given a process with configuration 7 and version 2 of the weights in force
+    When invalid ones of both are published, and then configuration 9 and version 3
+    Then those before stay in force, and the next valid ones are taken
+    And one log line for each invalid one names the path that is wrong
+
+  Scenario Outline: An odd named version
+    # Guards against a version that no runner can ever hold, and that no message can carry.
+    When a version of weights is named with <oddity>
+    Then it is refused as a whole, and the reason is short and holds no key
+
+    Examples:
+      | oddity |
+      | the version true |
+      | the version 0 |
+      | a negative version |
+      | the version 2.0 |
+      | the version 1e999 |
+      | a version of 33 bits |
+      | a version of 400 digits |
+      | the version "2" |
+      | no version |
+      | a number as its model |
+      | an empty model |
+      | a lone surrogate in its model |
+      | no model |
+      | a list |
+
+  Scenario: Any JSON as a named version
+    # Guards against errors out of the reader and out of the messages to other processes.
+    When any JSON is published as a named version
+    Then each version that is taken is a number from 1 on that fits the messages
--- a/packages/wasabilb-core/src/wasabilb_core/published_bounds.py
+++ b/packages/wasabilb-core/src/wasabilb_core/published_bounds.py
@@ -20,6 +20,8 @@
 LAYERS = NumberRange(low=0, high=(1 << 16) - 1)
 # Versions of weights, in messages 32 bits; 0 for no weights.
 HELD_VERSIONS = NumberRange(low=0, high=(1 << 32) - 1)
+# Versions of weights that the operator names, in messages 32 bits.
+NAMED_VERSIONS = NumberRange(low=1, high=(1 << 32) - 1)
 # Versions of the catalog; log lines and comparisons hold any, 64 bits leave room for all.
 CATALOG_VERSIONS = NumberRange(low=0, high=(1 << 63) - 1)
 # Timeouts, milliseconds: a shorter one ends every request before it is sent.
