Odd reports of runners and odd manifests are answers that cannot be used

What callers saw: a runner's report with a number beyond the messages' integers made the agent's round end with an error before it looked at the weights, so that its runner got no newer version, and entry processes heard nothing of it; 1e999 and deep nesting raised out of the client. The slots in a runner's load header (10^11) made it look emptier than all others.

Cause: int() as the check of a number; the manifest was checked in another way than peers check it.

Tests: features/odd_entries.feature. Any value in any field of a report arrives at entry processes as it was sent; each manifest that is taken is one that peers take.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -286,3 +286,93 @@
     # Guards against errors out of the reader and out of the messages to other processes.
     When any JSON is published as a named version
     Then each version that is taken is a number from 1 on that fits the messages
+
+  Scenario Outline: An odd report of a runner
+    # Guards against a report that ends the agent's round before it loads weights, and against one that
+    # no message to the entry processes can carry.
+    When a runner reports <oddity>
+    Then the answer counts as unusable, with a short reason
+
+    Examples:
+      | oddity |
+      | running 1e999 |
+      | running NaN |
+      | running -1 |
+      | running 33 bits |
+      | running true |
+      | running "12" |
+      | no running |
+      | waiting of 400 digits |
+      | kvUsed of 70 bits |
+      | kvUsed -1 |
+      | kvTotal 1e999 |
+      | born 1e999 |
+      | born of 70 bits |
+      | born true |
+      | sequence -1 |
+      | sequence 1e999 |
+      | pace NaN |
+      | pace 1e999 |
+      | pace -1 |
+      | busy "no" |
+      | layers reversed |
+      | layers of 20 bits |
+      | a version of 33 bits |
+      | a text as its models |
+      | a number as a model |
+      | a lone surrogate in a model |
+      | nesting of 100,000 levels |
+      | a list |
+      | nothing |
+
+  Scenario: Any value in any field of a report
+    # Guards against errors out of the reader and out of the messages to entry processes.
+    When random values replace random fields of a report
+    Then each state that is read arrives at entry processes as it was sent
+
+  Scenario Outline: An odd manifest of the origin
+    # Guards against an agent whose transfers end with an error, and against a manifest that its peers
+    # refuse, so that each of them asks the origin.
+    When the origin answers with a manifest with <oddity>
+    Then the answer counts as unusable, with a short reason
+
+    Examples:
+      | oddity |
+      | the chunk size 1e999 |
+      | the chunk size 0 |
+      | a negative chunk size |
+      | a chunk size of 70 bits |
+      | a chunk size of 1 GiB |
+      | no digests |
+      | an empty list of digests |
+      | 5,000 digests |
+      | a digest that is no hex |
+      | a digest that is a number |
+      | a digest of 10 MB |
+      | another model |
+      | another version |
+      | the version "2" |
+      | the version true |
+      | nesting of 100,000 levels |
+      | a list |
+      | broken text |
+
+  Scenario: Any value in any field of a manifest
+    When random values replace random fields of a manifest
+    Then each manifest that is taken is one that peers take, too
+
+  Scenario Outline: Odd numbers in the load that a runner names in its answer
+    # Guards against a runner that looks emptier than all others because of one number.
+    When a runner answers with the load "<text>"
+    Then its slots are read as <slots> and its pace as <pace>
+
+    Examples:
+      | text               | slots | pace |
+      | 3,0,8              | 8     | 1    |
+      | 3,0,8,250          | 8     | 2.5  |
+      | 3,0,0              | None  | 1    |
+      | 3,0,99999999999    | None  | 1    |
+      | 3,0,8,999999999999 | 8     | 1    |
+      | 3,0,nan            | no    | load |
+      | 3,-1,8             | no    | load |
+      | 3,0,1e999          | no    | load |
--- a/packages/wasabilb-agent/src/wasabilb_agent/_runner_reports.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_runner_reports.py
@@ -44,7 +44,7 @@
 
     def send(self, runner: Runner, state: RunnerState | None, *, is_easing: bool) -> None:
         """Report a runner's state, None for one that does not answer."""
-        report = _to_report(runner, state, is_easing=is_easing)
+        report = to_report(runner, state, is_easing=is_easing)
         if report == self._last_sent and now() - self._last_sent_at < UNCHANGED_REPORT_INTERVAL_S:
             return
         entries = self._links.peers(role="entry")
@@ -65,7 +65,8 @@
     )
 
 
-def _to_report(runner: Runner, state: RunnerState | None, *, is_easing: bool) -> RunnerReport:
+def to_report(runner: Runner, state: RunnerState | None, *, is_easing: bool) -> RunnerReport:
+    """Return the message about a runner's state, None for one that does not answer."""
     if state is None:
         return RunnerReport(runner=runner.id, born_ms=runner.born_ms, is_reachable=False)
     return RunnerReport(
--- a/packages/wasabilb-core/src/wasabilb_core/published_bounds.py
+++ b/packages/wasabilb-core/src/wasabilb_core/published_bounds.py
@@ -33,3 +33,7 @@
 # Limits of a caller's request, which a process holds in memory, bytes. A body may be forbidden.
 HEADER_BYTES = NumberRange(low=1, high=16 << 20)
 BODY_BYTES = NumberRange(low=0, high=1 << 30)
+# Memory of a runner in its own units, in messages 64 bits.
+MEMORY = NumberRange(low=0, high=(1 << 63) - 1)
+# Slowdown of a runner, 1 at the usual speed.
+PACES = NumberRange(low=0, high=1e6)
