A runner whose entry becomes unusable receives nothing new, also during an outage

What callers saw: while the platform was away, and for 2.2 s after its return, an entry that cannot be used counted as one that has expired: its runner was assumed to serve, and requests went to it, although the entry names no runner to use (a state that is not known, for example, may mean that it leaves). There was no log line.

Cause: the view applied an undecodable entry as the removal of the runner, and removals are not trusted then.

Change: RunnerDirectory.on_unusable ends the runner at once whatever the state of the platform, as the entry was written. Requests and streams under way go on; limits, pauses and a leave announcement are kept; the next usable entry names the runner again.

Ruled out: to go on using the last good entry. A state of its own in RunnerPresence; gone does the same, as a gone runner returns with its next entry.

Test: features/odd_entries.feature, "The entry of a sound runner is replaced by one that cannot be used".

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -376,3 +376,18 @@
       | 3,0,nan            | no    | load |
       | 3,-1,8             | no    | load |
       | 3,0,1e999          | no    | load |
+
+  Scenario Outline: The entry of a sound runner is replaced by one that cannot be used
+    # Guards against new requests to a runner whose entry names none, against cutting its streams, and
+    # against a runner that stays unused once its entry is sound again.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And two runners with a slow stream each
+    When an unusable entry replaces that of one of them while the platform is <platform>
+    Then the caller gets all events once
+    And no request that is sent after it reaches it until its entry is sound again
+
+    Examples:
+      | platform               |
+      | answering              |
+      | away                   |
+      | back for half a second |
--- a/packages/wasabilb-core/src/wasabilb_core/runner_directory.py
+++ b/packages/wasabilb-core/src/wasabilb_core/runner_directory.py
@@ -142,6 +142,17 @@
         presence.on_removed(revision=revision, is_trusted=is_trusted)
         return self._apply_state(runner_id)
 
+    def on_unusable(self, runner_id: str, revision: int = 0) -> bool:
+        """Apply an entry that names no runner; return whether one was listed and is now gone.
+
+        Unlike a missing entry, it has not expired: it was written, also after an outage.
+        """
+        presence = self._presences.get(runner_id)
+        if presence is None:
+            return False
+        presence.on_removed(revision=revision, is_trusted=True)
+        return self._apply_state(runner_id)
+
     def on_leave_announced(self, runner: Runner) -> bool:
         """Apply a leave announcement; return whether its runner was listed and is now gone."""
         self._presence(runner.id, runner.incarnation).on_leave_announced(runner.incarnation)
--- a/packages/wasabilb-node/src/wasabilb_node/published_view.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_view.py
@@ -87,14 +87,14 @@
             runner_id = self._decoder.runner_id(item.name)
             value = self._decode(item) if item.body is not None else None
             if isinstance(value, Unusable):
-                self._unusable_items.on_unusable(item, value.detail)
+                self._on_unusable(item, value, runner_id)
             if isinstance(value, Catalog):
                 self._on_catalog(value, item.revision)
             elif isinstance(value, WeightTarget):
                 self._on_target(value, item.revision, is_old=is_initial)
             elif isinstance(value, Runner):
                 self._on_runner(value, item.revision)
-            elif runner_id is not None:
+            elif item.body is None and runner_id is not None:
                 self._on_removed(runner_id, item.revision)
 
     def on_runner_announced(self, runner: Runner, request_id: str) -> None:
@@ -180,9 +180,17 @@
 
     def _on_removed(self, runner_id: str, revision: int) -> None:
         runner = self.directory.get(runner_id)
-        if not self.directory.on_removed(runner_id, now(), revision) or runner is None:
-            return
-        self._remove_runner(runner_id, f"revision {revision}")
+        if self.directory.on_removed(runner_id, now(), revision) and runner is not None:
+            self._on_entry_gone(runner, f"revision {revision}")
+
+    def _on_unusable(self, item: StateItem, value: Unusable, runner_id: str | None) -> None:
+        self._unusable_items.on_unusable(item, value.detail)
+        runner = self.directory.get(runner_id) if runner_id is not None else None
+        if runner is not None and self.directory.on_unusable(runner.id, item.revision):
+            self._on_entry_gone(runner, f"unusable entry of revision {item.revision}")
+
+    def _on_entry_gone(self, runner: Runner, reason: str) -> None:
+        self._remove_runner(runner.id, reason)
         for callback in self.on_runner_leaving:
             callback(runner)
 
