Odd host lists, indexes and tickets no longer end the reading of them

What callers saw: a number of 5,000 digits in a ticket, or one of 6,000 hex digits, raised ValueError out of parse_ticket: from the configuration service it ended the reading of tickets for the life of the process, from a peer it closed the link, each time anew. 1e999 in the host list or in the index raised OverflowError, and a host list with a sequence number of 70 bits, a name that cannot be encoded or more hosts than a message holds could not be sent on: each ended its loop for good. One odd entry hid all others of the list or index. A refused ticket's key of 100,000 letters was a log line of that size.

Cause: int() as the check of numbers; read_toml expects syntax errors only; messages show values of any size; the loops of Node ran once.

Not changed: a high sequence number of the list that fits 64 bits hides later lists with lower ones.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -391,3 +391,69 @@
       | answering              |
       | away                   |
       | back for half a second |
+
+  Scenario Outline: An odd entry in the host list
+    # Guards against one entry for which the whole list is ignored, and against a list that no message
+    # to other processes can carry, which ends the reading of the list.
+    When the host list has an entry with <oddity>
+    Then its other entries hold, and fit the message to other processes
+
+    Examples:
+      | oddity |
+      | a number as a name |
+      | a lone surrogate in a name |
+      | a name of 5,000 bytes |
+      | no state |
+      | a list as a host |
+
+  Scenario Outline: An odd entry in the index of tickets
+    # Guards against one entry for which no process reads any ticket.
+    When the index of tickets has an entry with <oddity>
+    Then the other tickets are known
+
+    Examples:
+      | oddity |
+      | the number 1e999 |
+      | a number of 70 bits |
+      | the number true |
+      | a digest of 70 bits |
+      | a digest that is no hex |
+      | a list as a ticket |
+
+  Scenario Outline: A host list that is unusable as a whole
+    # Guards against an error that ends the reading of the list.
+    When the host list has <oddity>
+    Then it counts as unavailable, with a short reason
+
+    Examples:
+      | oddity |
+      | the sequence number 1e999 |
+      | a sequence number of 70 bits |
+      | the sequence number true |
+      | null as its hosts |
+      | 20,000 leaving hosts |
+      | nesting of 100,000 levels |
+      | broken text |
+
+  Scenario Outline: An odd ticket
+    # Guards against a ticket whose numbers end the reading of tickets or a link to a peer, and against
+    # its values in the log.
+    When a ticket with <oddity> is read
+    Then it is refused with one short line
+
+    Examples:
+      | oddity |
+      | a number of 5,000 digits |
+      | a number of 4,000 digits |
+      | a number of 6,000 hex digits |
+      | a weight of 6,000 hex digits |
+      | the number 1e999 |
+      | nesting of 100,000 levels |
+      | a key of 100,000 letters |
+      | port 99999 |
+      | a port of 5,000 digits |
+
+  Scenario: Reading goes on after an unexpected error
+    # Guards against a process that looks alive and never reads a ticket again.
+    When an unexpected error ends a round of reading tickets and one of reading the host list
+    Then both are read again, and each error is one log line
--- a/packages/wasabilb-core/src/wasabilb_core/_ticket_checks.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_ticket_checks.py
@@ -7,7 +7,15 @@
 
 import attrs
 
-from wasabilb_core._value_checks import NAME_PATTERN, Check, above, check_address, matches, one_of
+from wasabilb_core._value_checks import (
+    NAME_PATTERN,
+    Check,
+    above,
+    check_address,
+    matches,
+    one_of,
+    shown,
+)
 
 PathMessage = tuple[str, str]
 
@@ -29,7 +37,7 @@
     """Yield the mistakes in parsed TOML; values of a wrong type are skipped."""
     number = data.get("number")
     if type(number) is int and not 0 < number < _MAX_NUMBER:
-        yield "number", f"expected a positive integer, got {number}"
+        yield "number", f"expected a positive integer, got {shown(number)}"
     for section, rules in _RULES.items():
         items = data.get(section)
         items = items if isinstance(items, list) else []
--- a/packages/wasabilb-core/src/wasabilb_core/_value_checks.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_value_checks.py
@@ -65,7 +65,8 @@
             return None
         if bound < value < float("inf") or (inclusive and value == bound):
             return None
-        return f"expected a number {'of at least' if inclusive else 'above'} {bound:g}, got {value}"
+        expected = f"a number {'of at least' if inclusive else 'above'} {bound:g}"
+        return f"expected {expected}, got {shown(value)}"
 
     return check
 
@@ -77,7 +78,7 @@
     ip, _, port = value.rpartition(":")
     try:
         ipaddress.ip_address(ip.strip("[]"))
-        is_valid = port.isascii() and port.isdigit() and 0 < int(port) < 65536
+        is_valid = _is_port(port)
     except ValueError:
         is_valid = False
     return None if is_valid else f"expected IP:PORT, got {value[:80]!r}"
@@ -108,7 +109,7 @@
     def check(value: Any) -> str | None:
         if not isinstance(value, int | float) or isinstance(value, bool) or low < value < high:
             return None
-        return f"expected a number strictly between {low:g} and {high:g}, got {value}"
+        return f"expected a number strictly between {low:g} and {high:g}, got {shown(value)}"
 
     return check
 
@@ -138,8 +139,7 @@
     if not isinstance(value, str):
         return None
     host, _, port = value.rpartition(":")
-    is_port = port.isascii() and port.isdigit() and 0 < int(port) < 65536
-    if host and is_port and not re.search(r"[\s/@]", host):
+    if host and _is_port(port) and not re.search(r"[\s/@]", host):
         return None
     return f"expected HOST:PORT, got {value[:80]!r}"
 
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -77,6 +77,9 @@
     "ticket_refused": _spec("A ticket is invalid or conflicts.", "ticket source detail"),
     "platform_up": _spec("A service of the platform answers again.", "service"),
     "platform_down": _spec("A service of the platform does not answer.", "service detail"),
+    "entries_unusable": _spec(
+        "Entries in an answer of a service of the platform cannot be used.", "service entries"
+    ),
     "reader_changed": _spec("The host starts or stops reading tickets.", "is_reader"),
     "host_changed": _spec("The state of a host changes in this process.", "host state reason"),
     "settings_reloaded": _spec("Changed settings are in force.", "seeds"),
--- a/packages/wasabilb-core/src/wasabilb_core/toml_check.py
+++ b/packages/wasabilb-core/src/wasabilb_core/toml_check.py
@@ -18,6 +18,8 @@
 from cattrs.gen import make_dict_structure_fn
 from returns.result import Failure, Result, Success
 
+from wasabilb_core._value_checks import shown
+
 T = TypeVar("T")
 
 _MISSING = "is missing"
@@ -50,7 +52,8 @@
     """Parse TOML text, or fail with the line of the syntax error."""
     try:
         return Success(tomllib.loads(text))
-    except (tomllib.TOMLDecodeError, RecursionError) as exc:
+    except (ValueError, RecursionError) as exc:
+        # Besides syntax errors: an integer of more digits than Python converts.
         match = re.search(r"line (\d+)", str(exc))
         line = int(match.group(1)) if match else 0
         return Failure((Problem(path="", line=line, message=f"TOML syntax: {exc}"),))
@@ -108,7 +111,7 @@
     if kind is float and type(value) is int:
         return float(value)
     if type(value) is not kind:
-        raise TypeError(f"expected {_TYPE_NAMES[kind]}, got {_type_name(value)} {value!r}")
+        raise TypeError(f"expected {_TYPE_NAMES[kind]}, got {_type_name(value)} {shown(value)}")
     return value
 
 
--- a/packages/wasabilb-node/src/wasabilb_node/node.py
+++ b/packages/wasabilb-node/src/wasabilb_node/node.py
@@ -19,6 +19,7 @@
 from wasabilb_node.metrics import Metrics
 from wasabilb_node.platform_client import PlatformClient
 from wasabilb_node.platform_reader import PlatformReader
+from wasabilb_node.resilient_loop import run_loop
 from wasabilb_node.ticket_exchange import TicketExchange
 from wasabilb_node.tls import CertificateFiles, link_tls
 
@@ -165,8 +166,9 @@
         self.refresh_targets()
         self.run(self._heartbeat())
         if self.role is HostRole.ENTRY and self.cfg.platform.config_service:
-            self.run(self._reader.run_tickets())
-            self.run(self._reader.run_host_list())
+            self.run(run_loop(self._reader.run_tickets, where="tickets", log=self.log))
+            if self._client.has_host_list:
+                self.run(run_loop(self._reader.run_host_list, where="host list", log=self.log))
 
     def run(self, work: Coroutine[None, None, None]) -> None:
         """Run a coroutine until the process stops; an unexpected error in it is logged."""
--- a/packages/wasabilb-node/src/wasabilb_node/platform_client.py
+++ b/packages/wasabilb-node/src/wasabilb_node/platform_client.py
@@ -1,34 +1,45 @@
 """Read-only client of the configuration service and the host list."""
 
-import json
-from typing import Any
+import re
 
 from attrs import frozen
 from returns.result import Failure, Result, Success
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 from wasabilb_core.errors import Error, unavailable
+from wasabilb_core.json_fields import InvalidFieldError, JsonObject, NumberRange, parse_json
 from wasabilb_core.metric_names import Metric
 from wasabilb_core.tickets import MAX_TICKET_BYTES
+from wasabilb_wire.codec import MAX_LIST_ITEMS
 
 from wasabilb_node.metrics import Metrics
 
 CALL_TIMEOUT_S = 5.0
 MAX_INDEX_BYTES = 4 << 20
+# Numbers of tickets and host lists; messages hold them in 64 bits.
+NUMBERS = NumberRange(low=0, high=(1 << 62) - 1)
+# The list of leaving hosts fits a frame with names of this size, as tickets allow.
+MAX_HOST_NAME_BYTES = 63
+_DIGEST = re.compile(r"[0-9a-fA-F]{1,16}")
 
 
 @frozen(kw_only=True)
 class TicketIndex:
-    """The digests of all tickets of the configuration service, by number."""
+    """The digests of all tickets of the configuration service, by number.
+
+    `unusable` counts the entries that are left out.
+    """
 
     digests: dict[int, int]
+    unusable: int = 0
 
 
 @frozen(kw_only=True)
 class ListedHosts:
-    """The platform's host list at one moment."""
+    """The platform's host list at one moment; `unusable` counts the entries that are left out."""
 
     as_of: int
     leaving: tuple[str, ...]
+    unusable: int = 0
 
 
 class PlatformClient:
@@ -78,12 +89,7 @@
         body = await self._get(f"{self._host_list}/v1/hosts", CALL_TIMEOUT_S)
         if isinstance(body, Failure):
             return body
-        try:
-            data = json.loads(body.unwrap())
-            leaving = tuple(str(h["name"]) for h in data["hosts"] if h["state"] != "live")
-            return Success(ListedHosts(as_of=int(data["as_of"]), leaving=leaving))
-        except (ValueError, KeyError, TypeError, RecursionError) as exc:
-            return unavailable(f"host list is malformed: {type(exc).__name__}")
+        return _to_hosts(body.unwrap())
 
     def close(self) -> None:
         """Close the HTTP client."""
@@ -103,12 +109,45 @@
         return Success(response.body)
 
 
+def _to_hosts(body: bytes) -> Result[ListedHosts, Error]:
+    try:
+        data = JsonObject(parse_json(body, max_bytes=MAX_INDEX_BYTES))
+        as_of = data.whole("as_of", NUMBERS)
+        states = [_host_state(entry) for entry in data.list("hosts")]
+    except InvalidFieldError as exc:
+        return unavailable(f"host list is malformed: {exc}")
+    leaving = tuple(pair[0] for pair in states if pair is not None and pair[1] != "live")
+    if len(leaving) > MAX_LIST_ITEMS:
+        return unavailable(f"host list has {len(leaving)} leaving hosts")
+    return Success(ListedHosts(as_of=as_of, leaving=leaving, unusable=states.count(None)))
+
+
+def _host_state(entry: object) -> tuple[str, str] | None:
+    """Return the name and state of a listed host, None for an unusable entry."""
+    try:
+        host = JsonObject(entry)
+        return host.text("name", max_bytes=MAX_HOST_NAME_BYTES), host.text("state")
+    except InvalidFieldError:
+        return None
+
+
 def _to_index(body: Result[bytes, Error]) -> Result[TicketIndex, Error]:
     if isinstance(body, Failure):
         return body
     try:
-        data: Any = json.loads(body.unwrap())
-        digests = {int(ticket["number"]): int(ticket["digest"], 16) for ticket in data["tickets"]}
-        return Success(TicketIndex(digests=digests))
-    except (ValueError, KeyError, TypeError, RecursionError) as exc:
-        return unavailable(f"index is malformed: {type(exc).__name__}")
+        data = JsonObject(parse_json(body.unwrap(), max_bytes=MAX_INDEX_BYTES))
+        found = [_number_and_digest(entry) for entry in data.list("tickets")]
+    except InvalidFieldError as exc:
+        return unavailable(f"index is malformed: {exc}")
+    digests = dict(pair for pair in found if pair is not None)
+    return Success(TicketIndex(digests=digests, unusable=found.count(None)))
+
+
+def _number_and_digest(entry: object) -> tuple[int, int] | None:
+    """Return the number and digest of a listed ticket, None for an unusable entry."""
+    try:
+        ticket = JsonObject(entry)
+        number, digest = ticket.whole("number", NUMBERS), ticket.text("digest")
+    except InvalidFieldError:
+        return None
+    return (number, int(digest, 16)) if _DIGEST.fullmatch(digest) else None
--- a/packages/wasabilb-node/src/wasabilb_node/platform_reader.py
+++ b/packages/wasabilb-node/src/wasabilb_node/platform_reader.py
@@ -104,6 +104,7 @@
                 continue
             self._log_recovery("host list")
             hosts = listed.unwrap()
+            self._log_unusable("host list", hosts.unusable)
             if self._membership.on_host_list(as_of=hosts.as_of, leaving=hosts.leaving):
                 message = HostList(as_of=hosts.as_of, leaving=list(hosts.leaving))
                 self._links.broadcast(message)
@@ -119,6 +120,7 @@
             self._log_error("configuration service", index.failure().detail)
             return False
         self._log_recovery("configuration service")
+        self._log_unusable("configuration service", index.unwrap().unusable)
         is_complete = True
         numbers = self._spread.numbers_to_read(index.unwrap().digests, self._rng)
         conflicts = set(numbers) - set(self._spread.unknown_numbers(numbers))
@@ -139,13 +141,21 @@
 
     def _log_error(self, service: str, detail: str) -> None:
         # The service can be down for hours; one line per interval is enough.
-        if (
-            now() - self._error_logged_at.get(service, -ERROR_LOG_INTERVAL_S)
-            >= ERROR_LOG_INTERVAL_S
-        ):
-            self._error_logged_at[service] = now()
+        if self._is_line_due(service):
             self._log.event("platform_down", service=service, detail=detail)
 
+    def _log_unusable(self, service: str, entries: int) -> None:
+        # They remain in each answer.
+        if entries and self._is_line_due(f"{service} entries"):
+            self._log.event("entries_unusable", service=service, entries=entries)
+
+    def _is_line_due(self, name: str) -> bool:
+        moment = now()
+        is_due = moment - self._error_logged_at.get(name, float("-inf")) >= ERROR_LOG_INTERVAL_S
+        if is_due:
+            self._error_logged_at[name] = moment
+        return is_due
+
     def _log_recovery(self, service: str) -> None:
         if self._error_logged_at.pop(service, None) is not None:
             self._log.event("platform_up", service=service)
--- a/packages/wasabilb-node/src/wasabilb_node/ticket_exchange.py
+++ b/packages/wasabilb-node/src/wasabilb_node/ticket_exchange.py
@@ -16,6 +16,8 @@
 
 # Refused tickets arrive again with every summary; each text is logged only once.
 MAX_LOGGED_REFUSALS = 1024
+# The reasons of a refusal name keys and values of the ticket.
+MAX_DETAIL_CHARS = 500
 
 
 class TicketExchange:
@@ -63,7 +65,9 @@
                 and len(self._logged_refusals) < MAX_LOGGED_REFUSALS
             ):
                 self._logged_refusals.add(hash(text))
-                self._log.event("ticket_refused", source=source, detail=error.detail)
+                self._log.event(
+                    "ticket_refused", source=source, detail=error.detail[:MAX_DETAIL_CHARS]
+                )
             return
         accepted = result.unwrap()
         if accepted is None:
