A request that ends without an answer is logged with the reason why no other runner was tried

The log had the ends of the attempts and outcome=stream-broken, but not what ended the request: the attempts of the route, the retry budget, no usable runner, a blocked part of the prompt, or its time. Change: core.attempts.stop_reason names the reason in place of a truth value, and request_done carries it as reason=, with last_end= and left_ms=.

--- a/packages/wasabilb-core/src/wasabilb_core/attempts.py
+++ b/packages/wasabilb-core/src/wasabilb_core/attempts.py
@@ -40,6 +40,18 @@
         return self in (AttemptEnd.NOT_SENT, AttemptEnd.WITHHELD, AttemptEnd.REFUSED)
 
 
+@unique
+class StopReason(Enum):
+    """Why a request that has not been answered is sent to no further runner."""
+
+    TIME_UP = "time-up"
+    CALLER_GONE = "caller-gone"
+    NOT_REPEATABLE = "not-repeatable"
+    ATTEMPTS_USED = "attempts-used"
+    CONNECTIONS_FAILED = "connections-failed"
+    BUDGET_USED = "budget-used"
+
+
 @unique
 class AnswerProgress(Enum):
     """How far the answer of an attempt has come.
@@ -85,18 +97,22 @@
 MAX_UNSENT = 6
 
 
-def may_retry(route: Route, history: AttemptHistory, end: AttemptEnd, time_left_s: float) -> bool:
-    """Return whether another runner may be tried; the retry budget is checked separately.
+def stop_reason(
+    route: Route, history: AttemptHistory, end: AttemptEnd, time_left_s: float
+) -> StopReason | None:
+    """Return why no other runner may be tried, None if one may; the budget is checked separately.
 
     A request that may have run is sent again only if its route is repeatable.
     """
-    if end in (AttemptEnd.ANSWERED, AttemptEnd.DEADLINE, AttemptEnd.CALLER_GONE):
-        return False
-    if time_left_s < MIN_ATTEMPT_S or history.sent >= route.max_attempts:
-        return False
+    if end is AttemptEnd.CALLER_GONE:
+        return StopReason.CALLER_GONE
+    if end is AttemptEnd.DEADLINE or time_left_s < MIN_ATTEMPT_S:
+        return StopReason.TIME_UP
     if history.may_have_run and not route.is_repeatable:
-        return False
-    return history.unsent < MAX_UNSENT
+        return StopReason.NOT_REPEATABLE
+    if history.sent >= route.max_attempts:
+        return StopReason.ATTEMPTS_USED
+    return StopReason.CONNECTIONS_FAILED if history.unsent >= MAX_UNSENT else None
 
 
 def final_error(history: AttemptHistory, end: AttemptEnd | None) -> ErrorKind:
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -142,7 +142,7 @@
         "The last byte of an answer was sent, or the answer ended early.",
         "request account kind model version service host status outcome error tokens "
         "first_byte_ms duration_ms is_whole attempts route runner events unsent catalog revision "
-        "load load_age_ms wait_ms held_ms prompt answer_max answer_hint",
+        "load load_age_ms wait_ms held_ms prompt answer_max answer_hint reason last_end left_ms",
     ),
     "attempt_ended": _spec(
         "An attempt at a runner ended without the answer that the caller receives.",
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -12,8 +12,9 @@
 from wasabilb_core.attempts import (
     AttemptEnd,
     AttemptHistory,
+    StopReason,
     final_error,
-    may_retry,
+    stop_reason,
 )
 from wasabilb_core.catalog import Catalog, ClientAccount, RequestKind, Route, key_digest
 from wasabilb_core.errors import Error, ErrorKind, Outcome
@@ -189,7 +190,7 @@
         while True:
             placement = await self._place(ctx)
             if isinstance(placement, Error):
-                self._send_final_answer(ctx, placement)
+                self._send_final_answer(ctx, placement, reason=placement.kind.value)
                 return
             end = await self._attempt(ctx, placement)
             if end is AttemptEnd.ANSWERED:
@@ -201,8 +202,9 @@
             if end is AttemptEnd.CALLER_GONE or ctx.req.is_caller_gone:
                 self._log_done(ctx, outcome="caller-gone")
                 return
-            if not self._may_retry(ctx, ctx.history, end):
-                self._send_final_answer(ctx, None)
+            reason = self._stop_reason(ctx, ctx.history, end)
+            if reason is not None:
+                self._send_final_answer(ctx, None, reason=reason.value)
                 return
 
     async def _place(self, ctx: _RequestContext) -> Placement | Error:
@@ -346,7 +348,8 @@
         """Move a stream from a runner that loads a version to another one."""
         if attempt.is_moving or ctx.left_s < MIN_MOVE_LEFT_S:
             return False
-        if not self._may_retry(ctx, ctx.history.with_attempt(AttemptEnd.MOVED), AttemptEnd.MOVED):
+        history = ctx.history.with_attempt(AttemptEnd.MOVED)
+        if self._stop_reason(ctx, history, AttemptEnd.MOVED) is not None:
             return False
         attempt.move()
         return True
@@ -366,14 +369,14 @@
             return ctx.route.timeout_s
         return ctx.req.arrived_at + timeout_s - now()
 
-    def _may_retry(self, ctx: _RequestContext, history: AttemptHistory, end: AttemptEnd) -> bool:
-        """Return whether to try another runner; a repeated send is charged to the budget."""
-        route = ctx.route
-        if end is AttemptEnd.FAILED and not route.is_repeatable:
-            return False
-        if not may_retry(route, history, end, ctx.left_s):
-            return False
-        return history.sent == 0 or self._fleet.spend_retry(ctx.service)
+    def _stop_reason(
+        self, ctx: _RequestContext, history: AttemptHistory, end: AttemptEnd
+    ) -> StopReason | None:
+        """Return why not to try another runner; a repeated send is charged to the budget."""
+        reason = stop_reason(ctx.route, history, end, ctx.left_s)
+        if reason is None and history.sent > 0 and not self._fleet.spend_retry(ctx.service):
+            return StopReason.BUDGET_USED
+        return reason
 
     def _finish(self, ctx: _RequestContext) -> None:
         buffered_answer = ctx.relay.buffered_answer()
@@ -381,33 +384,36 @@
             send_buffered_answer(ctx.req, buffered_answer)
         self._log_done(ctx, outcome="answered")
 
-    def _send_final_answer(self, ctx: _RequestContext, error: Error | None) -> None:
-        """Send the caller its final answer."""
+    def _send_final_answer(self, ctx: _RequestContext, error: Error | None, *, reason: str) -> None:
+        """Send the caller its final answer, and log why no other runner is tried."""
         if ctx.req.is_caller_gone:
             self._log_done(ctx, outcome="caller-gone")
             return
         if ctx.relay.has_begun_answer:
             ctx.req.abort()
-            self._log_done(ctx, outcome="stream-broken", error=ErrorKind.STREAM_BROKEN)
+            self._log_done(
+                ctx, outcome="stream-broken", error=ErrorKind.STREAM_BROKEN, reason=reason
+            )
             return
         if ctx.failed_answer is not None:
             send_buffered_answer(ctx.req, ctx.failed_answer)
-            self._log_done(ctx, outcome="failed-by-runner")
+            self._log_done(ctx, outcome="failed-by-runner", reason=reason)
             return
         if ctx.history.may_have_run or error is None:
             kind = final_error(ctx.history, ctx.last_end)
-            outcome = Outcome.UNKNOWN if ctx.history.may_have_run else Outcome.NOT_RUN
+            has_run = Outcome.UNKNOWN if ctx.history.may_have_run else Outcome.NOT_RUN
             retry_after = self._placer.retry_after(ctx.service)
             error = Error(
                 kind=kind,
                 detail=f"{ctx.history.sent} attempts, the last one: "
                 f"{ctx.last_end.value if ctx.last_end else 'none'}",
-                outcome=outcome,
+                outcome=has_run,
                 retry_after_s=None if ctx.history.may_have_run else retry_after.seconds,
                 is_earliest=retry_after.is_earliest,
             )
         self._send_error(ctx.req, ctx.metadata, error)
-        self._log_done(ctx, outcome=error.effective_outcome.value, error=error.kind)
+        outcome = error.effective_outcome.value
+        self._log_done(ctx, outcome=outcome, error=error.kind, reason=reason)
 
     def _refuse(self, req: ReceivedRequest, metadata: RequestMetadata, error: Error) -> None:
         if not req.is_caller_gone:
@@ -445,7 +451,12 @@
         return spread_retry_s(pause_s, longest_s, self._rng)
 
     def _log_done(
-        self, ctx: _RequestContext, *, outcome: str, error: ErrorKind | None = None
+        self,
+        ctx: _RequestContext,
+        *,
+        outcome: str,
+        error: ErrorKind | None = None,
+        reason: str | None = None,
     ) -> None:
         req, placement = ctx.req, ctx.placement
         moment = now()
@@ -469,6 +480,9 @@
             status=req.status or None,
             outcome=outcome,
             error=error.value if error else None,
+            reason=reason,
+            last_end=ctx.last_end.value if ctx.last_end else None,
+            left_ms=None if outcome == "answered" else ctx.left_s * 1000,
             events=ctx.relay.events.count or None,
             first_byte_ms=None if first_s is None else first_s * 1000,
             duration_ms=(moment - req.arrived_at) * 1000,
