A stream that has begun is not ended by a runner that refused it

Cause: after the first runner the stream was handled as a request without an answer. A refusal counted as one of the route's attempts and was charged like a run; the refusing runner was excluded for good; one moment without a usable runner, without retry budget or with a probed part of the prompt ended it; six failed connections ended it. A request without an answer gets a true 503 then, an answer that has begun can only be cut off. A blocked part ends it at once, as nothing may serve it. Logged: stream_waiting with its cause, reason= of request_done. A runner that always refuses gets at most 9 requests of a stream in 3 s. Ruled out: a move to a full runner alone: every kind of refusal did the same, also after a runner broke off. Not in this commit: a move of choice still gives up the first runner before the second has begun.

--- /dev/null
+++ b/features/continued_streams.feature
@@ -0,0 +1,62 @@
+Feature: Answers that have begun go on
+  A caller that holds a part of an answer cannot be refused any more. Its stream ends early only when
+  its time is up, its caller has left, or no run is left that may go on with it.
+
+  Scenario Outline: A stream that has begun outlives runners that do not run it
+    # Guards against streams that are cut in the middle because the next runner refused them.
+    Given runners that in turn reset after two events, <next>, then answer
+    When a caller sends a request on the stream route
+    Then the caller gets all events once
+    And the runners received 2 requests that may have run
+
+    Examples:
+      | next                                                |
+      | refuse as full                                      |
+      | refuse as full, refuse as full                      |
+      | refuse as full, refuse as full, refuse as full      |
+      | refuse as another runner, refuse as another runner  |
+      | refuse as too many, refuse as too many              |
+      | refuse and name 0.6 s                               |
+      | refuse and name 0.6 s, refuse and name 0.6 s        |
+      | refuse as full while naming a limit of 2            |
+      | refuse as full while leaving                        |
+
+  Scenario Outline: A stream that has begun waits while nothing can go on with it
+    # Guards against streams that are cut in the middle because no runner could be used at one moment.
+    Given runners that in turn reset after two events, then answer
+    When a caller sends a request on the stream route and for 0.8 s after its second event <trouble>
+    Then the caller gets all events once
+    And the runners received 2 requests that may have run
+
+    Examples:
+      | trouble                                     |
+      | no runner is listed                         |
+      | the runners accept no connections           |
+      | the runners have asked for a pause          |
+      | the runners load a version                  |
+      | the retry budget is used up                 |
+      | a part of its prompt is being probed        |
+
+  Scenario Outline: A stream that has begun ends when nothing may go on with it
+    # Guards against streams that wait although no runner may get them, and against endless sends.
+    Given runners that in turn reset after two events, then <then>
+    When a caller sends a request on the stream route and for 9 s after its second event <trouble>
+    Then the caller gets a broken stream
+    And the stream has two events
+    And the answer came after <least> to <most> s
+    And the runners received at most <sends> requests
+    And the log names <reason> as the reason of its end
+
+    Examples:
+      | then                   | trouble                        | least | most | sends | reason         |
+      | refuse as full         | nothing else happens           | 2.8   | 3.1  | 9     | time-up        |
+      | answer                 | no runner is listed            | 2.8   | 3.1  | 1     | no-backend     |
+      | answer                 | the retry budget is used up    | 2.8   | 3.1  | 1     | budget-used    |
+      | answer                 | a part of its prompt is blocked | 0    | 0.3  | 1     | prompt-blocked |
+      | answer with an object  | nothing else happens           | 0     | 0.3  | 2     | attempts-used  |
+
+  Scenario: The caller of a stream that waits leaves
+    # Guards against sends for callers that have left.
+    Given runners that in turn reset after two events, then refuse as full
+    When a caller leaves a stream 0.5 s after its second event
+    Then the runners receive nothing more from 0.1 s after that
--- a/features/steps/scripted_runner.py
+++ b/features/steps/scripted_runner.py
@@ -12,6 +12,7 @@
 REFUSAL_HEADERS = b"Not-Run: 1\r\nRequest-Id: %s\r\n%sContent-Length: 0\r\n\r\n"
 REFUSALS = {
     "refuse as full": b"HTTP/1.1 503 Busy\r\n" + REFUSAL_HEADERS,
+    "refuse as too many": b"HTTP/1.1 429 Too Many Requests\r\n" + REFUSAL_HEADERS,
     "refuse as another runner": b"HTTP/1.1 421 Misdirected\r\n" + REFUSAL_HEADERS,
 }
 
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -148,6 +148,10 @@
         "An attempt at a runner ended without the answer that the caller receives.",
         "request runner end status duration_ms load load_age_ms events answer parts left_ms detail",
     ),
+    "stream_waiting": _spec(
+        "An answer that has begun waits until a runner can go on with it.",
+        "request cause detail last_end left_ms",
+    ),
     "request_refused": _spec(
         "A request was answered without being sent to a runner.",
         "request status error detail catalog revision",
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -7,16 +7,12 @@
 from collections.abc import Callable
 from functools import partial
 
-from attrs import define, field
 from tornado.httputil import HTTPHeaders
 from wasabilb_core.attempts import (
     AttemptEnd,
-    AttemptHistory,
-    StopReason,
     final_error,
-    stop_reason,
 )
-from wasabilb_core.catalog import Catalog, ClientAccount, RequestKind, Route, key_digest
+from wasabilb_core.catalog import Catalog, ClientAccount, RequestKind, key_digest
 from wasabilb_core.errors import Error, ErrorKind, Outcome
 from wasabilb_core.forwarding_metadata import AnswerMetadata, ForwardMetadata, RequestMetadata
 from wasabilb_core.prompt_parts import parts_text
@@ -31,17 +27,15 @@
 from wasabilb_entry.caller_protocol import CallerProtocol
 from wasabilb_entry.fleet_view import FleetView, Placement
 from wasabilb_entry.gateway_metrics import GatewayMetrics
-from wasabilb_entry.placer import PlacementNeeds, Placer
+from wasabilb_entry.placer import Placer
 from wasabilb_entry.prompt_guard import GuardedAttempt, PromptGuard
-from wasabilb_entry.relay import OK, BufferedAnswer, Relay, send_buffered_answer
+from wasabilb_entry.relay import OK, Relay, send_buffered_answer
+from wasabilb_entry.request_context import RequestContext
+from wasabilb_entry.resender import Resender
 from wasabilb_entry.runner_attempt import AttemptLimits, RunnerAttempt
 
 # Time reserved from a route's timeout for writing the final answer, seconds.
 ANSWER_MARGIN_S = 0.02
-# A caller whose timeout is shorter than the route's by this much is retrying, seconds.
-RESUBMITTED_MARGIN_S = 0.25
-# Time that a stream must have left to be moved, seconds, as its prompt is processed again.
-MIN_MOVE_LEFT_S = 1.0
 # Callers retry after at most a third of their timeout, so longer pauses have no effect.
 RETRY_AFTER_SHARE = 1 / 3
 # Range over which callers that cannot be served before a known time are spread after it, seconds.
@@ -49,32 +43,6 @@
 RETRY_SPREAD_S = 1.0
 
 
-@define(kw_only=True, eq=False)
-class _RequestContext:
-    """State of one request in progress."""
-
-    req: ReceivedRequest
-    metadata: RequestMetadata
-    route: Route
-    service: str
-    account: ClientAccount | None
-    deadline: float
-    relay: Relay
-    history: AttemptHistory = field(factory=AttemptHistory)
-    tried: set[str] = field(factory=set)
-    failed_answer: BufferedAnswer | None = None
-    placement: Placement | None = None
-    held_s: float = 0.0
-    # Parts of the prompt that the newest attempt probed.
-    probed: frozenset[int] = frozenset()
-    last_end: AttemptEnd | None = None
-
-    @property
-    def left_s(self) -> float:
-        """Return the seconds until the deadline."""
-        return self.deadline - now()
-
-
 class Forwarder:
     """Answers callers' requests.
 
@@ -114,6 +82,7 @@
         self._guard = guard
         self._on_limit_changed = on_limit_changed or (lambda: None)
         self._placer = Placer(fleet=fleet)
+        self._resender = Resender(fleet=fleet, guard=guard, placer=self._placer, log=log, rng=rng)
         self._protocol = protocol
         self._log = log
         self._metrics = metrics
@@ -148,7 +117,7 @@
             else:
                 self._refuse(req, metadata, Error(kind=ErrorKind.INTERNAL, detail="internal error"))
 
-    def _admit(self, req: ReceivedRequest, metadata: RequestMetadata) -> _RequestContext | Error:
+    def _admit(self, req: ReceivedRequest, metadata: RequestMetadata) -> RequestContext | Error:
         """Return the context of a request, or the error that refuses it."""
         catalog = self._fleet.catalog
         if catalog is None:
@@ -170,7 +139,7 @@
             protocol=self._protocol,
             is_stream=route.kind is RequestKind.STREAM,
         )
-        return _RequestContext(
+        return RequestContext(
             req=req,
             metadata=metadata,
             route=route,
@@ -185,12 +154,14 @@
             return None
         return catalog.account_for(key_digest(metadata.key, self._salt))
 
-    async def _forward(self, ctx: _RequestContext) -> None:
+    async def _forward(self, ctx: RequestContext) -> None:
         self._fleet.on_request(ctx.service)
         while True:
-            placement = await self._place(ctx)
+            placement = await self._resender.place(ctx)
             if isinstance(placement, Error):
-                self._send_final_answer(ctx, placement, reason=placement.kind.value)
+                self._send_final_answer(
+                    ctx, placement, reason=ctx.waiting_for or placement.kind.value
+                )
                 return
             end = await self._attempt(ctx, placement)
             if end is AttemptEnd.ANSWERED:
@@ -202,34 +173,12 @@
             if end is AttemptEnd.CALLER_GONE or ctx.req.is_caller_gone:
                 self._log_done(ctx, outcome="caller-gone")
                 return
-            reason = self._stop_reason(ctx, ctx.history, end)
+            reason = self._resender.stop_reason(ctx, end)
             if reason is not None:
                 self._send_final_answer(ctx, None, reason=reason.value)
                 return
 
-    async def _place(self, ctx: _RequestContext) -> Placement | Error:
-        """Return where to send a request now, or the error if it cannot be sent."""
-        refusal = self._guard.refusal(ctx.metadata.shared_parts)
-        if refusal is not None:
-            return refusal
-        route, timeout_s = ctx.route, ctx.metadata.timeout_s
-        needs = PlacementNeeds(
-            service=ctx.service,
-            prompt_tokens=ctx.metadata.prompt_tokens,
-            answer_tokens=ctx.metadata.hinted_answer_tokens,
-            objective_at=ctx.req.arrived_at + route.objective_s,
-            deadline=ctx.deadline,
-            is_resubmitted=timeout_s is not None
-            and timeout_s < route.timeout_s - RESUBMITTED_MARGIN_S,
-            is_first=ctx.history.sent == 0 and not ctx.relay.has_begun_answer,
-            tried=frozenset(ctx.tried),
-        )
-        started_at = now()
-        placement = await self._placer.place(needs, ctx.req)
-        ctx.held_s += now() - started_at
-        return placement
-
-    async def _attempt(self, ctx: _RequestContext, placement: Placement) -> AttemptEnd:
+    async def _attempt(self, ctx: RequestContext, placement: Placement) -> AttemptEnd:
         runner, placed_at = placement.runner, now()
         route = ctx.route
         send_metadata = ForwardMetadata(
@@ -263,6 +212,8 @@
             self._fleet.on_ended(runner)
             self._fleet.stream_mover.remove(runner.id, move)
         ctx.history = ctx.history.with_attempt(end)
+        if end is not AttemptEnd.MOVED:
+            ctx.is_resend_paid = ctx.is_resend_paid and not end.has_reached_runner
         ctx.tried.add(runner.id)
         ctx.placement, ctx.last_end = placement, end
         if not end.has_reached_runner:
@@ -292,7 +243,7 @@
         await self._tell_guard(ctx, runner, end)
         return end
 
-    def _may_send(self, ctx: _RequestContext, runner: Runner, placed_at: float) -> bool:
+    def _may_send(self, ctx: RequestContext, runner: Runner, placed_at: float) -> bool:
         """Return whether a request may still be sent to the runner chosen for it at a time."""
         if not self._fleet.may_send(runner, placed_at):
             return False
@@ -300,7 +251,7 @@
         ctx.probed = probed or frozenset()
         return probed is not None
 
-    async def _tell_guard(self, ctx: _RequestContext, runner: Runner, end: AttemptEnd) -> None:
+    async def _tell_guard(self, ctx: RequestContext, runner: Runner, end: AttemptEnd) -> None:
         probed, ctx.probed = ctx.probed, frozenset()
         head = ctx.relay.head
         await self._guard.on_attempt_ended(
@@ -316,7 +267,7 @@
         )
 
     def _on_answer_metadata(
-        self, ctx: _RequestContext, runner: Runner, metadata: AnswerMetadata
+        self, ctx: RequestContext, runner: Runner, metadata: AnswerMetadata
     ) -> None:
         """Process the metadata of an answer that must not wait for its end."""
         is_own = metadata.request_id == ctx.metadata.id
@@ -344,17 +295,16 @@
             pause_ms=metadata.pause.seconds * 1000,
         )
 
-    def _move_stream(self, ctx: _RequestContext, attempt: RunnerAttempt) -> bool:
+    def _move_stream(self, ctx: RequestContext, attempt: RunnerAttempt) -> bool:
         """Move a stream from a runner that loads a version to another one."""
-        if attempt.is_moving or ctx.left_s < MIN_MOVE_LEFT_S:
+        if attempt.is_moving:
             return False
-        history = ctx.history.with_attempt(AttemptEnd.MOVED)
-        if self._stop_reason(ctx, history, AttemptEnd.MOVED) is not None:
+        if not self._resender.may_move(ctx):
             return False
         attempt.move()
         return True
 
-    def _attempt_limits(self, ctx: _RequestContext, runner: Runner) -> AttemptLimits:
+    def _attempt_limits(self, ctx: RequestContext, runner: Runner) -> AttemptLimits:
         first_byte_s, gap_s = self._fleet.silence_limits_s(ctx.service, ctx.route)
         return AttemptLimits(
             deadline=ctx.deadline,
@@ -363,28 +313,19 @@
             begin_by=self._fleet.begin_by(runner),
         )
 
-    def _caller_left_s(self, ctx: _RequestContext) -> float:
+    def _caller_left_s(self, ctx: RequestContext) -> float:
         timeout_s = ctx.metadata.timeout_s
         if timeout_s is None:
             return ctx.route.timeout_s
         return ctx.req.arrived_at + timeout_s - now()
 
-    def _stop_reason(
-        self, ctx: _RequestContext, history: AttemptHistory, end: AttemptEnd
-    ) -> StopReason | None:
-        """Return why not to try another runner; a repeated send is charged to the budget."""
-        reason = stop_reason(ctx.route, history, end, ctx.left_s)
-        if reason is None and history.sent > 0 and not self._fleet.spend_retry(ctx.service):
-            return StopReason.BUDGET_USED
-        return reason
-
-    def _finish(self, ctx: _RequestContext) -> None:
+    def _finish(self, ctx: RequestContext) -> None:
         buffered_answer = ctx.relay.buffered_answer()
         if buffered_answer is not None and not ctx.req.is_caller_gone:
             send_buffered_answer(ctx.req, buffered_answer)
         self._log_done(ctx, outcome="answered")
 
-    def _send_final_answer(self, ctx: _RequestContext, error: Error | None, *, reason: str) -> None:
+    def _send_final_answer(self, ctx: RequestContext, error: Error | None, *, reason: str) -> None:
         """Send the caller its final answer, and log why no other runner is tried."""
         if ctx.req.is_caller_gone:
             self._log_done(ctx, outcome="caller-gone")
@@ -452,7 +393,7 @@
 
     def _log_done(
         self,
-        ctx: _RequestContext,
+        ctx: RequestContext,
         *,
         outcome: str,
         error: ErrorKind | None = None,
--- a/packages/wasabilb-entry/src/wasabilb_entry/placer.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/placer.py
@@ -3,7 +3,7 @@
 import math
 from functools import partial
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 from wasabilb_core.catalog import EngineSpec
 from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.overload import (
@@ -50,7 +50,9 @@
     is_first : bool
         Whether it has not been sent to any runner yet.
     tried : frozenset of str
-        Runners to exclude.
+        Runners to exclude; used again for a begun answer if there is no other one.
+    has_begun : bool
+        Whether the caller has received a part of the answer.
     """
 
     service: str
@@ -61,6 +63,7 @@
     is_resubmitted: bool
     is_first: bool
     tried: frozenset[str]
+    has_begun: bool = False
 
 
 @frozen(kw_only=True)
@@ -109,6 +112,9 @@
                 if not is_sent and not req.is_caller_gone:
                     return self._overloaded(needs.service, len(views), "no slot became free")
                 chosen = self.fleet.choose(request, views)
+        if chosen is None and needs.has_begun and needs.tried:
+            # A runner that refused it or loaded a version may accept it by now.
+            return await self.place(evolve(needs, tried=frozenset()), req)
         placement = self.fleet.placement(needs.service, chosen) if chosen is not None else None
         if placement is not None:
             return placement
