--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -142,12 +142,16 @@
         "The last byte of an answer was sent, or the answer ended early.",
         "request account kind model version service host status outcome error tokens "
         "first_byte_ms duration_ms is_whole attempts route runner events unsent catalog revision "
-        "load load_age_ms wait_ms held_ms prompt answer_max answer_hint",
+        "load load_age_ms wait_ms held_ms prompt answer_max answer_hint reason last_end left_ms",
     ),
     "attempt_ended": _spec(
         "An attempt at a runner ended without the answer that the caller receives.",
         "request runner end status duration_ms load load_age_ms events answer parts left_ms detail",
     ),
+    "stream_waiting": _spec(
+        "An answer that has begun waits until a runner can go on with it.",
+        "request cause detail last_end left_ms",
+    ),
     "request_refused": _spec(
         "A request was answered without being sent to a runner.",
         "request status error detail catalog revision",
