--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -27,6 +27,7 @@
 from wasabilb_entry.caller_protocol import CallerProtocol
 from wasabilb_entry.crash_detector import CrashDetector
 from wasabilb_entry.crash_exchange import CrashExchange
+from wasabilb_entry.drain import Drain
 from wasabilb_entry.fleet_view import FleetLimits, FleetView
 from wasabilb_entry.forwarder import Forwarder
 from wasabilb_entry.gateway_metrics import GatewayMetrics
@@ -38,13 +39,8 @@
 # Idle connections to one runner. Each of 7 entry processes keeps less than its share of the
 # connections that a runner accepts.
 MAX_IDLE_CONNECTIONS = 8
-# The balancer takes a process out of rotation after two failed checks, one per second, and opens
-# connections to it until then.
-BALANCER_REMOVAL_S = 2.6
 # Delay after a change until the peers to link with are selected again, seconds.
 TARGET_UPDATE_DELAY_S = 0.2
-# Interval at which a drain checks for unfinished requests.
-DRAIN_CHECK_S = 0.05
 
 
 @frozen(kw_only=True)
@@ -210,20 +206,8 @@
         Requests that the balancer still sends meanwhile are answered as well.
         """
         self._is_draining = True
-        self.log.event("drain_started", in_flight=self._forwarder.in_progress)
-        started_at = now()
-        await asyncio.sleep(BALANCER_REMOVAL_S)
-        self._callers.stop_accepting()
-        self._callers.end_keep_alive()
-        drain_deadline = started_at + self._cfg.grace_s * 0.95
-        while now() < drain_deadline:
-            self._callers.close_idle()
-            if not self._forwarder.in_progress and not self._callers.connections:
-                break
-            await asyncio.sleep(DRAIN_CHECK_S)
-        self.log.event(
-            "drain_done", cut_off=self._forwarder.in_progress, after_s=now() - started_at
-        )
+        drain = Drain(callers=self._callers, forwarder=self._forwarder, log=self.log)
+        await drain.run(self._cfg.grace_s)
         for task in self._tasks:
             task.cancel()
         self._node.links.close()
