A planned stop ends with answers, and late requests that cannot end are refused at once

What callers saw: in a planned stop of one entry process, requests that came late in the grace period were taken and passed on, and cut off without an answer at its end, among them requests that may not be repeated.

Cause: the drain knew the end of the grace period, but neither the decision to take a request nor the attempts at runners did. At 0.95 of the grace period all tasks were cancelled by the end of the event loop.

Change: DrainSchedule (core, time as an argument) owns the times of a stop and decides whether a request is taken: its time limit, or 1.25 times its predicted run time, must end by 0.94 of the grace period. The prediction is that of the engine for the named maximum of tokens, otherwise the longest of the newest 64 answers on the route. A refused request gets 503 (draining, not run) with the time at which the balancer has removed the process. Requests taken in a stop, and their sends to runners, are bounded by the same moment. Then held requests get 503, requests at runners 502 (outcome unknown), and the connections of streams that have begun end. A second signal does the same at once.

--- a/features/steps/forwarding_harness.py
+++ b/features/steps/forwarding_harness.py
@@ -63,7 +63,7 @@
     def read_request(self, headers):
         return RequestMetadata(
             id=headers.get("Request-Id", ""),
-            timeout_s=3.0,
+            timeout_s=float(headers.get("Timeout", "3.0")),
             key=headers.get("Authorization", "").partition(" ")[2] or None,
             shared_parts=tuple(int(part, 16) for part in headers.get("Parts", "").split(",")[:-1]),
         )
@@ -188,7 +188,7 @@
                 )
             )
         limit_exchange = self.link(name, runner_limits, published)
-        forwarder = Forwarder(
+        self.forwarder = Forwarder(
             fleet=self.fleet,
             protocol=PlainProtocol(),
             log=log,
@@ -199,7 +199,7 @@
             on_limit_changed=limit_exchange.on_changed,
         )
         self.server = CallerServer(
-            on_request=forwarder.on_request, log=log, connections=self.connections
+            on_request=self.forwarder.on_request, log=log, connections=self.connections
         )
         sockets = self.server.listen("127.0.0.1:0")
         self.port = sockets[0].getsockname()[1]
--- a/packages/wasabilb-core/src/wasabilb_core/attempts.py
+++ b/packages/wasabilb-core/src/wasabilb_core/attempts.py
@@ -27,6 +27,8 @@
     OUTDATED = "outdated"
     MOVED = "moved"
     DEADLINE = "deadline"
+    # The process ends before the answer.
+    CUT_OFF = "cut-off"
     CALLER_GONE = "caller-gone"
 
     @property
@@ -90,7 +92,13 @@
 
     A request that may have run is sent again only if its route is repeatable.
     """
-    if end in (AttemptEnd.ANSWERED, AttemptEnd.DEADLINE, AttemptEnd.CALLER_GONE):
+    is_over = end in (
+        AttemptEnd.ANSWERED,
+        AttemptEnd.DEADLINE,
+        AttemptEnd.CUT_OFF,
+        AttemptEnd.CALLER_GONE,
+    )
+    if is_over:
         return False
     if time_left_s < MIN_ATTEMPT_S or history.sent >= route.max_attempts:
         return False
--- a/packages/wasabilb-entry/src/wasabilb_entry/caller_connection.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/caller_connection.py
@@ -94,6 +94,10 @@
         except StreamClosedError:
             self._on_connection_closed()
 
+    def end_keep_alive(self) -> None:
+        """Close the connection after the answer."""
+        self._conn._disconnect_on_finish = True
+
     def abort(self) -> None:
         """Close the connection, so that an unfinished answer does not look complete."""
         self._conn.close()
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -16,10 +16,11 @@
     may_retry,
 )
 from wasabilb_core.catalog import Catalog, ClientAccount, RequestKind, Route, key_digest
+from wasabilb_core.drain_schedule import DrainSchedule, RunTimes
 from wasabilb_core.errors import Error, ErrorKind, Outcome
 from wasabilb_core.forwarding_metadata import AnswerMetadata, ForwardMetadata, RequestMetadata
 from wasabilb_core.prompt_parts import parts_text
-from wasabilb_core.retry_after import spread_retry_s
+from wasabilb_core.retry_after import RETRY_SPREAD, spread_retry_s
 from wasabilb_core.runner_directory import Runner
 from wasabilb_core.runner_limits import LimitChange
 from wasabilb_node.clock import now
@@ -67,6 +68,7 @@
     # Parts of the prompt that the newest attempt probed.
     probed: frozenset[int] = frozenset()
     last_end: AttemptEnd | None = None
+    attempt: RunnerAttempt | None = None
 
     @property
     def left_s(self) -> float:
@@ -119,6 +121,9 @@
         self._rng = rng
         self._salt = salt
         self._tasks: set[asyncio.Task[None]] = set()
+        self._contexts: set[_RequestContext] = set()
+        self._run_times = RunTimes()
+        self._drain: DrainSchedule | None = None
 
     @property
     def in_progress(self) -> int:
@@ -131,14 +136,31 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def on_drain(self, schedule: DrainSchedule) -> None:
+        """Bound all requests by the end of the process, and refuse new ones that last longer."""
+        self._drain = schedule
+        for ctx in self._contexts:
+            ctx.deadline = min(ctx.deadline, schedule.answer_by)
+
+    def end_requests(self) -> None:
+        """Give all requests in progress their final answer now, as the process ends."""
+        self._placer.refuse_held()
+        for ctx in self._contexts:
+            if ctx.attempt is not None:
+                ctx.attempt.cut_off()
+
     async def _answer(self, req: ReceivedRequest) -> None:
         metadata = self._protocol.read_request(req.headers)
         try:
             ctx = self._admit(req, metadata)
             if isinstance(ctx, Error):
                 self._refuse(req, metadata, ctx)
-            else:
+                return
+            self._contexts.add(ctx)
+            try:
                 await self._forward(ctx)
+            finally:
+                self._contexts.discard(ctx)
         except Exception as exc:
             # A bug must only end this request; the error reports that it may have run.
             self._log.event("internal_error", where="forwarder", detail=repr(exc))
@@ -169,7 +191,7 @@
             protocol=self._protocol,
             is_stream=route.kind is RequestKind.STREAM,
         )
-        return _RequestContext(
+        ctx = _RequestContext(
             req=req,
             metadata=metadata,
             route=route,
@@ -178,6 +200,26 @@
             deadline=req.arrived_at + timeout_s - ANSWER_MARGIN_S,
             relay=relay,
         )
+        if self._drain is None:
+            return ctx
+        return self._drain_refusal(ctx, self._drain) or ctx
+
+    def _drain_refusal(self, ctx: _RequestContext, drain: DrainSchedule) -> Error | None:
+        """Bound a request that arrives during a drain, or return the error that refuses it."""
+        moment, metadata = now(), ctx.metadata
+        run_s = self._placer.run_s(ctx.service, metadata.prompt_tokens, metadata.max_answer_tokens)
+        if run_s is None:
+            run_s = self._run_times.longest_s(ctx.route.name)
+        if drain.admits(now=moment, deadline=ctx.deadline, run_s=run_s):
+            ctx.deadline = min(ctx.deadline, drain.answer_by)
+            return None
+        # The next connection must reach another process.
+        ctx.req.end_keep_alive()
+        return Error(
+            kind=ErrorKind.DRAINING,
+            detail="the process ends before the request could",
+            retry_after_s=drain.retry_after_s(moment) / RETRY_SPREAD[0],
+        )
 
     def _account(self, catalog: Catalog, metadata: RequestMetadata) -> ClientAccount | None:
         if metadata.key is None:
@@ -252,12 +294,14 @@
         self._fleet.on_sent(runner, ctx.metadata.prompt_tokens)
         if self._fleet.runner_limits.per_s(runner) is not None:
             self._metrics.on_limited_send(ctx.service, is_repeated=ctx.history.sent > 0)
+        ctx.attempt = attempt
         move = partial(self._move_stream, ctx, attempt)
         if route.kind is RequestKind.STREAM and route.is_repeatable:
             self._fleet.stream_mover.add(runner.id, move)
         try:
             end = await attempt.run()
         finally:
+            ctx.attempt = None
             self._fleet.on_ended(runner)
             self._fleet.stream_mover.remove(runner.id, move)
         ctx.history = ctx.history.with_attempt(end)
@@ -379,6 +423,7 @@
         buffered_answer = ctx.relay.buffered_answer()
         if buffered_answer is not None and not ctx.req.is_caller_gone:
             send_buffered_answer(ctx.req, buffered_answer)
+        self._run_times.observe(ctx.route.name, now() - ctx.req.arrived_at)
         self._log_done(ctx, outcome="answered")
 
     def _send_final_answer(self, ctx: _RequestContext, error: Error | None) -> None:
--- a/packages/wasabilb-entry/src/wasabilb_entry/held_request_dispatcher.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/held_request_dispatcher.py
@@ -101,6 +101,11 @@
             self._requests.remove(key)
             self._waiters.pop(key, None)
 
+    def refuse_all(self) -> None:
+        """End all waits without a slot."""
+        for key in list(self._waiters):
+            self._wake(key, is_sent=False)
+
     def dispatch(self) -> None:
         """Send a held request if there is room, and end the wait of expired ones."""
         try:
@@ -113,8 +118,7 @@
         for held in self._requests.expired(now()):
             self._wake(held.key, is_sent=False)
         if not self._has_runner():
-            for key in list(self._waiters):
-                self._wake(key, is_sent=False)
+            self.refuse_all()
             return
         requested_pause_s = self._requested_pause_s()
         if requested_pause_s is not None:
--- a/packages/wasabilb-entry/src/wasabilb_entry/placer.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/placer.py
@@ -120,6 +120,23 @@
             is_earliest=retry_after.is_earliest,
         )
 
+    def refuse_held(self) -> None:
+        """Refuse all held requests."""
+        for dispatcher in self._dispatchers.values():
+            dispatcher.refuse_all()
+
+    def run_s(self, service: str, prompt_tokens: int, answer_tokens: int) -> float | None:
+        """Return the predicted time of an answer of at most some tokens, None if unknown."""
+        engine = self.fleet.engine(service)
+        if engine is None or not answer_tokens:
+            return None
+        views = self.fleet.views(service, RouteRequest())
+        if not views:
+            return None
+        best = min(views, key=expected_wait_s)
+        own_s = engine.prefill_s(prompt_tokens) + best.token_s * answer_tokens
+        return expected_wait_s(best) + best.pace * own_s
+
     def retry_after(self, service: str) -> RetryAfter:
         """Return when a caller of a service should retry."""
         retry_after = self._after_pause(service)
--- a/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
@@ -82,19 +82,31 @@
     keeps_running_without_caller: bool = False
     # Why this side aborted the answer, for the log.
     abort_reason: str = ""
-    _move_requested: "asyncio.Future[None]" = field(
+    _early_end: "asyncio.Future[AttemptEnd]" = field(
         factory=lambda: asyncio.get_running_loop().create_future()
     )
 
     @property
     def is_moving(self) -> bool:
         """Return whether the request is to move to another runner."""
-        return self._move_requested.done()
+        return self._early_end.done()
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether the process ends before the answer."""
+        return self._early_end.done() and self._early_end.result() is AttemptEnd.CUT_OFF
 
     def move(self) -> None:
         """End the attempt, as the request moves to another runner."""
-        if not self.is_moving:
-            self._move_requested.set_result(None)
+        self._end_early(AttemptEnd.MOVED)
+
+    def cut_off(self) -> None:
+        """End the attempt, as the process ends."""
+        self._end_early(AttemptEnd.CUT_OFF)
+
+    def _end_early(self, end: AttemptEnd) -> None:
+        if not self._early_end.done():
+            self._early_end.set_result(end)
 
     async def run(self) -> AttemptEnd:
         """Make the attempt and return how it ended."""
@@ -110,7 +122,7 @@
         if self.req.is_caller_gone:
             self.pool.release(conn)
             return AttemptEnd.NOT_SENT
-        if now() >= self.limits.deadline:
+        if now() >= self.limits.deadline or self.is_cut_off:
             self.pool.release(conn)
             return AttemptEnd.NOT_SENT
         # The runner may have begun to leave, or requested a pause, while the connection was opened.
@@ -164,7 +176,7 @@
 
     async def _wait_for_end(self, read_task: "asyncio.Future[ReadOutcome]") -> AttemptEnd | None:
         """Wait for the answer and return how it was cut off, None when it was not."""
-        ends: set[asyncio.Future[Any]] = {read_task, self._move_requested}
+        ends: set[asyncio.Future[Any]] = {read_task, self._early_end}
         while not read_task.done():
             moment = now()
             if moment >= self.limits.deadline:
@@ -180,8 +192,8 @@
             # The answer may begin meanwhile; from then on, a shorter silence ends it.
             end = min(silent_at, begin_by, self.limits.deadline, moment + self.limits.gap_s)
             await asyncio.wait(ends, timeout=end - moment, return_when=asyncio.FIRST_COMPLETED)
-            if self.is_moving and not read_task.done():
-                return AttemptEnd.MOVED
+            if self._early_end.done() and not read_task.done():
+                return self._early_end.result()
         return None
 
     def _to_end(self, read: ReadOutcome) -> AttemptEnd:
