--- a/packages/wasabilb-core/src/wasabilb_core/attempts.py
+++ b/packages/wasabilb-core/src/wasabilb_core/attempts.py
@@ -27,6 +27,8 @@
     OUTDATED = "outdated"
     MOVED = "moved"
     DEADLINE = "deadline"
+    # The process ends before the answer.
+    CUT_OFF = "cut-off"
     CALLER_GONE = "caller-gone"
 
     @property
@@ -45,6 +47,7 @@
     """Why a request that has not been answered is sent to no further runner."""
 
     TIME_UP = "time-up"
+    PROCESS_ENDS = "process-ends"
     CALLER_GONE = "caller-gone"
     NOT_REPEATABLE = "not-repeatable"
     ATTEMPTS_USED = "attempts-used"
@@ -132,6 +135,8 @@
     """
     if end is AttemptEnd.CALLER_GONE:
         return StopReason.CALLER_GONE
+    if end is AttemptEnd.CUT_OFF:
+        return StopReason.PROCESS_ENDS
     if end is AttemptEnd.DEADLINE or time_left_s < MIN_ATTEMPT_S:
         return StopReason.TIME_UP
     if history.may_have_run and not route.is_repeatable:
--- a/packages/wasabilb-entry/src/wasabilb_entry/request_context.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/request_context.py
@@ -9,6 +9,7 @@
 from wasabilb_entry.caller_connection import ReceivedRequest
 from wasabilb_entry.fleet_view import Placement
 from wasabilb_entry.relay import BufferedAnswer, Relay
+from wasabilb_entry.runner_attempt import RunnerAttempt
 
 
 @define(kw_only=True, eq=False)
@@ -30,6 +31,8 @@
     # Parts of the prompt that the newest attempt probed.
     probed: frozenset[int] = frozenset()
     last_end: AttemptEnd | None = None
+    # The attempt in progress.
+    attempt: RunnerAttempt | None = None
     # Whether a repeated send was charged to the budget and has not reached a runner yet.
     is_resend_paid: bool = False
     # What a begun answer waits for, empty while it does not wait.
