--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -9,6 +9,7 @@
 from direct_forwarding_steps import fetch
 from forwarding_harness import PATHS, ForwardingHarness, raw_request
 from wasabilb_core.runner_directory import Runner
+from wasabilb_core.state_position import StatePosition
 from wasabilb_node.clock import now
 
 # The users' rule: sends of processes in touch after the fifth crash and this time.
@@ -51,8 +52,9 @@
         old_id = f"r-{runner.number}-{runner.generation - 1}"
         for harness in self.harnesses:
             directory = harness.fleet.directory
-            directory.on_removed(old_id, now(), revision=2 * runner.generation)
-            directory.on_listed(self.listed(runner), revision=2 * runner.generation + 1)
+            revision = 2 * runner.generation
+            directory.on_removed(old_id, now(), StatePosition(revision=revision))
+            directory.on_listed(self.listed(runner), StatePosition(revision=revision + 1))
             harness.fleet.forget(old_id)
 
     @property
@@ -98,8 +100,8 @@
             for harness in self.harnesses:
                 directory = harness.fleet.directory
                 for number, runner in enumerate(self.runners):
-                    directory.on_removed(f"r-{number}", now(), revision=1)
-                    directory.on_listed(self.listed(runner), revision=1)
+                    directory.on_removed(f"r-{number}", now(), StatePosition(revision=1))
+                    directory.on_listed(self.listed(runner), StatePosition(revision=1))
             await script(self)
 
 
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -20,6 +20,7 @@
 from wasabilb_core.runner_directory import Runner, RunnerDirectory
 from wasabilb_core.runner_limits import RunnerLimits
 from wasabilb_core.runner_presence import PresenceState, RunnerPresence
+from wasabilb_core.state_position import StatePosition
 from wasabilb_entry.fleet_view import FleetView
 from wasabilb_entry.placer import ALL_LEAVING_RETRY_S, PlacementNeeds, Placer
 from wasabilb_node import clock
@@ -233,6 +234,7 @@
     b"other": runner(id="r-2", born_ms=7),
 }
 LISTED_REVISION = 10
+FIRST = StatePosition(revision=1)
 
 
 def apply_runner_item(context, body, revision=LISTED_REVISION + 1, runner_id="r-1"):
@@ -328,11 +330,11 @@
     "gone, by announcement": ["announcement", "removed"],
 }
 PRESENCE_EVENTS = {
-    "ready": lambda p, inc: p.on_listed(inc, is_draining=False, revision=1),
-    "draining": lambda p, inc: p.on_listed(inc, is_draining=True, revision=1),
+    "ready": lambda p, inc: p.on_listed(inc, is_draining=False, position=FIRST),
+    "draining": lambda p, inc: p.on_listed(inc, is_draining=True, position=FIRST),
     "announcement": lambda p, inc: p.on_leave_announced(inc),
-    "removed": lambda p, inc: p.on_removed(revision=1, is_trusted=True),
-    "expired": lambda p, inc: p.on_removed(revision=1, is_trusted=False),
+    "removed": lambda p, inc: p.on_removed(position=FIRST, is_trusted=True),
+    "expired": lambda p, inc: p.on_removed(position=FIRST, is_trusted=False),
     "not back": lambda p, inc: p.on_entry_expired(),
 }
 
@@ -466,10 +468,11 @@
         self.revision = max(self.revision, revision)
         before = {(r.id, r.incarnation) for r in self.directory if self.directory.may_receive(r)}
         if kind == "listed":
-            self.directory.on_listed(listed, revision)
+            self.directory.on_listed(listed, StatePosition(revision=revision))
             self.check_listed(listed, revision, before)
         elif kind == "removed":
-            self.directory.on_removed(listed.id, self.moment, revision)
+            position = StatePosition(revision=revision)
+            self.directory.on_removed(listed.id, self.moment, position)
             if revision < self.newest_revisions.get(listed.id, -1):
                 self.check_unchanged(before)
             elif listed.id in self.newest_revisions or listed.id in {
--- a/features/steps/limit_fleet_steps.py
+++ b/features/steps/limit_fleet_steps.py
@@ -10,6 +10,7 @@
 from limit_model import WEIGHTS, LimitFleet, play
 from named_limit_steps import TOLD_S, allowed_requests, most_in_window
 from wasabilb_core.lent_limits import MOST_PERMITS, MOST_S, LentLimits, PermitTransfer
+from wasabilb_core.state_position import StatePosition
 from wasabilb_node.clock import now
 
 # Time after a limit was first named from which it is judged, as the users' pages have it.
@@ -208,12 +209,12 @@
     (runner,) = fleet.runners
     fleet.runners.clear()
     for process in fleet.processes:
-        process.directory.on_removed(runner.id, now(), revision=1)
+        process.directory.on_removed(runner.id, now(), StatePosition(revision=1))
         process.limits.forget(runner.id, now())
     await asyncio.sleep(2)
     fleet.runners.append(runner)
     for process in fleet.processes:
-        process.directory.on_listed(runner, revision=2)
+        process.directory.on_listed(runner, StatePosition(revision=2))
 
 
 def names(limit):
--- a/features/steps/published_state_steps.py
+++ b/features/steps/published_state_steps.py
@@ -20,6 +20,7 @@
 from wasabilb_core.reload_waves import LATEST_ORDER_FRACTIONS, WaveMember, is_easing, may_reload
 from wasabilb_core.routing import RouteRequest
 from wasabilb_core.runner_directory import Runner, RunnerDirectory
+from wasabilb_core.state_position import StatePosition
 from wasabilb_core.version_steps import (
     StepInputs,
     VersionCandidate,
@@ -61,8 +62,8 @@
         state, seen = PublishedState(), {}
         updates = [history[i : i + rng.randint(1, 9)] for i in rng.choices(range(59), k=300)]
         for update in [*updates, history]:
-            before = update[0].revision - 1
-            for item in state.on_changes(update, after=before, revision=update[-1].revision):
+            before = StatePosition(revision=update[0].revision - 1)
+            for item in state.on_changes(update, after=before, position=update[-1].position):
                 context.went_back += item.revision <= seen.get(item.name, 0)
                 seen[item.name] = item.revision
         context.states.append(state)
@@ -72,7 +73,7 @@
 @then("both hold the same items at their newest revisions")
 def hold_newest(context):
     for state in context.states:
-        assert {item.name: item for item in state.changes_after(0)} == context.newest
+        assert {item.name: item for item in state.changes_after(StatePosition())} == context.newest
         assert state.revision == 59
 
 
@@ -88,12 +89,14 @@
         StateItem(name="kept", revision=2, body=b"1"),
         StateItem(name="old", revision=5, body=b"2"),
     ]
-    context.state.on_snapshot(items, 5)
+    context.state.on_snapshot(items, StatePosition(revision=5))
 
 
 @when("it receives the changes after revision 8 up to revision 9")
 def receives_with_gap(context):
-    context.state.on_changes([StateItem(name="new", revision=9, body=b"")], after=8, revision=9)
+    item = StateItem(name="new", revision=9, body=b"")
+    after = StatePosition(revision=8)
+    context.state.on_changes([item], after=after, position=item.position)
 
 
 @then("it still requests the changes after revision 5")
@@ -104,7 +107,7 @@
 @when("a snapshot at revision 9 no longer lists an item")
 def read_snapshot(context):
     listed = [StateItem(name="kept", revision=2, body=b"1")]
-    context.changed = context.state.on_snapshot(listed, 9)
+    context.changed = context.state.on_snapshot(listed, StatePosition(revision=9))
 
 
 @then("that item counts as removed")
--- a/features/steps/readers_steps.py
+++ b/features/steps/readers_steps.py
@@ -1,198 +1,26 @@
 """Steps about the processes that read the platform for others, under a virtual clock."""
 
 import asyncio
-import itertools
 import json
 import operator
 import random
 import zlib
 from collections import Counter
+from functools import partial
 
 from attrs import evolve
 from behave import given, then, when
-from forwarding_harness import LookupDecoder
 from memory_links import Network, run_virtual
-from returns.result import Failure, Success
-from wasabilb_core.entry_roster import EntryPlace, EntryRoster
-from wasabilb_core.errors import Error, ErrorKind
-from wasabilb_core.peering import entry_peers, followed_runners, hubs
-from wasabilb_core.published import PublishedState, StateItem
-from wasabilb_core.runner_directory import Runner
-from wasabilb_node import clock
+from published_fleet import (
+    SEEDS,
+    Platform,
+    Process,
+    connect_all,
+    connect_as_large_fleet,
+)
+from wasabilb_core.peering import hubs
+from wasabilb_core.published import StateItem
 from wasabilb_node.item_compression import MAX_BODY_BYTES, ItemPacker, unpack
-from wasabilb_node.links import UNWANTED_CLOSE_S
-from wasabilb_node.logs import EventLog
-from wasabilb_node.published_source import Changes, PublishedSource, Snapshot
-from wasabilb_node.published_sync import PublishedSync
-from wasabilb_node.published_view import PublishedView
-from wasabilb_wire.messages import RunnerReport
-
-HEARTBEAT_S = 0.8
-# The platform answers a call that waits for changes after at most this time.
-MAX_WATCH_S = 5.0
-POLL_INTERVAL_S = 0.02
-SEEDS = 3
-RUNNER = Runner(id="r", born_ms=1, service="s", address="127.0.0.1:9", failure_domain="a")
-UNAVAILABLE = Failure(Error(kind=ErrorKind.PLATFORM_UNAVAILABLE, detail="refused"))
-
-
-class Platform:
-    """A platform that publishes items to all hosts that it does not refuse."""
-
-    def __init__(self):
-        self.items, self.revision = {}, 1
-        self.is_down, self.refused_hosts = False, set()
-        self.watch_counts, self.calls = Counter(), Counter()
-
-    def publish(self, name, body):
-        self.revision += 1
-        self.items[name] = StateItem(name=name, revision=self.revision, body=body)
-
-    def source(self, host):
-        async def snapshot():
-            self.calls[host] += 1
-            await asyncio.sleep(0.004)
-            if self.is_refused(host):
-                return UNAVAILABLE
-            listed = tuple(item for item in self.items.values() if item.body is not None)
-            return Success(Snapshot(items=listed, revision=self.revision))
-
-        async def changes(after):
-            self.calls[host] += 1
-            self.watch_counts[host] += 1
-            try:
-                for _ in range(round(MAX_WATCH_S / POLL_INTERVAL_S)):
-                    await asyncio.sleep(POLL_INTERVAL_S)
-                    if self.is_refused(host):
-                        return UNAVAILABLE
-                    if self.revision > after:
-                        break
-            finally:
-                self.watch_counts[host] -= 1
-            new = tuple(item for item in self.items.values() if item.revision > after)
-            return Success(Changes(items=new, revision=self.revision))
-
-        return PublishedSource(snapshot=snapshot, changes=changes)
-
-    def is_refused(self, host):
-        return self.is_down or host in self.refused_hosts
-
-
-class Process:
-    """A process that follows published state."""
-
-    def __init__(self, *, network, platform, host, role, failure_domain, is_seed=False):
-        self.host, self.role = host, role
-        links = network.add(host, role, failure_domain=failure_domain)
-        log = EventLog(
-            process=host, role=role, host=host, failure_domain=failure_domain, incarnation="1"
-        )
-        self.own = EntryPlace(address=host, failure_domain=failure_domain)
-        roster = EntryRoster(own=self.own if role == "entry" else None, now=clock.now())
-        self.roster, self.links = roster, links
-        items = PublishedState()
-        self.published_view = PublishedView(
-            items=items, decoder=LookupDecoder({b"runner": RUNNER}), log=log
-        )
-        self.sync = PublishedSync(
-            state=items,
-            source=platform.source(host),
-            links=links,
-            roster=roster,
-            log=log,
-            rng=random.Random(host),
-            on_change=self.on_change,
-            on_platform_state=self.on_platform_state,
-            on_removal_distrust=self.published_view.on_removal_distrust,
-            on_removal_trust=self.published_view.on_removal_trust,
-            removal_distrust_s=self.published_view.removal_distrust_s,
-            is_seed=is_seed,
-        )
-
-    def on_change(self, items):
-        self.published_view.apply_items(items)
-        if self.role == "entry":
-            self.sync.announce_change()
-
-    def on_platform_state(self, is_up):
-        self.published_view.on_platform_state(is_up)
-        if self.role == "entry":
-            self.sync.announce_change()
-
-    def report(self, *, is_for_all):
-        """Report the runner as an agent does while its state is unchanged."""
-        own = self.own.failure_domain
-        peers = self.links.peers(role="entry")
-        near = [peer for peer in peers if peer.hello.failure_domain == own]
-        self.links.multicast(RunnerReport(runner="r", born_ms=1), peers if is_for_all else near)
-
-    async def run(self):
-        reading = asyncio.ensure_future(self.sync.run())
-        # Processes do not send their heartbeats at the same time.
-        await asyncio.sleep(random.Random(self.host).uniform(0, HEARTBEAT_S))
-        try:
-            for number in itertools.count():
-                self.sync.send_heartbeats()
-                self.published_view.expire_runners()
-                if self.role == "agent":
-                    self.report(is_for_all=number % 2 == 0)
-                await asyncio.sleep(HEARTBEAT_S)
-        finally:
-            reading.cancel()
-
-
-async def connect_all(network, processes):
-    """Link each entry process with all other processes."""
-    await asyncio.sleep(0.2)
-    for number, one in enumerate(processes):
-        for two in processes[number + 1 :]:
-            if "entry" in (one.role, two.role):
-                network.connect(one.host, two.host)
-
-
-class LinkSelector:
-    """Opens the links that entry processes need and closes those that none needs."""
-
-    def __init__(self, network, processes):
-        self.network = network
-        self.entries = [process for process in processes if process.role == "entry"]
-        self.runners = [
-            evolve(RUNNER, id=process.host, failure_domain=process.own.failure_domain)
-            for process in processes
-            if process.role == "agent"
-        ]
-        self.last_needed_at = {}
-
-    def target_hosts(self, entry):
-        """Return the hosts that an entry process links with, at first the seeds."""
-        places = entry.roster.places()
-        peers = entry_peers(entry.own, places, lambda address: address in self.network.dead)
-        known = {place.address for place in places}
-        seeds = {seed.host for seed in self.entries[:SEEDS]} - known - {entry.host}
-        # Runners are listed once the published state has arrived.
-        runners = self.runners if entry.published_view.revision else []
-        return {*peers, *seeds, *followed_runners(entry.own, places, runners)}
-
-    def update_links(self, now):
-        for entry in self.entries:
-            if entry.host not in self.network.dead:
-                for host in self.target_hosts(entry) - self.network.dead:
-                    pair = frozenset((entry.host, host))
-                    if pair not in self.last_needed_at:
-                        self.network.connect(entry.host, host)
-                    self.last_needed_at[pair] = now
-        for pair, at in list(self.last_needed_at.items()):
-            if now - at >= UNWANTED_CLOSE_S:
-                del self.last_needed_at[pair]
-                self.network.disconnect(*pair)
-
-
-async def connect_as_large_fleet(network, processes):
-    """Link processes as in a large fleet, beginning with the seeds."""
-    links = LinkSelector(network, processes)
-    while True:
-        links.update_links(clock.now())
-        await asyncio.sleep(0.2)
 
 
 def run_fleet(context, *checks):
@@ -233,6 +61,7 @@
 def step_processes(context, entries, agents):
     context.entries, context.agents, context.domains = entries, agents, 2
     context.listed, context.actions, context.connect = {}, [], connect_all
+    context.run_fleet = partial(run_fleet, context)
     context.bytes_per_s = None
 
 
--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -79,6 +79,7 @@
             is_removed=st.booleans(),
             body=st.binary(max_size=30),
             is_packed=st.booleans(),
+            era=st.integers(0, 2**48),
         ),
         max_size=3,
     ),
--- a/packages/wasabilb-agent/src/wasabilb_agent/_version_loader.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_version_loader.py
@@ -39,7 +39,7 @@
     fleet : ModelFleet
         The runners of the model.
     published : PublishedView
-        Named versions and the revision that fences orders.
+        Named versions and the position that fences orders.
     runner : ModelRunner
         The runner on this host.
     staging : Staging
@@ -185,7 +185,7 @@
         answer = await self._runner.load(
             target.model,
             int(target.version),
-            fence=self._published.revision,
+            fence=self._published.position.fence,
             orders=state.orders,
         )
         if isinstance(answer, Failure):
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -82,6 +82,11 @@
     "settings_reloaded": _spec("Changed settings are in force.", "seeds"),
     # Published state
     "published_from_peer": _spec("Published items arrived from a peer.", "peer revision items"),
+    "store_era_changed": _spec(
+        "The platform's store came back from a copy. Items of a higher version than the copy shows "
+        "are retained, items that it lacks are removed.",
+        "era revision era_before revision_before retained removed",
+    ),
     "published_unusable": _spec("A published item cannot be used.", "name revision"),
     "catalog_accepted": _spec(
         "A version of routes, services and accounts is in force here.",
--- a/packages/wasabilb-core/src/wasabilb_core/published.py
+++ b/packages/wasabilb-core/src/wasabilb_core/published.py
@@ -1,13 +1,19 @@
 """State that the platform publishes as named items, replicated to every process.
 
-Each item carries the revision of its last change, from one counter. Merging keeps the highest
-revision of each item, so updates may come from the platform or from any peer, in any order and
-more than once. A process that knows all items up to revision R requests the changes after R.
+Each item carries the position of its last change. Merging is a join: it keeps the newest
+publication of each item, so updates may come from the platform or from any peer, in any order and
+more than once. A process that knows all items up to a position requests the changes after it.
+
+The store may come back from a copy in a later era, without what was written since. A later era
+replaces what is known, except for content with a version of its own: an item whose content has a
+higher version than the copy shows is retained until it is published again.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+
+from attrs import define, field, frozen
 
-from attrs import frozen
+from wasabilb_core.state_position import START, StatePosition
 
 
 @frozen(kw_only=True)
@@ -22,79 +28,174 @@
         Revision of its last change.
     body : bytes or None
         Its content; None for a removed item.
+    era : int
+        Era of the store in which it was read.
     """
 
     name: str
     revision: int
     body: bytes | None
+    era: int = 0
+
+    @property
+    def position(self) -> StatePosition:
+        """Return the position of its last change."""
+        return StatePosition(era=self.era, revision=self.revision)
+
+
+@define(kw_only=True)
+class _PartialList:
+    """Batches of a peer's list of a later era, up to a position."""
+
+    era: int
+    upto: StatePosition
+    items: list[StateItem] = field(factory=list)
 
 
 class PublishedState:
-    """The newest known revision of each item, including removed ones."""
+    """The newest known publication of each item, including removed ones.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    content_version : callable or None
+        Returns the version that the content of an item names, 0 for content without one or that
+        cannot be used.
+    """
+
+    def __init__(self, *, content_version: Callable[[StateItem], int] | None = None) -> None:
+        self._content_version = content_version or (lambda item: 0)
         self._items: dict[str, StateItem] = {}
-        self._revision = 0
-        # Removals up to this revision may be unknown.
-        self._removals_known_from = 0
+        self._versions: dict[str, int] = {}
+        self._position = START
+        # Publications of this era up to this position may have been made before it began.
+        self._era_began = START
+        # Removals up to this position may be unknown.
+        self._removals_known_from = START
+        self._partial_list: _PartialList | None = None
+
+    @property
+    def position(self) -> StatePosition:
+        """Return the position up to which every item is known."""
+        return self._position
 
     @property
     def revision(self) -> int:
-        """Return the revision up to which every item is known; 0 before the first snapshot."""
-        return self._revision
+        """Return the revision of `position`; 0 before the first snapshot."""
+        return self._position.revision
+
+    def is_copied(self, position: StatePosition) -> bool:
+        """Return whether a publication may be older than the era in which it was read."""
+        return position.era > self._position.era or (
+            position.era == self._position.era and position <= self._era_began
+        )
+
+    def retained(self) -> list[StateItem]:
+        """Return the items whose content is newer than what the store shows in this era."""
+        return [
+            item
+            for item in self._items.values()
+            if item.era < self._position.era and item.body is not None
+        ]
 
-    def on_snapshot(self, items: Iterable[StateItem], revision: int) -> list[StateItem]:
+    def on_snapshot(self, items: Iterable[StateItem], position: StatePosition) -> list[StateItem]:
         """Merge a complete snapshot and return the changed items.
 
         Parameters
         ----------
         items : iterable of StateItem
             All existing items.
-        revision : int
-            Revision of the platform before the snapshot was read. Items that are missing from it
-            and have no later change were removed.
+        position : StatePosition
+            Position of the platform before the snapshot was read. Items that are missing from it
+            and have no later change were removed. A snapshot of an earlier era changes nothing.
         """
-        listed = {item.name: item for item in items}
+        if position.era < self._position.era:
+            return []
+        listed = list(items)
+        names = {item.name for item in listed}
         removed = [
-            StateItem(name=name, revision=revision, body=None)
+            StateItem(name=name, revision=position.revision, era=position.era, body=None)
             for name, item in self._items.items()
-            if name not in listed and item.body is not None and item.revision <= revision
+            if name not in names and item.body is not None and item.position <= position
         ]
-        changed = self._merge([*listed.values(), *removed], revision)
-        self._removals_known_from = max(self._removals_known_from, revision)
-        return changed
+        if position.era > self._position.era:
+            self._era_began, self._partial_list = position, None
+        self._position = max(self._position, position)
+        self._removals_known_from = max(self._removals_known_from, position)
+        return self._merge([*listed, *removed])
 
     def on_changes(
-        self, items: Iterable[StateItem], *, after: int, revision: int
+        self,
+        items: Iterable[StateItem],
+        *,
+        after: StatePosition,
+        position: StatePosition,
+        is_last: bool = True,
     ) -> list[StateItem]:
-        """Merge all changes after one revision up to another and return the changed items.
+        """Merge all changes after one position up to another and return the changed items.
+
+        The known position advances only when no change in between can be missing. Changes that
+        lead to a later era are merged when the last of them has arrived.
 
-        The known revision advances only when no change in between can be missing.
+        Parameters
+        ----------
+        is_last : bool
+            Whether the changes are all that the sender knows, and not one of several batches.
         """
-        is_first = self._revision == 0
-        changed = self._merge(items, revision if after <= self._revision else self._revision)
+        if position.era > self._position.era:
+            return self._on_later_era(items, after, position, is_last=is_last)
+        is_first = self._position.is_start
+        if after <= self._position:
+            self._position = max(self._position, position)
         if is_first:
-            self._removals_known_from = self._revision
-        return changed
+            self._removals_known_from = self._position
+        return self._merge(items)
 
-    def changes_after(self, revision: int) -> list[StateItem]:
-        """Return the items whose last change is newer than a revision."""
-        return [item for item in self._items.values() if item.revision > revision]
+    def changes_after(self, position: StatePosition) -> list[StateItem]:
+        """Return the items whose last change is later than a position."""
+        return [item for item in self._items.values() if item.position > position]
 
-    def complete_after(self, revision: int) -> int:
-        """Return the revision after which `changes_after` includes all relevant removals.
+    def complete_after(self, position: StatePosition) -> StatePosition:
+        """Return the position after which `changes_after` includes all relevant removals.
 
-        A reader without items has nothing to remove. One with items from before the start of this
-        state may miss their removal.
+        A reader without items has nothing to remove, and one of an earlier era removes all items
+        that it is not sent. One with items from before the start of this state may miss their
+        removal.
         """
-        return revision if revision == 0 else max(revision, self._removals_known_from)
-
-    def _merge(self, items: Iterable[StateItem], revision: int) -> list[StateItem]:
+        if position.is_start or position.era < self._position.era:
+            return position
+        return max(position, self._removals_known_from)
+
+    def _on_later_era(
+        self,
+        items: Iterable[StateItem],
+        after: StatePosition,
+        position: StatePosition,
+        *,
+        is_last: bool,
+    ) -> list[StateItem]:
+        """Collect the batches of a later era, and merge them when all have arrived."""
+        partial = self._partial_list
+        if partial is None or partial.era < position.era:
+            partial = _PartialList(era=position.era, upto=self._position)
+        if partial.era > position.era or after > partial.upto:
+            return []
+        partial.items += items
+        partial.upto = max(partial.upto, position)
+        self._partial_list = partial
+        return self.on_snapshot(partial.items, position) if is_last else []
+
+    def _merge(self, items: Iterable[StateItem]) -> list[StateItem]:
         changed = []
         for item in items:
             current = self._items.get(item.name)
-            if current is None or item.revision > current.revision:
-                self._items[item.name] = item
+            if current is not None and current.position == item.position:
+                continue
+            version = self._content_version(item) if item.body is not None else 0
+            if version == 0 and item.era < self._position.era:
+                # The later era replaces content without a version.
+                continue
+            held = self._versions.get(item.name, 0)
+            if current is None or (version, item.position) > (held, current.position):
+                self._items[item.name], self._versions[item.name] = item, version
                 changed.append(item)
-        self._revision = max(self._revision, revision)
-        return sorted(changed, key=lambda item: item.revision)
+        return sorted(changed, key=lambda item: item.position)
--- a/packages/wasabilb-core/src/wasabilb_core/runner_directory.py
+++ b/packages/wasabilb-core/src/wasabilb_core/runner_directory.py
@@ -1,14 +1,19 @@
 """Directory of runners, from the platform's delayed list and the runners' leave announcements."""
 
+import math
 from collections.abc import Iterator
 
 from attrs import evolve, frozen
 
 from wasabilb_core.runner_presence import Incarnation, PresenceState, RunnerPresence
+from wasabilb_core.state_position import START, StatePosition
 
 # List entries that expired during a platform outage return within about 2 s of its end; the rest
 # covers the time that a change takes to reach this process.
 EXPIRY_GRACE_S = 2.2
+# The platform removes an entry after three heartbeat intervals of silence (3.6 s), so a runner
+# whose entry lasts longer is alive; the rest covers the time until the removal is known here.
+ENTRY_LASTS_S = 5.0
 # Number of gone runners that are kept, so that a late list entry or answer of such a runner does
 # not restore it. The largest planned fleet has 600 runners, and all may be replaced at once.
 MAX_GONE = 1200
@@ -80,7 +85,8 @@
     An entry that is removed during or shortly after a platform outage may have expired although
     the runner still runs. Such a runner stays routable until `EXPIRY_GRACE_S` after the end of the
     outage. At any other time the removal of an entry ends the runner at once, because a leaving
-    runner must not receive new requests.
+    runner must not receive new requests. A gone runner that a copy of the store still lists is used
+    when its entry was published again or lasts for `ENTRY_LASTS_S`.
     `RunnerPresence` holds the state of each runner.
     """
 
@@ -92,6 +98,8 @@
         self._routable_ids: set[str] = set()
         # Those of them whose entry was removed while removals were not trusted.
         self._assumed_ids: set[str] = set()
+        # Times since which copied entries of gone runners are listed.
+        self._unconfirmed_since: dict[str, float] = {}
         self._is_platform_down = False
         self._removals_trusted_at = 0.0
 
@@ -122,24 +130,39 @@
             EXPIRY_GRACE_S if self._is_platform_down else max(0.0, self._removals_trusted_at - now)
         )
 
-    def on_listed(self, runner: Runner, revision: int = 0) -> bool:
-        """Apply an entry of the list; return False if it is outdated."""
+    def on_listed(
+        self,
+        runner: Runner,
+        position: StatePosition = START,
+        *,
+        is_copied: bool = False,
+    ) -> bool:
+        """Apply an entry of the list; return False if it is outdated.
+
+        Parameters
+        ----------
+        is_copied : bool
+            Whether the entry may have been written before the copy that the store came back from.
+        """
         presence = self._presence(runner.id, runner.incarnation)
         is_accepted = presence.on_listed(
-            runner.incarnation, is_draining=runner.is_draining, revision=revision
+            runner.incarnation,
+            is_draining=runner.is_draining,
+            position=position,
+            is_copied=is_copied,
         )
         if is_accepted:
             self._runners[runner.id] = runner
         self._apply_state(runner.id)
         return is_accepted
 
-    def on_removed(self, runner_id: str, now: float, revision: int = 0) -> bool:
+    def on_removed(self, runner_id: str, now: float, position: StatePosition = START) -> bool:
         """Apply the removal of an entry; return whether its runner was listed and is now gone."""
         presence = self._presences.get(runner_id)
         if presence is None:
             return False
         is_trusted = not self._is_platform_down and now >= self._removals_trusted_at
-        presence.on_removed(revision=revision, is_trusted=is_trusted)
+        presence.on_removed(position=position, is_trusted=is_trusted)
         return self._apply_state(runner_id)
 
     def on_leave_announced(self, runner: Runner) -> bool:
@@ -170,6 +193,23 @@
             self._apply_state(runner_id)
         return expired_ids
 
+    def confirm_lasting(self, now: float) -> list[str]:
+        """Use the runners whose copied entries last, and return their ids."""
+        if self._is_platform_down:
+            self._unconfirmed_since = dict.fromkeys(self._unconfirmed_since, math.inf)
+            return []
+        for runner_id, since in self._unconfirmed_since.items():
+            self._unconfirmed_since[runner_id] = min(since, now)
+        lasting_ids = [
+            runner_id
+            for runner_id, since in self._unconfirmed_since.items()
+            if now - since >= ENTRY_LASTS_S
+        ]
+        for runner_id in lasting_ids:
+            self._presences[runner_id].on_entry_lasted()
+            self._apply_state(runner_id)
+        return lasting_ids
+
     def get(self, runner_id: str) -> Runner | None:
         """Return a runner by its id."""
         return self._runners.get(runner_id)
@@ -208,6 +248,10 @@
     def _apply_state(self, runner_id: str) -> bool:
         """Update the routable set; return whether the runner was listed and is now gone."""
         presence = self._presences[runner_id]
+        if presence.state is PresenceState.UNCONFIRMED:
+            self._unconfirmed_since[runner_id] = math.inf
+        else:
+            self._unconfirmed_since.pop(runner_id, None)
         if presence.state.may_receive:
             self._routable_ids.add(runner_id)
         else:
--- a/packages/wasabilb-core/src/wasabilb_core/runner_presence.py
+++ b/packages/wasabilb-core/src/wasabilb_core/runner_presence.py
@@ -1,8 +1,12 @@
 """State machine of a runner's presence, driven by its announcements and by published entries.
 
 A leaving runner announces it in its answers, usually before its entry in the platform's list
-changes, and continues to answer for seconds. Entries are ordered by revision, and incarnations of
+changes, and continues to answer for seconds. Entries are ordered by position, and incarnations of
 one identifier by their start time. `docs/decisions/forwarding.md` has the transitions.
+
+A store that comes back from a copy lists what was true when the copy was made: runners that have
+left since, or an earlier incarnation. Such an entry does not undo what is known of an incarnation;
+it is used once the runner has published it again.
 """
 
 from collections import deque
@@ -10,7 +14,10 @@
 
 from attrs import define, field, frozen
 
-# Incarnations of one runner whose announcements are kept. A runner restarts once or twice a day.
+from wasabilb_core.state_position import START, StatePosition
+
+# Incarnations of one runner whose announcements, and ends, are kept. A runner restarts once or
+# twice a day.
 MAX_ANNOUNCED = 8
 
 
@@ -18,13 +25,15 @@
 class PresenceState(Enum):
     """State of a runner.
 
-    `ASSUMED` is a runner whose entry was removed during or shortly after a platform outage.
+    `ASSUMED` is a runner whose entry was removed during or shortly after a platform outage, and
+    `UNCONFIRMED` one that was gone and that a copy of the store still lists.
     """
 
     SERVING = "serving"
     ASSUMED = "assumed"
     LEAVING_ANNOUNCED = "leaving-announced"
     LEAVING_BY_PUBLICATION = "leaving-by-publication"
+    UNCONFIRMED = "unconfirmed"
     GONE = "gone"
 
     @property
@@ -62,32 +71,57 @@
     ----------
     incarnation : Incarnation
         Newest incarnation that was listed.
-    revision : int
-        Revision of the newest publication.
+    position : StatePosition
+        Position of the newest publication.
     state : PresenceState
         State of that incarnation.
     """
 
     incarnation: Incarnation
-    revision: int = 0
+    position: StatePosition = START
     state: PresenceState = PresenceState.GONE
     # Incarnations that announced that they leave. This is irrevocable, see the decision page.
     _announced: deque[Incarnation] = field(factory=lambda: deque(maxlen=MAX_ANNOUNCED))
+    # Incarnations that have ended, as far as published entries tell.
+    _ended: deque[Incarnation] = field(factory=lambda: deque(maxlen=MAX_ANNOUNCED))
+
+    def on_listed(
+        self,
+        incarnation: Incarnation,
+        *,
+        is_draining: bool,
+        position: StatePosition,
+        is_copied: bool = False,
+    ) -> bool:
+        """Apply an entry of the list; return False if it is outdated.
 
-    def on_listed(self, incarnation: Incarnation, *, is_draining: bool, revision: int) -> bool:
-        """Apply an entry of the list; return False if it is outdated."""
-        if revision < self.revision or self._is_superseded(incarnation):
+        Parameters
+        ----------
+        is_copied : bool
+            Whether the entry may have been written before the copy that the store came back from.
+        """
+        if position < self.position or self._is_superseded(incarnation):
             return False
-        self.incarnation, self.revision = incarnation, revision
+        self.position = position
+        is_earlier = incarnation.born_ms < self.incarnation.born_ms
+        if is_copied and (is_earlier or incarnation in self._ended):
+            return self._on_ended_listed(incarnation, is_draining=is_draining)
+        was_draining = self.state is PresenceState.LEAVING_BY_PUBLICATION
+        is_same = incarnation == self.incarnation
+        if not is_same:
+            self._on_ended()
+        if incarnation in self._ended:
+            self._ended.remove(incarnation)
+        self.incarnation = incarnation
         if incarnation in self._announced:
             self.state = PresenceState.LEAVING_ANNOUNCED
-        elif is_draining:
+        elif is_draining or (is_copied and is_same and was_draining):
             self.state = PresenceState.LEAVING_BY_PUBLICATION
         else:
             self.state = PresenceState.SERVING
         return True
 
-    def on_removed(self, *, revision: int, is_trusted: bool) -> None:
+    def on_removed(self, *, position: StatePosition, is_trusted: bool) -> None:
         """Apply the removal of the entry.
 
         Parameters
@@ -95,16 +129,23 @@
         is_trusted : bool
             Whether the removal means that the runner ended, not only that its entry expired.
         """
-        if revision < self.revision:
+        if position < self.position:
             return
-        self.revision = revision
-        is_kept = self.state.may_receive and not is_trusted
-        self.state = PresenceState.ASSUMED if is_kept else PresenceState.GONE
+        self.position = position
+        if self.state.may_receive and not is_trusted:
+            self.state = PresenceState.ASSUMED
+        else:
+            self._on_ended()
 
     def on_entry_expired(self) -> None:
         """Record that an expired entry did not return in time."""
         if self.state is PresenceState.ASSUMED:
-            self.state = PresenceState.GONE
+            self._on_ended()
+
+    def on_entry_lasted(self) -> None:
+        """Record that a copied entry was not removed although only a live runner keeps one."""
+        if self.state is PresenceState.UNCONFIRMED:
+            self.state = PresenceState.SERVING
 
     def on_leave_announced(self, incarnation: Incarnation) -> None:
         """Apply the announcement of an incarnation that it leaves."""
@@ -114,10 +155,31 @@
             # The announcement of an earlier incarnation does not apply to its successor.
             return
         if self.state is PresenceState.ASSUMED:
-            self.state = PresenceState.GONE
+            self._on_ended()
         elif self.state is not PresenceState.GONE:
             self.state = PresenceState.LEAVING_ANNOUNCED
 
+    def _on_ended(self) -> None:
+        """Record that the newest listed incarnation has ended."""
+        if self.state is not PresenceState.GONE and self.incarnation not in self._ended:
+            self._ended.append(self.incarnation)
+        self.state = PresenceState.GONE
+
+    def _on_ended_listed(self, incarnation: Incarnation, *, is_draining: bool) -> bool:
+        """Apply the copied entry of an incarnation that has ended."""
+        if incarnation != self.incarnation:
+            # A later incarnation is missing from the copy, like a new runner.
+            if self.state.may_receive:
+                self.state = PresenceState.ASSUMED
+            return False
+        if incarnation in self._announced:
+            self.state = PresenceState.LEAVING_ANNOUNCED
+        elif is_draining:
+            self.state = PresenceState.LEAVING_BY_PUBLICATION
+        elif self.state is PresenceState.GONE:
+            self.state = PresenceState.UNCONFIRMED
+        return True
+
     def _is_superseded(self, incarnation: Incarnation) -> bool:
         """Return whether an entry has an earlier incarnation than the leaving one.
 
--- a/packages/wasabilb-node/src/wasabilb_node/item_compression.py
+++ b/packages/wasabilb-node/src/wasabilb_node/item_compression.py
@@ -15,7 +15,7 @@
 
 
 class ItemPacker:
-    """Converts items to messages and caches the result for each revision."""
+    """Converts items to messages and caches the newest result for each name."""
 
     def __init__(self) -> None:
         self._packed: dict[str, PublishedItem] = {}
@@ -23,7 +23,7 @@
     def pack(self, item: StateItem) -> PublishedItem:
         """Return the message for an item."""
         packed = self._packed.get(item.name)
-        if packed is None or packed.revision != item.revision:
+        if packed is None or (packed.era, packed.revision) != (item.era, item.revision):
             packed = self._packed[item.name] = _pack(item)
         return packed
 
@@ -37,6 +37,7 @@
         is_removed=item.body is None,
         body=zlib.compress(body, COMPRESSION_LEVEL) if is_packed else body,
         is_packed=is_packed,
+        era=item.era,
     )
 
 
@@ -57,4 +58,4 @@
             raise ValueError(f"item {packed.name}: {exc}") from exc
         if not unpacker.eof:
             raise ValueError(f"item {packed.name} is truncated or above {MAX_BODY_BYTES} bytes")
-    return StateItem(name=packed.name, revision=packed.revision, body=body)
+    return StateItem(name=packed.name, revision=packed.revision, body=body, era=packed.era)
--- /dev/null
+++ b/packages/wasabilb-node/src/wasabilb_node/published_batches.py
@@ -0,0 +1,57 @@
+"""Answers to requests of peers for published state."""
+
+from wasabilb_core.published import PublishedState
+from wasabilb_core.state_position import StatePosition
+from wasabilb_wire.messages import Published, PublishedItem
+
+from wasabilb_node.item_compression import ItemPacker
+
+# An answer is split into messages of at most this size; a frame is limited to 2 MiB.
+MAX_BATCH_BYTES = 1 << 20
+
+
+def to_batches(
+    state: PublishedState, after: StatePosition, *, packer: ItemPacker, distrust_ms: int
+) -> list[Published]:
+    """Return the messages with all changes after a position.
+
+    Parameters
+    ----------
+    state : PublishedState
+        The published state.
+    after : StatePosition
+        Position up to which the peer knows all items.
+    packer : ItemPacker
+        Compresses items.
+    distrust_ms : int
+        Time for which removed entries may only have expired, milliseconds.
+    """
+    era_start = StatePosition(era=state.position.era)
+    begin, batch, size = state.complete_after(after), list[PublishedItem](), 0
+    end = era_start
+    messages: list[Published] = []
+
+    def add_message(position: StatePosition, *, is_last: bool) -> None:
+        messages.append(
+            Published(
+                after=begin.revision,
+                after_era=begin.era,
+                revision=position.revision,
+                era=position.era,
+                items=batch,
+                distrust_ms=distrust_ms,
+                is_last=is_last,
+            )
+        )
+
+    for item in sorted(state.changes_after(after), key=lambda item: item.position):
+        packed = packer.pack(item)
+        if batch and size + len(packed.body) > MAX_BATCH_BYTES:
+            add_message(end, is_last=False)
+            begin, batch, size = max(begin, end), [], 0
+        # Retained items of earlier eras come first.
+        end = max(item.position, era_start)
+        batch.append(packed)
+        size += len(packed.body)
+    add_message(state.position, is_last=True)
+    return messages
--- a/packages/wasabilb-node/src/wasabilb_node/published_node.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_node.py
@@ -10,6 +10,7 @@
 from wasabilb_core.published import PublishedState, StateItem
 
 from wasabilb_node.clock import now
+from wasabilb_node.decoded_items import DecodedItems
 from wasabilb_node.http_client import ConnectionPool
 from wasabilb_node.links import Identity, LinkManager
 from wasabilb_node.logs import EventLog
@@ -110,10 +111,11 @@
         )
         own = EntryPlace(address=place.address, failure_domain=place.failure_domain)
         self.roster = EntryRoster(own=own if place.is_entry else None, now=now())
-        items = PublishedState()
+        decoded_items = DecodedItems(decoder=decoder)
+        items = PublishedState(content_version=decoded_items.content_version)
         self.published = PublishedView(
             items=items,
-            decoder=decoder,
+            decoder=decoded_items,
             log=self.log,
             on_catalog=on_catalog,
             on_runner_gone=on_runner_gone,
@@ -126,6 +128,7 @@
             rng=self.rng,
             roster=self.roster,
             on_change=self._on_change,
+            on_era_began=self.published.on_era_began,
             on_platform_state=self._on_platform_state,
             on_removal_distrust=self.published.on_removal_distrust,
             on_removal_trust=self.published.on_removal_trust,
--- a/packages/wasabilb-node/src/wasabilb_node/published_source.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_source.py
@@ -13,19 +13,28 @@
 
 @frozen(kw_only=True)
 class Snapshot:
-    """All published items; changes after `revision` may be missing."""
+    """All published items; changes after `revision` may be missing.
+
+    `era` is that of the store, None if it named none.
+    """
 
     items: tuple[StateItem, ...]
     revision: int
+    era: int | None = None
 
 
 @frozen(kw_only=True)
 class Changes:
-    """The items that changed after a revision, unless the history no longer reaches back to it."""
+    """The items that changed after a revision, unless the history no longer reaches back to it.
+
+    `era` is that of the store, None if it named none. In a later era than that of the revision the
+    items are not all that changed.
+    """
 
     items: tuple[StateItem, ...]
     revision: int
     is_history_lost: bool = False
+    era: int | None = None
 
 
 class PublishedDecoder(Protocol):
--- a/packages/wasabilb-node/src/wasabilb_node/published_sync.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_sync.py
@@ -9,27 +9,24 @@
 from wasabilb_core.errors import Error
 from wasabilb_core.published import PublishedState, StateItem
 from wasabilb_core.reader_role import ReaderRole
+from wasabilb_core.state_position import StatePosition
 from wasabilb_core.ticket_spread import in_reader_order
-from wasabilb_wire.messages import NodeBeat, Published, PublishedItem, PublishedWant
+from wasabilb_wire.messages import NodeBeat, Published, PublishedWant
 
 from wasabilb_node.clock import now
 from wasabilb_node.item_compression import ItemPacker, unpack
 from wasabilb_node.links import LinkManager, Peer
 from wasabilb_node.logs import EventLog
+from wasabilb_node.published_batches import to_batches
+from wasabilb_node.published_reader import FIRST_RETRY_S, MAX_RETRY_S, PublishedReader
 from wasabilb_node.published_source import PublishedSource
 from wasabilb_node.update_recipients import UpdateRecipients
 
-# Backoff of a reader whose call was refused or failed. Peers with access announce changes
-# meanwhile, so a shorter backoff is not needed.
-FIRST_RETRY_S = 0.2
-MAX_RETRY_S = 0.8
 # A process waits this long for its own read before it requests changes from a peer that is ahead,
 # so that each change is not sent to every process twice.
 REQUEST_DELAY_S = 0.3
 # Another peer gets the request if none answered within this time.
 REQUEST_TIMEOUT_S = 0.6
-# An answer is split into messages of at most this size; a frame is limited to 2 MiB.
-MAX_BATCH_BYTES = 1 << 20
 # A starting process waits this long, or up to twice as long, for a peer's state before it reads the
 # platform; links to peers are up after some 10 ms.
 STARTUP_WAIT_S = 0.5
@@ -43,9 +40,7 @@
 # Peers that started after a process fell behind do not have all the changes that it missed. It
 # reads the platform itself if no other peer has sent them within this time.
 GAP_WAIT_S = 1.2
-# Changes within these intervals are read, and announced to peers, together. A roll-out to 76
-# runners makes some 30 changes a second.
-BATCH_S = 0.1
+# Changes within this time are announced to peers together.
 ANNOUNCE_INTERVAL_S = 0.05
 
 
@@ -67,6 +62,9 @@
         The known entry processes.
     on_change : callable
         Called with the changed items, in order of their revisions.
+    on_era_began : callable
+        Called before `on_change` when this process has read the platform for the first time in an
+        era of its store, which may have come back from a copy a moment ago.
     on_platform_state : callable
         Called with whether the platform answers this process or a linked one that reads it, when
         that changes.
@@ -89,6 +87,7 @@
         log: EventLog,
         rng: random.Random,
         on_change: Callable[[list[StateItem]], None],
+        on_era_began: Callable[[], None],
         on_platform_state: Callable[[bool], None],
         on_removal_distrust: Callable[[float], None],
         on_removal_trust: Callable[[], None],
@@ -96,12 +95,13 @@
         is_seed: bool = False,
     ) -> None:
         self._state = state
-        self._source = source
+        self._reader = PublishedReader(state=state, source=source, rng=rng)
         self._links = links
         self._roster = roster
         self._log = log
         self._rng = rng
         self._on_change = on_change
+        self._on_era_began = on_era_began
         self._on_platform_state = on_platform_state
         self._on_removal_distrust = on_removal_distrust
         self._on_removal_trust = on_removal_trust
@@ -115,7 +115,6 @@
         self._is_platform_unreachable = False
         # Whether the newest call succeeded and this process has remained a reader since.
         self._is_reading = False
-        self._is_history_lost = False
         self._last_linked_at = now()
         self._started_at = now()
         self._requested_at = float("-inf")
@@ -186,7 +185,8 @@
 
     def _to_beat(self, entries: list[EntryPlace]) -> NodeBeat:
         return NodeBeat(
-            revision=self._state.revision,
+            era=self._state.position.era,
+            revision=self._state.position.revision,
             entries=entries,
             reads_platform=self._is_reading,
             distrust_ms=self._distrust_ms(),
@@ -204,12 +204,12 @@
         skips_wait = self._is_seed or not self._is_entry
         wait_s = 0.0 if skips_wait else STARTUP_WAIT_S * self._rng.uniform(1.0, 2.0)
         until = self._started_at + wait_s
-        while self._state.revision == 0 and now() < until:
+        while self._state.position.is_start and now() < until:
             await asyncio.sleep(STARTUP_CHECK_S)
 
     def _should_read(self) -> bool:
         """Return whether this process should read the platform now."""
-        if self._state.revision == 0:
+        if self._state.position.is_start:
             return True
         if self._gap_since is not None and now() - self._gap_since >= GAP_WAIT_S:
             return True
@@ -230,35 +230,18 @@
         )
 
     async def _read_once(self) -> Error | None:
-        if self._state.revision == 0 or self._is_history_lost:
-            return await self._read_snapshot()
-        after = self._state.revision
-        changed = await self._source.changes(after)
-        if isinstance(changed, Failure):
-            error: Error = changed.failure()
-            return error
-        changes = changed.unwrap()
-        self._set_platform_up(True)
-        if changes.is_history_lost:
-            self._is_history_lost = True
-            return None
-        self._gap_since = None
-        self._apply(self._state.on_changes(changes.items, after=after, revision=changes.revision))
-        if changes.items:
-            # The changes that follow soon are read with one call.
-            await asyncio.sleep(BATCH_S * self._rng.uniform(0.5, 1.5))
-        return None
-
-    async def _read_snapshot(self) -> Error | None:
-        result = await self._source.snapshot()
+        before = self._state.position
+        result = await self._reader.read()
         if isinstance(result, Failure):
             error: Error = result.failure()
             return error
-        snapshot = result.unwrap()
+        reading = result.unwrap()
         self._set_platform_up(True)
-        self._is_history_lost = False
         self._gap_since = None
-        self._apply(self._state.on_snapshot(snapshot.items, snapshot.revision))
+        if before.is_start or self._state.position.era > before.era:
+            self._on_era_began()
+        self._apply(before, reading.changed)
+        await asyncio.sleep(reading.pause_s)
         return None
 
     def _set_platform_up(self, is_up: bool, detail: str = "") -> None:
@@ -282,7 +265,20 @@
         self._reading_peers.discard(peer)
         self._update_platform_state()
 
-    def _apply(self, changed: list[StateItem]) -> None:
+    def _apply(self, before: StatePosition, changed: list[StateItem]) -> None:
+        """Report changed items and a later era."""
+        position = self._state.position
+        if position.era > before.era and not before.is_start:
+            self._log.event(
+                "store_era_changed",
+                era=position.era,
+                revision=position.revision,
+                era_before=before.era,
+                revision_before=before.revision,
+                retained=len(self._state.retained()),
+                removed=sum(item.body is None for item in changed),
+            )
+            self._announce_later()
         self._behind_since = None
         if changed:
             self._on_change(changed)
@@ -295,67 +291,71 @@
         else:
             self._reading_peers.discard(peer)
         self._update_platform_state()
-        if beat.reads_platform and not beat.distrust_ms:
+        is_same_era = beat.era == self._state.position.era
+        if beat.reads_platform and not beat.distrust_ms and is_same_era:
             self._trusting_peer_at = now()
             self._on_removal_trust()
-        self._on_peer_distrust(beat.distrust_ms)
-        if beat.revision > self._state.revision:
-            self._on_peer_ahead(peer)
+        self._on_peer_distrust(beat.distrust_ms, beat.era)
+        position = StatePosition(era=beat.era, revision=beat.revision)
+        if position > self._state.position:
+            self._on_peer_ahead(peer, position.era)
 
-    def _on_peer_distrust(self, distrust_ms: int) -> None:
+    def _on_peer_distrust(self, distrust_ms: int, era: int) -> None:
         """Take over that a peer treats removed entries as expired ones.
 
         It does not count while this process or another peer reads the platform and trusts
-        removals: then only the peer was cut off from the platform, and no entry expired.
+        removals: then only the peer was cut off from the platform, and no entry expired. What is
+        trusted in one era tells nothing of another one.
         """
+        known_era = self._state.position.era
+        if era != known_era:
+            if era > known_era and distrust_ms:
+                self._on_removal_distrust(distrust_ms / 1000)
+            return
         is_trusted_here = self._is_reading and self._is_platform_up and not self._distrust_ms()
         is_trusted = is_trusted_here or now() - self._trusting_peer_at < TRUST_S
         if distrust_ms and not is_trusted:
             self._on_removal_distrust(distrust_ms / 1000)
 
-    def _on_peer_ahead(self, peer: Peer) -> None:
+    def _on_peer_ahead(self, peer: Peer, era: int) -> None:
         """Request changes from a peer that is ahead, unless they will soon arrive otherwise."""
         moment = now()
         if self._behind_since is None:
             self._behind_since = moment
-        is_waiting = self._is_reading or self._expects_nearer_peer(peer)
+        is_waiting = self._is_reading or self._expects_nearer_peer(peer, era)
         if is_waiting and moment - self._behind_since < REQUEST_DELAY_S:
             return
         if moment - self._requested_at >= REQUEST_TIMEOUT_S:
             self._requested_at = moment
-            peer.send(PublishedWant(after=self._state.revision))
+            known = self._state.position
+            peer.send(PublishedWant(after=known.revision, era=known.era))
 
-    def _expects_nearer_peer(self, peer: Peer) -> bool:
-        """Return whether this process has no state yet and a nearer peer may send it.
+    def _expects_nearer_peer(self, peer: Peer, era: int) -> bool:
+        """Return whether this process lacks the complete state and a nearer peer may send it.
 
         The complete state is large and the links between regions are narrow.
         """
+        known = self._state.position
         own = self._links.identity.failure_domain
-        return self._state.revision == 0 and peer.hello.failure_domain != own
+        return (known.is_start or era > known.era) and peer.hello.failure_domain != own
 
     def _on_want(self, peer: Peer, want: PublishedWant) -> None:
-        items = sorted(self._state.changes_after(want.after), key=lambda item: item.revision)
-        batch: list[PublishedItem] = []
-        after, size = self._state.complete_after(want.after), 0
+        after = StatePosition(era=want.era, revision=want.after)
         distrust_ms = self._distrust_ms()
-        for item in items:
-            packed = self._packer.pack(item)
-            if batch and size + len(packed.body) > MAX_BATCH_BYTES:
-                revision = batch[-1].revision
-                peer.send(
-                    Published(after=after, revision=revision, items=batch, distrust_ms=distrust_ms)
-                )
-                after, batch, size = max(after, batch[-1].revision), [], 0
-            batch.append(packed)
-            size += len(packed.body)
-        revision = self._state.revision
-        peer.send(Published(after=after, revision=revision, items=batch, distrust_ms=distrust_ms))
+        for message in to_batches(self._state, after, packer=self._packer, distrust_ms=distrust_ms):
+            peer.send(message)
 
     def _on_published(self, peer: Peer, message: Published) -> None:
         # Before the items, as an entry that has only expired must not remove its runner.
-        self._on_peer_distrust(message.distrust_ms)
-        items = [unpack(item) for item in message.items]
-        changed = self._state.on_changes(items, after=message.after, revision=message.revision)
+        self._on_peer_distrust(message.distrust_ms, message.era)
+        before = self._state.position
+        position = StatePosition(era=message.era, revision=message.revision)
+        changed = self._state.on_changes(
+            [unpack(item) for item in message.items],
+            after=StatePosition(era=message.after_era, revision=message.after),
+            position=position,
+            is_last=message.is_last,
+        )
         if changed:
             self._log.event(
                 "published_from_peer",
@@ -363,8 +363,8 @@
                 revision=message.revision,
                 items=len(changed),
             )
-        if message.revision <= self._state.revision:
+        if position <= self._state.position:
             self._requested_at, self._gap_since = float("-inf"), None
-        elif self._gap_since is None:
+        elif self._gap_since is None and message.era == self._state.position.era:
             self._gap_since = now()
-        self._apply(changed)
+        self._apply(before, changed)
--- a/packages/wasabilb-node/src/wasabilb_node/published_view.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_view.py
@@ -5,7 +5,9 @@
 from wasabilb_core.catalog import Catalog, EngineSpec, WeightTarget
 from wasabilb_core.named_versions import NamedVersions
 from wasabilb_core.published import PublishedState, StateItem
-from wasabilb_core.runner_directory import Runner, RunnerDirectory
+from wasabilb_core.runner_directory import EXPIRY_GRACE_S, Runner, RunnerDirectory
+from wasabilb_core.runner_presence import PresenceState
+from wasabilb_core.state_position import StatePosition
 
 from wasabilb_node.clock import now
 from wasabilb_node.logs import EventLog
@@ -53,8 +55,13 @@
 
     @property
     def revision(self) -> int:
-        """Return the revision up to which the published state is complete."""
-        return self._items.revision
+        """Return the revision up to which the published state is complete in its era."""
+        return self._items.position.revision
+
+    @property
+    def position(self) -> StatePosition:
+        """Return the position up to which the published state is complete."""
+        return self._items.position
 
     def engine(self, service: str) -> EngineSpec | None:
         """Return the engine parameters of a service, None for a plain or unknown service."""
@@ -89,9 +96,9 @@
             elif isinstance(value, WeightTarget):
                 self._on_target(value, item.revision, is_old=is_initial)
             elif isinstance(value, Runner):
-                self._on_runner(value, item.revision)
+                self._on_runner(value, item.position)
             elif runner_id is not None:
-                self._on_removed(runner_id, item.revision)
+                self._on_removed(runner_id, item.position)
             elif item.body is not None:
                 self._log.event("published_unusable", name=item.name, revision=item.revision)
 
@@ -111,6 +118,10 @@
         else:
             self.directory.on_platform_down()
 
+    def on_era_began(self) -> None:
+        """Treat removed entries as expired ones, as the store may have come back a moment ago."""
+        self.directory.on_removal_distrust(EXPIRY_GRACE_S, now())
+
     def on_removal_distrust(self, seconds: float) -> None:
         """Record for how long a peer treats removed entries as possibly expired ones."""
         self.directory.on_removal_distrust(seconds, now())
@@ -124,9 +135,14 @@
         return self.directory.removal_distrust_s(now())
 
     def expire_runners(self) -> None:
-        """Remove the runners whose entries were not republished, once removals are trusted."""
+        """Remove the runners whose entries were not republished, once removals are trusted.
+
+        Runners whose copied entries last are used again.
+        """
         for runner_id in self.directory.remove_expired(now()):
             self._remove_runner(runner_id, "entry was not republished")
+        for runner_id in self.directory.confirm_lasting(now()):
+            self._log.event("runner_back", runner=runner_id, was=PresenceState.UNCONFIRMED.value)
 
     def _on_catalog(self, catalog: Catalog, revision: int) -> None:
         if self.catalog is not None and catalog.version <= self.catalog.version:
@@ -151,9 +167,9 @@
         for callback in self.on_weights_named:
             callback(target.model)
 
-    def _on_runner(self, runner: Runner, revision: int) -> None:
-        previous = self.directory.state(runner.id)
-        self.directory.on_listed(runner, revision)
+    def _on_runner(self, runner: Runner, position: StatePosition) -> None:
+        previous, revision = self.directory.state(runner.id), position.revision
+        self.directory.on_listed(runner, position, is_copied=self._items.is_copied(position))
         is_used = self.directory.state(runner.id).may_receive
         self._log.event(
             "runner_listed",
@@ -169,11 +185,11 @@
         elif previous.may_receive and not is_used:
             self._on_leaving(runner, revision=revision)
 
-    def _on_removed(self, runner_id: str, revision: int) -> None:
+    def _on_removed(self, runner_id: str, position: StatePosition) -> None:
         runner = self.directory.get(runner_id)
-        if not self.directory.on_removed(runner_id, now(), revision) or runner is None:
+        if not self.directory.on_removed(runner_id, now(), position) or runner is None:
             return
-        self._remove_runner(runner_id, f"revision {revision}")
+        self._remove_runner(runner_id, f"revision {position.revision}")
         for callback in self.on_runner_leaving:
             callback(runner)
 
--- a/packages/wasabilb-wire/src/wasabilb_wire/messages.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/messages.py
@@ -334,8 +334,8 @@
 class NodeBeat(Message):
     """Heartbeat of a process that replicates published state.
 
-    `revision` is the newest revision up to which the sender has all published items; `entries` are
-    the entry processes newly announced to it, so that processes discover each other.
+    `era` and `revision` are the position up to which the sender has all published items; `entries`
+    are the entry processes newly announced to it, so that processes discover each other.
     `reads_platform` means that the platform answered the sender's newest call and it is a reader.
     For `distrust_ms` milliseconds removed entries may only have expired in an outage.
     """
@@ -344,13 +344,15 @@
     entries: list[EntryPlace] = field(factory=list)
     reads_platform: bool = False
     distrust_ms: int = 0
+    era: int = 0
 
 
 @frozen(kw_only=True, slots=True)
 class PublishedWant(Message):
-    """Request for all published items that changed after a revision."""
+    """Request for all published items that changed after a revision of an era."""
 
     after: int
+    era: int = 0
 
 
 @frozen(kw_only=True, slots=True)
@@ -365,19 +367,24 @@
     is_removed: bool
     body: bytes
     is_packed: bool = False
+    era: int = 0
 
 
 @frozen(kw_only=True, slots=True)
 class Published(Message):
-    """All items that changed after `after`, up to `revision`.
+    """All items that changed after `after` of `after_era`, up to `revision` of `era`.
 
-    For `distrust_ms` milliseconds removed entries may only have expired in an outage.
+    For `distrust_ms` milliseconds removed entries may only have expired in an outage. An answer to
+    a request has several of these messages when it is large, and `is_last` in the last one.
     """
 
     after: int
     revision: int
     items: list[PublishedItem] = field(factory=list)
     distrust_ms: int = 0
+    era: int = 0
+    after_era: int = 0
+    is_last: bool = False
 
 
 @frozen(kw_only=True, slots=True)
--- a/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
+++ b/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
@@ -246,10 +246,12 @@
   entries @1 :List(EntryPlace);
   readsPlatform @2 :Bool;
   distrustMs @3 :UInt32;
+  era @4 :UInt64;
 }
 
 struct PublishedWant {
   after @0 :UInt64;
+  era @1 :UInt64;
 }
 
 struct PublishedItem {
@@ -258,6 +260,7 @@
   isRemoved @2 :Bool;
   body @3 :Data;
   isPacked @4 :Bool;
+  era @5 :UInt64;
 }
 
 struct Published {
@@ -265,6 +268,9 @@
   revision @1 :UInt64;
   items @2 :List(PublishedItem);
   distrustMs @3 :UInt32;
+  era @4 :UInt64;
+  afterEra @5 :UInt64;
+  isLast @6 :Bool;
 }
 
 struct RunnerReport {
