--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -87,7 +87,10 @@
         "are retained, items that it lacks are removed.",
         "era revision era_before revision_before retained removed",
     ),
-    "published_unusable": _spec("A published item cannot be used.", "name revision"),
+    "published_unusable": _spec(
+        "A published item cannot be used; `omitted` counts those before it that are not logged.",
+        "name revision detail omitted",
+    ),
     "catalog_accepted": _spec(
         "A version of routes, services and accounts is in force here.",
         "catalog revision routes accounts",
--- a/packages/wasabilb-node/src/wasabilb_node/published_view.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_view.py
@@ -9,9 +9,10 @@
 from wasabilb_core.runner_presence import PresenceState
 from wasabilb_core.state_position import StatePosition
 
+from wasabilb_node._unusable_items import UnusableItems
 from wasabilb_node.clock import now
 from wasabilb_node.logs import EventLog
-from wasabilb_node.published_source import PublishedDecoder
+from wasabilb_node.published_source import PublishedDecoder, Unusable
 
 
 class PublishedView:
@@ -45,6 +46,7 @@
         self._items = items
         self._decoder = decoder
         self._log = log
+        self._unusable_items = UnusableItems(log=log)
         self._on_catalog_accepted = on_catalog
         self._on_runner_gone = on_runner_gone
         self._named_versions: dict[str, NamedVersions] = {}
@@ -91,6 +93,8 @@
         for item in items:
             runner_id = self._decoder.runner_id(item.name)
             value = self._decoder.decode(item) if item.body is not None else None
+            if isinstance(value, Unusable):
+                self._unusable_items.on_unusable(item, value.detail)
             if isinstance(value, Catalog):
                 self._on_catalog(value, item.revision)
             elif isinstance(value, WeightTarget):
@@ -99,8 +103,6 @@
                 self._on_runner(value, item.position)
             elif runner_id is not None:
                 self._on_removed(runner_id, item.position)
-            elif item.body is not None:
-                self._log.event("published_unusable", name=item.name, revision=item.revision)
 
     def on_runner_announced(self, runner: Runner, request_id: str) -> None:
         """Handle the announcement in an answer that its runner is leaving."""
