The own interface ends requests with an answer when its stop is over

What callers saw: when `drain_s` of a planned stop was over, or after a second signal, requests in progress at the entry host's own interface ended with their connections: no status, no error event. Requests that came in the first `leave_s` were taken although they could not end by then. A refused caller got no time to return and kept a connection to the leaving process.

Cause: the same as at the process that forwards directly: only the loop of the drain knew the end.

Change: the entry process uses the same DrainSchedule; at its end the handlers in progress answer 502 (outcome unknown) or end their stream with an error event. Refusals say Retry-After and end the connection.

Agents need no change: calls after half of `leave_s` are refused as not run, and a call that is cut off at their end reaches the entry process as a lost link, which resumes the stream elsewhere or answers "unknown".

Evidence: features/planned_stop.feature, "The process of the own interface is stopped", failed on (the stream ended without an error event) and passes now.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -80,3 +80,11 @@
       | 107.0 | 113.0    | 0.5  | refused  |
       | 107.0 | 107.4    | none | taken    |
       | 107.6 | 107.7    | 0.01 | refused  |
+
+  Scenario: The process of the own interface is stopped
+    # Guards against callers whose connection ends without an answer when `drain_s` is over, and
+    # against requests that are taken although they cannot end by then.
+    Given an entry host that is stopped within 2 s, before services that take 10 s
+    When a stream, a lookup and a booking are in progress as it is stopped and another booking comes
+    Then the stream ends with an error event, and the other two with status 502, outcome unknown
+    And the other booking gets status 503, outcome not-run, and its connection ends
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -2,7 +2,11 @@
 
 import asyncio
 import contextlib
+import json
 import re
+import signal
+import tempfile
+from pathlib import Path
 from types import SimpleNamespace
 from unittest.mock import patch
 
@@ -14,6 +18,7 @@
 from wasabilb_entry.drain import Drain
 from wasabilb_entry.held_request_dispatcher import HeldRequestDispatcher
 from wasabilb_node.clock import now
+from wasabilb_standins.fleet import FleetShape, LocalFleet
 
 REMOVAL_S = 0.4
 COUNTS = {"no": 0, "one": 1, "three": 3}
@@ -188,3 +193,87 @@
 @then("the decision is that it is {decision}")
 def step_decision(context, decision):
     assert context.is_taken is (decision == "taken"), context.is_taken
+
+
+@given("an entry host that is stopped within {drain:g} s, before services that take {work:g} s")
+def step_own_interface(context, drain, work):
+    shape = FleetShape(
+        regions=("Dublin",),
+        entry_hosts=1,
+        runners=1,
+        services={"portal": 1},
+        engine={"models": "draft@v0", "token_s": 0.5, "load_s": 0.1},
+        service={"work_s": work},
+        entry_settings={"timeouts": {"drain_s": drain, "leave_s": 0.5}},
+    )
+    context.loop_runner = asyncio.Runner()
+    context.loop = context.loop_runner.get_loop()
+    context.add_cleanup(context.loop_runner.close)
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    fleet = context.fleet = LocalFleet(shape=shape, folder=Path(folder.name))
+    context.add_cleanup(lambda: context.loop.run_until_complete(fleet.stop()))
+    fleet.publish(fleet.ticket(1, version="v0"))
+
+    async def start():
+        await fleet.start()
+        await fleet.wait_version("v0")
+        await fleet.wait_services()
+
+    context.loop.run_until_complete(start())
+
+
+async def call(fleet, path, body=None):
+    """Send a request to the entry host; return all bytes until the end of the connection."""
+    ip, _, port = fleet.entry_hosts[0].callers.rpartition(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    key = fleet.account_keys["salon-1"]
+    data = b"" if body is None else json.dumps(body).encode()
+    method = "GET" if body is None else "POST"
+    writer.write(
+        f"{method} {path} HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {key}\r\n"
+        f"Content-Length: {len(data)}\r\n\r\n".encode() + data
+    )
+    answer = b""
+    with contextlib.suppress(ConnectionError):
+        answer = await asyncio.wait_for(reader.read(1 << 20), 8.0)
+        while more := await reader.read(1 << 20):
+            answer += more
+    writer.close()
+    return answer.decode()
+
+
+@when("a stream, a lookup and a booking are in progress as it is stopped and another booking comes")
+def step_stop_own(context):
+    fleet = context.fleet
+    stream = {"model": "draft", "prompt": "a cat", "max_tokens": 200, "stream": True}
+
+    async def play():
+        running = [
+            asyncio.ensure_future(call(fleet, "/v1/completions", stream)),
+            asyncio.ensure_future(call(fleet, "/services/portal/records/1")),
+            asyncio.ensure_future(call(fleet, "/services/portal/book/1", {"booking": 1})),
+        ]
+        await asyncio.sleep(1.0)
+        fleet.signal(fleet.entry_hosts[0], signal.SIGTERM)
+        await asyncio.sleep(0.2)
+        late = asyncio.ensure_future(call(fleet, "/services/portal/book/2", {"booking": 2}))
+        return await asyncio.gather(*running, late)
+
+    context.answers = context.loop.run_until_complete(play())
+
+
+@then("the stream ends with an error event, and the other two with status 502, outcome unknown")
+def step_own_ends(context):
+    stream, *others, _ = context.answers
+    assert "event: error" in stream and stream.endswith("0\r\n\r\n"), stream
+    for answer in others:
+        assert answer.startswith("HTTP/1.1 502 "), answer
+        assert "Wasabilb-Outcome: unknown" in answer, answer
+
+
+@then("the other booking gets status 503, outcome not-run, and its connection ends")
+def step_own_refused(context):
+    answer = context.answers[-1]
+    assert answer.startswith("HTTP/1.1 503 ") and "Wasabilb-Outcome: not-run" in answer, answer
+    assert "Connection: close" in answer and "Retry-After: 1" in answer, answer
--- a/packages/wasabilb-entry/src/wasabilb_entry/caller_handler.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/caller_handler.py
@@ -36,6 +36,7 @@
         self.account: AccountSpec | None = None
         self._body = bytearray()
         self._answer_task: asyncio.Task[None] | None = None
+        self._is_cut_off = False
         self.set_header("Server", "wasabilb")
         self.set_header("Wasabilb-Request-Id", self.request_id)
 
@@ -66,6 +67,12 @@
         self._body += chunk
         return None
 
+    def _cut_off(self) -> None:
+        """End the answer with an error, as the process ends."""
+        if self._answer_task is not None and not self._answer_task.done():
+            self._is_cut_off = True
+            self._answer_task.cancel()
+
     def on_connection_close(self) -> None:
         """Cancel the answer when the caller disconnects."""
         if self._answer_task is not None:
@@ -75,19 +82,25 @@
         """Run a handler's coroutine and answer its errors."""
         task = asyncio.ensure_future(work)
         self._answer_task = task
+        self.entry.cut_offs.add(self._cut_off)
         try:
             await task
         except RequestFailedError as exc:
             self._on_failed(exc.error)
         except (asyncio.CancelledError, StreamClosedError):
-            self.record.error = Error(
-                kind=ErrorKind.CANCELLED, detail="the caller closed the connection"
-            )
+            if self._is_cut_off:
+                detail = "the entry host ended before the answer"
+                self._on_failed(Error(kind=ErrorKind.OUTCOME_UNKNOWN, detail=detail))
+            else:
+                self.record.error = Error(
+                    kind=ErrorKind.CANCELLED, detail="the caller closed the connection"
+                )
         except Exception as exc:
             detail = f"{type(exc).__name__}: {exc}"
             self.entry.log.event("internal_error", where=self.kind, detail=detail)
             self._on_failed(Error(kind=ErrorKind.INTERNAL, detail="the entry host failed"))
         finally:
+            self.entry.cut_offs.discard(self._cut_off)
             name = self.account.name if self.account else ""
             self.entry.log_done(request_id=self.request_id, account=name, record=self.record)
 
@@ -161,5 +174,8 @@
         if error.kind is ErrorKind.TOO_LARGE:
             # The rest of the body is not read, so the connection cannot be reused.
             self.set_header("Connection", "close")
+        if self.entry.is_draining:
+            # The next request needs a connection to another entry host.
+            cast(HTTP1Connection, self.request.connection)._disconnect_on_finish = True
         # tornado sets its own content type for a mapping, so the text is serialized here.
         self.finish(json.dumps(to_problem(error, request_id=self.request_id)))
--- a/packages/wasabilb-entry/src/wasabilb_entry/entry.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/entry.py
@@ -1,12 +1,14 @@
 """State of an entry process that its HTTP handlers share."""
 
 import secrets
+from collections.abc import Callable
 
-from attrs import define
+from attrs import define, field
 from returns.result import Failure
 from wasabilb_core.account_keys import AccountKeyVerifier
 from wasabilb_core.account_limits import AccountLimiter
 from wasabilb_core.admission import Admission, AdmissionRequest
+from wasabilb_core.drain_schedule import DrainSchedule, RunTimes
 from wasabilb_core.errors import ErrorKind, Outcome
 from wasabilb_core.metric_names import Metric
 from wasabilb_core.tickets import AccountSpec
@@ -31,10 +33,8 @@
 
     Parameters
     ----------
-    is_draining : bool
-        Whether the process is shutting down, which `/readyz` reports to the balancer.
-    is_closed : bool
-        Whether new requests are refused, after the balancer had time to detect the drain.
+    drain : DrainSchedule or None
+        Times of the planned stop, None while there is none.
     in_flight : int
         Requests of callers in progress.
     """
@@ -50,11 +50,23 @@
     key_verifier: AccountKeyVerifier
     max_body_bytes: int
     max_header_bytes: int
-    is_draining: bool = False
-    is_closed: bool = False
+    drain: DrainSchedule | None = None
     in_flight: int = 0
     wrong_keys: float = 0.0
     wrong_keys_at: float = 0.0
+    # Each ends the answer of one request with an error.
+    cut_offs: set[Callable[[], None]] = field(factory=set)
+    run_times: RunTimes = field(factory=RunTimes)
+
+    @property
+    def is_draining(self) -> bool:
+        """Return whether the process is being stopped, which `/readyz` tells the balancer."""
+        return self.drain is not None
+
+    @property
+    def is_closed(self) -> bool:
+        """Return whether new requests are refused, as the balancer had time to see the drain."""
+        return self.drain is not None and now() >= self.drain.leaves_at
 
     @property
     def is_ready(self) -> bool:
@@ -98,11 +110,20 @@
             outcome=outcome,
         )
 
-    def admit(self, req: CallerRequest, *, expected_s: float, may_have_run: bool) -> None:
+    def end_requests(self) -> None:
+        """End all requests in progress with an error now, as the process ends."""
+        for cut_off in list(self.cut_offs):
+            cut_off()
+
+    def admit(
+        self, req: CallerRequest, *, record: RequestRecord, expected_s: float, may_have_run: bool
+    ) -> None:
         """Admit a request; `on_done` must follow at its end.
 
         Parameters
         ----------
+        record : RequestRecord
+            What is asked for, which tells the usual time of an answer.
         expected_s : float
             Expected time to wait and to run, in seconds.
         may_have_run : bool
@@ -115,8 +136,13 @@
             When the request is refused.
         """
         outcome = Outcome.UNKNOWN if may_have_run else None
-        if self.is_closed:
-            raise new_error(ErrorKind.DRAINING, "the entry host is leaving", outcome=outcome)
+        if self.drain is not None and not self._ends_in_time(req, record, self.drain):
+            raise new_error(
+                ErrorKind.DRAINING,
+                "the entry host is leaving",
+                retry_after_s=self.drain.retry_after_s(now()),
+                outcome=outcome,
+            )
         if not self.node.is_synced:
             raise self._not_ready_error(outcome)
         moment = now()
@@ -141,6 +167,13 @@
             )
         self.in_flight += 1
 
+    def _ends_in_time(
+        self, req: CallerRequest, record: RequestRecord, drain: DrainSchedule
+    ) -> bool:
+        run_s = self.run_times.longest_s(record.target)
+        moment = now()
+        return not self.is_closed and drain.admits(now=moment, deadline=req.deadline, run_s=run_s)
+
     def on_done(self, req: CallerRequest) -> None:
         """Record the end of an admitted request."""
         self.in_flight -= 1
@@ -149,6 +182,8 @@
     def log_done(self, *, request_id: str, account: str, record: RequestRecord) -> None:
         """Log a finished request and count it."""
         moment = now()
+        if record.is_whole:
+            self.run_times.observe(record.target, moment - record.started_at)
         first_byte_at = record.first_byte_at
         duration_ms = (moment - record.started_at) * 1000
         first_ms = (first_byte_at - record.started_at) * 1000 if first_byte_at is not None else None
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -209,7 +209,7 @@
         moment, metadata = now(), ctx.metadata
         run_s = self._placer.run_s(ctx.service, metadata.prompt_tokens, metadata.max_answer_tokens)
         if run_s is None:
-            run_s = self._run_times.longest_s(ctx.route.name)
+            run_s = self._run_times.longest_s((ctx.service, ctx.route.kind))
         if drain.admits(now=moment, deadline=ctx.deadline, run_s=run_s):
             ctx.deadline = min(ctx.deadline, drain.answer_by)
             return None
@@ -423,7 +423,7 @@
         buffered_answer = ctx.relay.buffered_answer()
         if buffered_answer is not None and not ctx.req.is_caller_gone:
             send_buffered_answer(ctx.req, buffered_answer)
-        self._run_times.observe(ctx.route.name, now() - ctx.req.arrived_at)
+        self._run_times.observe((ctx.service, ctx.route.kind), now() - ctx.req.arrived_at)
         self._log_done(ctx, outcome="answered")
 
     def _send_final_answer(self, ctx: _RequestContext, error: Error | None) -> None:
--- a/packages/wasabilb-entry/src/wasabilb_entry/handlers.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/handlers.py
@@ -57,7 +57,7 @@
         self.record.model = prompt.model
         if self.entry.node.fleet.model(prompt.model) is None and self.entry.is_ready:
             raise new_error(ErrorKind.NOT_FOUND, f"no model {prompt.model!r}")
-        self.entry.admit(req, expected_s=0.0, may_have_run=False)
+        self.entry.admit(req, record=self.record, expected_s=0.0, may_have_run=False)
         parts = self.entry.models.answer(req=req, prompt=prompt, record=self.record)
         formatter = CompletionFormatter(prompt=prompt, request_id=self.request_id)
         try:
@@ -190,7 +190,7 @@
             req = self.to_request()
         except RequestFailedError as exc:
             raise self._mark_unknown(exc, may_have_run) from None
-        self.entry.admit(req, expected_s=0.0, may_have_run=may_have_run)
+        self.entry.admit(req, record=self.record, expected_s=0.0, may_have_run=may_have_run)
         parts = self.entry.services.answer(
             req=req, call=call, record=self.record, on_key=self._on_key
         )
--- a/packages/wasabilb-entry/src/wasabilb_entry/process.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/process.py
@@ -15,6 +15,7 @@
 from wasabilb_core.account_limits import AccountLimiter
 from wasabilb_core.admission import Admission, AdmissionOptions
 from wasabilb_core.crashing_parts import CrashingParts
+from wasabilb_core.drain_schedule import DrainSchedule
 from wasabilb_core.errors import Error
 from wasabilb_core.membership import HostReport
 from wasabilb_core.metric_names import Metric
@@ -47,6 +48,8 @@
 T = TypeVar("T")
 
 DRAIN_CHECK_S = 0.05
+# Time for the error answers of requests that the end of a drain cuts off, seconds.
+FINAL_ANSWERS_S = 0.1
 PEPPER_BYTES = 32
 # Handlers answer headers and bodies above their limits with a problem document. The server's own
 # limits, which close the connection, only stop endless headers and bodies.
@@ -114,22 +117,36 @@
     async def drain(self) -> None:
         """Report not ready, wait until all requests have ended, and stop.
 
-        New requests are served for another `leave_s`, until the balancer has seen the drain at
-        `/readyz`.
+        New requests that can end in time are served for another `leave_s`, until the balancer has
+        seen the drain at `/readyz`. Those that have not ended shortly before `drain_s` get an
+        error.
         """
-        started_at = now()
-        self.entry.is_draining = True
+        timeouts = self._cfg.timeouts
+        schedule = DrainSchedule(
+            started_at=now(), grace_s=timeouts.drain_s, removal_s=timeouts.leave_s
+        )
+        self.entry.drain = schedule
         self.log.event("drain_started", in_flight=self.entry.in_flight)
-        while now() - started_at < self._cfg.timeouts.drain_s:
-            self.entry.is_closed = now() - started_at >= self._cfg.timeouts.leave_s
+        try:
+            await self._wait_for_requests(schedule.answer_by)
+        finally:
+            # Also when a second signal ends the drain.
+            cut_off = self.entry.in_flight
+            self.entry.end_requests()
+            await self._wait_for_requests(now() + FINAL_ANSWERS_S)
+            after_s = now() - schedule.started_at
+            self.log.event("drain_done", cut_off=cut_off, after_s=after_s)
+            self._caller_server.stop()
+            self._operator_server.stop()
+            await self._caller_server.close_all_connections()
+            await self.node.stop()
+
+    async def _wait_for_requests(self, moment: float) -> None:
+        """Wait until all requests have ended and no more come, at most until the given time."""
+        while now() < moment:
             if self.entry.is_closed and self.entry.in_flight == 0:
-                break
-            await asyncio.sleep(DRAIN_CHECK_S)
-        self.log.event("drain_done", cut_off=self.entry.in_flight, after_s=now() - started_at)
-        self._caller_server.stop()
-        self._operator_server.stop()
-        await self._caller_server.close_all_connections()
-        await self.node.stop()
+                return
+            await asyncio.sleep(min(DRAIN_CHECK_S, max(0.0, moment - now())))
 
     def _build_entry(self, incarnation: int) -> Entry:
         cfg, node = self._cfg, self.node
--- a/packages/wasabilb-entry/src/wasabilb_entry/requests.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/requests.py
@@ -75,6 +75,11 @@
     error: Error | None = None
     status: int = 200
 
+    @property
+    def target(self) -> tuple[str, str, str]:
+        """Return what answers: the interface with its model or service."""
+        return self.kind, self.model, self.service
+
     def on_first_byte(self) -> None:
         """Record the time of the answer's first byte."""
         if self.first_byte_at is None:
