Stand-ins of the configuration service and the host list come back from a copy

Both stand-ins play it: play_restore() and POST /restore take the absence, the age of the copy, the time within which writers write again what was lost, and a seed for their moments. The interface tells an era that counts such returns: in the header Era, in the index and the host list, and for each ticket and host the era in which it was written.

A service in era 0 answers as before, with the added fields. Nothing reads the era yet.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -68,6 +68,23 @@
     When 20 calls come at once
     Then at least 8 are refused with 429 and a time to retry
 
+  Scenario: The configuration service comes back from a copy in a new era
+    Guards against drills of a restore that lose nothing, or after which lost tickets stay lost.
+    Given a configuration service with the settings {}
+    And the tickets 1 to 3, of which a copy of the service holds number 1 only
+    When the service goes away while a watch after 3 waits, and comes back from the copy
+    Then the watch breaks, and a watch after 3 of either era gets 410
+    And the index shows ticket 1 of era 0 only, and each answer tells era 1
+    When the operator writes ticket 2 with other content and ticket 3 as it was
+    Then the index shows the eras 0, 1, 1 and a watch after 1 of era 1 answers 3
+
+  Scenario: What a copy lacks is written again by its writers, at the same moments for a seed
+    Guards against a restore in which all writers come back at once, or others for each run.
+    Given a host list without a lag whose copy lacks 2 of 4 hosts and the leaving of a third
+    When it comes back from the copy and the hosts register again within 0.3 seconds
+    Then the list shows the lost entries one after another and all of them in the end
+    And the moments are those of the seed
+
   Scenario: A dropped answer does not undo an execution
     Guards against at-most-once checks on a service that does not record what it ran.
     Given a service that drops the connection after executing
--- a/packages/wasabilb-standins/src/wasabilb_standins/config_service.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/config_service.py
@@ -13,6 +13,7 @@
 from wasabilb_core.tickets import MAX_TICKET_BYTES, ticket_digest
 
 from wasabilb_standins.base import STANDINS, ErrorAnswer, Handler, Standin
+from wasabilb_standins.restorable import EraHandler, Restore, RestoreHandler, play_restore
 
 MAX_WATCH_S = 60.0
 
@@ -53,16 +54,35 @@
     stall: bool = field(default=False, validator=instance_of(bool))
 
 
+@frozen(kw_only=True)
+class Publication:
+    """One published text.
+
+    Parameters
+    ----------
+    era : int
+        Era in which it was published; a copy keeps it.
+    at : float
+        Monotonic time of the publication, seconds.
+    """
+
+    number: int
+    text: str
+    era: int
+    at: float
+
+
 @STANDINS.register("config_service")
 class ConfigService(Standin[ConfigSettings, ConfigFaults]):
-    """Configuration service; tests call `publish`."""
+    """Configuration service; tests call `publish` and `play_restore`."""
 
     settings_type = ConfigSettings
     faults_type = ConfigFaults
 
     def __init__(self, **options: Any) -> None:
         super().__init__(**options)
-        self._published: list[tuple[int, str]] = []
+        self.published: list[Publication] = []
+        self.era = 0
         self._started = time.monotonic()
         self.reads: Counter[int] = Counter()
         self.calls: Counter[str] = Counter()
@@ -76,6 +96,7 @@
             (r"/v1/tickets/(\d+)", TicketHandler),
             (r"/v1/watch", WatchHandler),
             (r"/publish", PublishHandler),
+            (r"/restore", RestoreHandler),
         ]
 
     def publish(self, text: str, number: int | None = None) -> int:
@@ -87,23 +108,52 @@
             if not isinstance(found, int):
                 raise ValueError("the text has no ticket number")
             number = found
-        self._published.append((number, text))
+        self.published.append(
+            Publication(number=number, text=text, era=self.era, at=time.monotonic())
+        )
         self.notify()
         return number
 
+    def restore(self, copied_at: float) -> list[Publication]:
+        """Return to the copy of a moment in a new era; return the publications that it lacks."""
+        lost = [published for published in self.published if published.at > copied_at]
+        self.published = [published for published in self.published if published not in lost]
+        self.era += 1
+        self.notify()
+        return lost
+
+    async def play_restore(self, restore: Restore) -> None:
+        """Play an absence, the return from the copy and the repeated publications."""
+        copied_at = time.monotonic() - restore.copy_age_s
+        await play_restore(
+            self,
+            restore,
+            restore_copy=lambda: self.restore(copied_at),
+            write=lambda lost: self.publish(lost.text, lost.number),
+        )
+
+    def shown(self) -> dict[int, Publication]:
+        """Return the currently shown publications by number."""
+        shown_count = len(self.published) - self.faults.stale_tickets
+        return {shown.number: shown for shown in self.published[: max(0, shown_count)]}
+
     def tickets(self) -> dict[int, str]:
         """Return the currently shown texts by number."""
-        shown_count = len(self._published) - self.faults.stale_tickets
-        return dict(self._published[: max(0, shown_count)])
+        return {number: shown.text for number, shown in self.shown().items()}
 
     def index(self) -> dict[str, Any]:
         """Return the answer to `/v1/index`, with the digests of `ticket_digest` in hex."""
-        tickets = self.tickets()
+        shown = self.shown()
         return {
-            "newest": max(tickets, default=0),
+            "era": self.era,
+            "newest": max(shown, default=0),
             "tickets": [
-                {"number": number, "digest": f"{ticket_digest(text):016x}"}
-                for number, text in sorted(tickets.items())
+                {
+                    "number": number,
+                    "digest": f"{ticket_digest(published.text):016x}",
+                    "era": published.era,
+                }
+                for number, published in sorted(shown.items())
             ],
         }
 
@@ -136,7 +186,7 @@
         }
 
 
-class ConfigHandler(Handler):
+class ConfigHandler(EraHandler):
     """Base class of handlers whose calls are counted and subject to faults."""
 
     standin: ConfigService
@@ -182,24 +232,36 @@
 
 
 class WatchHandler(ConfigHandler):
-    """`GET /v1/watch?after=N&timeout=S`."""
+    """`GET /v1/watch?after=N&era=E&timeout=S`."""
 
     async def get(self) -> None:
-        """Return the index when a number above `after` is shown or the timeout has passed."""
+        """Return the index when a number above `after` is shown or the timeout has passed.
+
+        A position that the service does not have is answered with 410, also while a watch waits.
+        """
         after = int(self.get_query_argument("after", "0"))
+        era = int(self.get_query_argument("era", str(self.standin.era)))
         timeout_s = min(float(self.get_query_argument("timeout", "30")), MAX_WATCH_S)
         await self.admit("watch")
         service = self.standin
         service.pending_watches += 1
         try:
-            await self._wait_for_newer(after, time.monotonic() + timeout_s)
+            await self._wait_for_newer(after, era, time.monotonic() + timeout_s)
         finally:
             service.pending_watches -= 1
         self.write(service.index())
 
-    async def _wait_for_newer(self, after: int, due: float) -> None:
+    def _check_position(self, after: int, era: int) -> None:
+        service = self.standin
+        # A stale service shows less than it has, so that only a restore takes a position away.
+        newest = max((published.number for published in service.published), default=0)
+        if era != service.era or (service.era and after > newest):
+            raise ErrorAnswer(410, "no such position after a restore", era=service.era)
+
+    async def _wait_for_newer(self, after: int, era: int, due: float) -> None:
         service = self.standin
         counted_second = service.second()
+        self._check_position(after, era)
         while service.index()["newest"] <= after and time.monotonic() < due:
             wait_s = min(service.time_to_next_second_s(), due - time.monotonic())
             with contextlib.suppress(TimeoutError):
@@ -207,6 +269,7 @@
                     asyncio.wait_for(service.wait_for_change(), max(0.0, wait_s))
                 )
             self.check_available()
+            self._check_position(after, era)
             for second in range(counted_second + 1, service.second() + 1):
                 service.reads[second] += 1
             counted_second = service.second()
--- a/packages/wasabilb-standins/src/wasabilb_standins/host_list.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/host_list.py
@@ -3,11 +3,13 @@
 import time
 from typing import Any
 
+import attrs
 from attrs import field, frozen
 from attrs.validators import in_, instance_of
 from tornado.web import Finish
 
 from wasabilb_standins.base import STANDINS, ErrorAnswer, Handler, Standin
+from wasabilb_standins.restorable import EraHandler, Restore, RestoreHandler, play_restore
 
 STATES = ("live", "leaving", "gone")
 
@@ -41,45 +43,90 @@
     stall: bool = field(default=False, validator=instance_of(bool))
 
 
+@frozen(kw_only=True)
+class ListedState:
+    """State of a host and the era in which it was written."""
+
+    state: str
+    era: int
+
+
+@frozen(kw_only=True)
+class HostChange:
+    """The states of all hosts after a change at a monotonic time in seconds."""
+
+    at: float
+    hosts: dict[str, ListedState] = field(factory=dict)
+
+
 @STANDINS.register("host_list")
 class HostList(Standin[HostListSettings, HostListFaults]):
-    """Host list; tests call `set_hosts`."""
+    """Host list; tests call `set_hosts` and `play_restore`."""
 
     settings_type = HostListSettings
     faults_type = HostListFaults
 
     def __init__(self, **options: Any) -> None:
         super().__init__(**options)
-        self._states: list[tuple[float, dict[str, str]]] = [(time.monotonic(), {})]
+        self._changes = [HostChange(at=time.monotonic())]
+        self.era = 0
         self.reads = 0
 
     def routes(self) -> list[tuple[str, type[Handler]]]:
         """Return the list's paths."""
-        return [(r"/v1/hosts", HostsHandler), (r"/set", SetHandler)]
+        return [(r"/v1/hosts", HostsHandler), (r"/set", SetHandler), (r"/restore", RestoreHandler)]
 
     def set_hosts(self, changes: dict[str, str]) -> None:
         """Change the states of some hosts, by name."""
         wrong = sorted(set(changes.values()) - set(STATES))
         if wrong:
             raise ValueError(f"unknown state {wrong[0]!r}, expected one of {', '.join(STATES)}")
-        self._states.append((time.monotonic(), {**self._states[-1][1], **changes}))
+        written = {name: ListedState(state=state, era=self.era) for name, state in changes.items()}
+        hosts = {**self._changes[-1].hosts, **written}
+        self._changes.append(HostChange(at=time.monotonic(), hosts=hosts))
+
+    def restore(self, copied_at: float) -> list[tuple[str, str]]:
+        """Return to the copy of a moment in a new era; return name and state of lost entries."""
+        before = self._changes[-1].hosts
+        # The empty list stands before all changes.
+        self._changes = [
+            self._changes[0],
+            *(change for change in self._changes[1:] if change.at <= copied_at),
+        ]
+        self.era += 1
+        copied = self._changes[-1].hosts
+        return [(name, h.state) for name, h in sorted(before.items()) if copied.get(name) != h]
+
+    async def play_restore(self, restore: Restore) -> None:
+        """Play an absence, the return from the copy and the hosts that register again."""
+        copied_at = time.monotonic() - restore.copy_age_s
+        await play_restore(
+            self,
+            restore,
+            restore_copy=lambda: self.restore(copied_at),
+            write=lambda lost: self.set_hosts(dict([lost])),
+        )
 
     def shown_list(self) -> dict[str, Any]:
         """Return the answer to `/v1/hosts`; `as_of` is the number of the latest shown change."""
         limit = time.monotonic() - self.settings.lag_s
-        number = max((n for n, (at, _) in enumerate(self._states) if at <= limit), default=0)
-        hosts = self._states[number][1]
+        number = max((n for n, change in enumerate(self._changes) if change.at <= limit), default=0)
+        hosts = self._changes[number].hosts
         return {
+            "era": self.era,
             "as_of": number,
-            "hosts": [{"name": name, "state": state} for name, state in sorted(hosts.items())],
+            "hosts": [{"name": name, **attrs.asdict(h)} for name, h in sorted(hosts.items())],
         }
 
     def record(self) -> dict[str, Any]:
         """Return the number of reads and the current states."""
-        return {"reads": self.reads, "hosts": self._states[-1][1]}
+        return {
+            "reads": self.reads,
+            "hosts": {n: h.state for n, h in self._changes[-1].hosts.items()},
+        }
 
 
-class HostsHandler(Handler):
+class HostsHandler(EraHandler):
     """`GET /v1/hosts`."""
 
     standin: HostList
