A reader reads the index after a failed watch, and watches from what the service last showed

Callers: after the configuration service had come back from a copy, no ticket below the highest number that the fleet knew was read by anyone, so a published change was in force nowhere.

Cause: a reader watched from the fleet's highest number for ever. A restored service does not have that position and answers 410; the reader took it for an outage, and asked the same again each second.

Change: the position of a watch is the index that the service itself showed last, number and era. A later era is logged as platform_restored.

Now it is in force in time, and a restore costs each reader at most the broken watch, an index and the next watch; entry hosts that are no readers and agents send nothing.

--- /dev/null
+++ b/features/restored_config.feature
@@ -0,0 +1,22 @@
+Feature: The configuration service or the host list comes back from a copy
+  What was written there after the copy is gone, and numbers are given out again in a new era.
+
+  Scenario: New tickets are in force although the service no longer has the number watched from
+    Guards against a reader that repeats a watch which is answered with 410, and reads nothing else.
+    Given two readers, a further entry process and an agent with the tickets 1 to 4
+    When the service comes back from a copy with the tickets 1 and 2
+    And the operator writes ticket 9, which is lost too, and then ticket 7
+    Then all processes have ticket 7 in force within 7 s, in equal states
+
+  Scenario: A process keeps the tickets that a copy lacks
+    Guards against a fleet that goes back to an older state with the service.
+    Given two readers, a further entry process and an agent with the tickets 1 to 4
+    When the service comes back from a copy with the tickets 1 and 2
+    And a process without tickets starts and reads the copy
+    Then no process goes back, and the new one has ticket 4 from its peers
+
+  Scenario: The whole fleet does not read the service when it is back
+    Guards against readers that repeat a watch from a position that was lost, without a pause.
+    Given two readers, a further entry process and an agent with the tickets 1 to 4
+    When the service comes back from a copy twice, 1 s apart, while watches wait
+    Then only the readers call it, at most twice in a second each
--- /dev/null
+++ b/features/steps/restored_config_steps.py
@@ -0,0 +1,198 @@
+"""Steps about processes whose configuration service comes back from a copy."""
+
+import asyncio
+import time
+
+from behave import given, then, when
+from matrix_state_steps import TicketHolder
+from memory_fleet import LOG, METRICS, ticket_text
+from memory_links import Network
+from standin_steps import begin, run
+from wasabilb_core.membership import Membership
+from wasabilb_core.ticket_spread import TicketSpread
+from wasabilb_node.platform_client import PlatformClient
+from wasabilb_node.platform_reader import PlatformReader
+from wasabilb_standins.config_service import ConfigService
+from wasabilb_standins.promises import TICKET_BOUND_S
+
+NAMES = ("e1", "e2", "e3", "r1")
+# The third entry process would read without the links to the first two.
+READERS_PER_DOMAIN = 2
+
+
+class Process(TicketHolder):
+    """Process that holds tickets; an entry process reads them over HTTP while it is a reader."""
+
+    def __init__(self, *, links, service):
+        super().__init__(links=links)
+        self.client = PlatformClient(config_service=service.url, host_list="", metrics=METRICS)
+        self.reader = PlatformReader(
+            client=self.client,
+            exchange=self.exchange,
+            spread=TicketSpread(
+                host=links.host,
+                failure_domain="d",
+                fleet=self.fleet,
+                readers_per_domain=READERS_PER_DOMAIN,
+                service_calls_per_s=100.0,
+            ),
+            fleet=self.fleet,
+            membership=Membership(fleet=self.fleet, report_timeout_s=3.0),
+            links=links,
+            log=LOG,
+            watch_timeout_s=20.0,
+            seeds=(),
+        )
+
+    @property
+    def version(self):
+        """Return the version of the model that is in force."""
+        spec = self.fleet.model("m")
+        return spec.version if spec else ""
+
+
+def add_process(context, name):
+    """Start a process with links to all others."""
+    role = "agent" if name.startswith("r") else "entry"
+    links = context.network.add(name, role)
+    process = Process(links=links, service=context.service)
+    for other in context.processes:
+        context.network.connect(name, other)
+    context.processes[name] = process
+    tasks = [asyncio.ensure_future(process.tick())]
+    if role == "entry":
+        tasks.append(asyncio.ensure_future(process.reader.run_tickets()))
+    context.tasks += tasks
+    return process
+
+
+async def stop(context):
+    """End all processes."""
+    for task in context.tasks:
+        task.cancel()
+    await asyncio.gather(*context.tasks, return_exceptions=True)
+    for process in context.processes.values():
+        process.client.close()
+
+
+async def until(is_reached, what):
+    """Wait until a condition holds, at most for the time in which a ticket has to be in force."""
+    limit = time.monotonic() + TICKET_BOUND_S
+    while not is_reached():
+        assert time.monotonic() < limit, f"not within {TICKET_BOUND_S} s: {what()}"
+        await asyncio.sleep(0.01)
+
+
+def versions(context):
+    """Return the version in force at each process."""
+    return {name: process.version for name, process in context.processes.items()}
+
+
+def publish(context, number, version):
+    """Publish a ticket for the whole fleet."""
+    context.service.publish(ticket_text(number, version=version))
+
+
+@given("two readers, a further entry process and an agent with the tickets 1 to 4")
+def step_fleet(context):
+    context.service = begin(context, ConfigService())
+    context.network, context.processes, context.tasks = Network(), {}, []
+    context.add_cleanup(lambda: run(context, stop(context)))
+
+    async def scene():
+        for number in (1, 2, 3, 4):
+            context.copied_at = (
+                time.monotonic() if number == 3 else getattr(context, "copied_at", 0.0)
+            )
+            publish(context, number, f"v{number}")
+        for name in NAMES:
+            add_process(context, name)
+        await until(lambda: set(versions(context).values()) == {"v4"}, lambda: versions(context))
+        await until(lambda: context.service.pending_watches == 2, lambda: "two watches wait")
+
+    run(context, scene())
+
+
+@when("the service comes back from a copy with the tickets 1 and 2")
+def step_restore(context):
+    lost = context.service.restore(context.copied_at)
+    assert [publication.number for publication in lost] == [3, 4]
+
+
+@when("the operator writes ticket 9, which is lost too, and then ticket 7")
+def step_new_model(context):
+    async def scene():
+        copied_at = time.monotonic()
+        context.service.publish(new_model_text(9))
+        await until(
+            lambda: all(p.fleet.model("n") for p in context.processes.values()), lambda: "ticket 9"
+        )
+        await until(lambda: context.service.pending_watches == 2, lambda: "two watches wait")
+        context.service.restore(copied_at)
+        context.service.publish(new_model_text(7, model="o"))
+
+    run(context, scene())
+
+
+def new_model_text(number, *, model="n"):
+    """Return the text of a ticket with one model."""
+    return f'number = {number}\n[[models]]\nname = "{model}"\nversion = "v1"\nrunners = ["r1"]\n'
+
+
+@then("all processes have ticket 7 in force within 7 s, in equal states")
+def step_in_force(context):
+    async def scene():
+        await until(
+            lambda: all(p.fleet.model("o") for p in context.processes.values()), lambda: "ticket 7"
+        )
+        await until(
+            lambda: len({p.fleet.digest() for p in context.processes.values()}) == 1,
+            lambda: "equal states",
+        )
+
+    run(context, scene())
+
+
+@when("a process without tickets starts and reads the copy")
+def step_start(context):
+    async def scene():
+        context.seen = []
+        process = add_process(context, "e0")
+        await until(lambda: process.version, lambda: "a ticket")
+        # Longer than the pause after a watch that failed.
+        for _ in range(250):
+            context.seen.append(versions(context))
+            await asyncio.sleep(0.01)
+
+    run(context, scene())
+
+
+@then("no process goes back, and the new one has ticket 4 from its peers")
+def step_kept(context):
+    kept = {seen[name] for seen in context.seen for name in NAMES}
+    assert kept == {"v4"}, kept
+    assert context.seen[-1]["e0"] == "v4", context.seen[-1]
+
+
+@when("the service comes back from a copy twice, 1 s apart, while watches wait")
+def step_twice(context):
+    async def scene():
+        service = context.service
+        service.calls.clear()
+        context.started = time.monotonic()
+        for _ in range(2):
+            service.restore(context.copied_at)
+            await asyncio.sleep(1.0)
+        await asyncio.sleep(4.0)
+        context.lasted_s = time.monotonic() - context.started
+
+    run(context, scene())
+
+
+@then("only the readers call it, at most twice in a second each")
+def step_calls(context):
+    calls = context.service.calls
+    assert calls["index"] >= READERS_PER_DOMAIN, calls
+    assert sum(calls.values()) <= 2 * READERS_PER_DOMAIN * context.lasted_s, calls
+    # A restore costs each reader the watch that broke, an index and the next watch.
+    assert sum(calls.values()) <= 2 * 3 * READERS_PER_DOMAIN, calls
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -77,6 +77,7 @@
     "ticket_refused": _spec("A ticket is invalid or conflicts.", "ticket source detail"),
     "platform_up": _spec("A service of the platform answers again.", "service"),
     "platform_down": _spec("A service of the platform does not answer.", "service detail"),
+    "platform_restored": _spec("A service of the platform came back from a copy.", "service era"),
     "reader_changed": _spec("The host starts or stops reading tickets.", "is_reader"),
     "host_changed": _spec("The state of a host changes in this process.", "host state reason"),
     "settings_reloaded": _spec("Changed settings are in force.", "seeds"),
--- a/packages/wasabilb-node/src/wasabilb_node/platform_client.py
+++ b/packages/wasabilb-node/src/wasabilb_node/platform_client.py
@@ -18,8 +18,20 @@
 
 @frozen(kw_only=True)
 class TicketIndex:
-    """The digests of all tickets of the configuration service, by number."""
+    """The tickets of the configuration service, which is also a position to watch from.
 
+    Parameters
+    ----------
+    era : int
+        Era of the service.
+    newest : int
+        Highest number that it shows.
+    digests : dict of int to int
+        Digest of each ticket by its number.
+    """
+
+    era: int
+    newest: int
     digests: dict[int, int]
 
 
@@ -55,9 +67,13 @@
         """Return the index of the configuration service."""
         return _to_index(await self._get(f"{self._config_service}/v1/index", CALL_TIMEOUT_S))
 
-    async def watch(self, *, after: int, timeout_s: float) -> Result[TicketIndex, Error]:
-        """Wait for a ticket above `after` or the timeout, then return the index."""
-        url = f"{self._config_service}/v1/watch?after={after}&timeout={timeout_s}"
+    async def watch(self, *, after: TicketIndex, timeout_s: float) -> Result[TicketIndex, Error]:
+        """Wait for a number that `after` does not have or the timeout, then return the index.
+
+        Fails if the service no longer has this position, because it came back from a copy.
+        """
+        query = f"after={after.newest}&era={after.era}&timeout={timeout_s}"
+        url = f"{self._config_service}/v1/watch?{query}"
         return _to_index(await self._get(url, timeout_s + CALL_TIMEOUT_S))
 
     async def ticket(self, number: int) -> Result[str, Error]:
@@ -109,6 +125,7 @@
     try:
         data: Any = json.loads(body.unwrap())
         digests = {int(ticket["number"]): int(ticket["digest"], 16) for ticket in data["tickets"]}
-        return Success(TicketIndex(digests=digests))
-    except (ValueError, KeyError, TypeError, RecursionError) as exc:
+        newest = max(digests, default=0)
+        return Success(TicketIndex(era=int(data.get("era", 0)), newest=newest, digests=digests))
+    except (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError) as exc:
         return unavailable(f"index is malformed: {type(exc).__name__}")
--- a/packages/wasabilb-node/src/wasabilb_node/platform_reader.py
+++ b/packages/wasabilb-node/src/wasabilb_node/platform_reader.py
@@ -8,12 +8,13 @@
 from wasabilb_core.fleet import FleetState
 from wasabilb_core.membership import Membership
 from wasabilb_core.ticket_spread import TicketSpread
+from wasabilb_core.tickets import ticket_digest
 from wasabilb_wire.messages import HostList
 
 from wasabilb_node.clock import now
 from wasabilb_node.links import LinkManager
 from wasabilb_node.logs import EventLog
-from wasabilb_node.platform_client import PlatformClient
+from wasabilb_node.platform_client import PlatformClient, TicketIndex
 from wasabilb_node.ticket_exchange import TicketExchange
 
 ROLE_CHECK_S = 0.5
@@ -65,6 +66,10 @@
         self._error_logged_at: dict[str, float] = {}
         self._rng = random.Random(links.identity.incarnation)
         self._was_reader = False
+        # Position of the next watch. After a failure the index is read instead, as the service may
+        # have come back from a copy that does not have the position.
+        self._position: TicketIndex | None = None
+        self._era: int | None = None
         self.is_synced = False
 
     async def run_tickets(self) -> None:
@@ -109,18 +114,26 @@
                 self._links.broadcast(message)
 
     async def _read_tickets_once(self) -> bool:
-        if self.is_synced:
-            index = await self._client.watch(
-                after=self._fleet.newest(), timeout_s=self._watch_timeout_s
-            )
+        position, self._position = self._position, None
+        if position is not None:
+            read = await self._client.watch(after=position, timeout_s=self._watch_timeout_s)
         else:
-            index = await self._client.index()
-        if isinstance(index, Failure):
-            self._log_error("configuration service", index.failure().detail)
+            read = await self._client.index()
+        if isinstance(read, Failure):
+            self._log_error("configuration service", read.failure().detail)
             return False
         self._log_recovery("configuration service")
+        index = read.unwrap()
+        self._log_era(index.era)
+        is_complete = await self._read_tickets(index)
+        self._position = index if is_complete else None
+        self.is_synced = self.is_synced or is_complete
+        return is_complete
+
+    async def _read_tickets(self, index: TicketIndex) -> bool:
+        """Read the tickets of an index that this process lacks; return whether it has all."""
         is_complete = True
-        numbers = self._spread.numbers_to_read(index.unwrap().digests, self._rng)
+        numbers = self._spread.numbers_to_read(index.digests, self._rng)
         conflicts = set(numbers) - set(self._spread.unknown_numbers(numbers))
         for number in numbers:
             if not self._spread.is_reader(self._links.linked_hosts()):
@@ -128,15 +141,24 @@
                 return False
             if self._spread.unknown_numbers([number]) == [] and number not in conflicts:
                 continue
-            text = await self._client.ticket(number)
-            if isinstance(text, Failure):
-                self._log_error("configuration service", text.failure().detail)
+            read = await self._client.ticket(number)
+            if isinstance(read, Failure):
+                self._log_error("configuration service", read.failure().detail)
                 is_complete = False
                 continue
-            self._exchange.accept_ticket(text.unwrap(), source="service", sender=None)
-        self.is_synced = is_complete
+            text = read.unwrap()
+            if ticket_digest(text) != index.digests[number]:
+                # The service came back from a copy since it sent the index.
+                is_complete = False
+                continue
+            self._exchange.accept_ticket(text, source="service", sender=None)
         return is_complete
 
+    def _log_era(self, era: int) -> None:
+        if self._era is not None and era > self._era:
+            self._log.event("platform_restored", service="configuration service", era=era)
+        self._era = era if self._era is None else max(era, self._era)
+
     def _log_error(self, service: str, detail: str) -> None:
         # The service can be down for hours; one line per interval is enough.
         if (
