--- a/packages/wasabilb-core/src/wasabilb_core/_value_checks.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_value_checks.py
@@ -16,6 +16,23 @@
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,62}")
 
 
+# Longest value that a message shows, in characters and, for an integer, in bits.
+MAX_SHOWN_CHARS = 80
+MAX_SHOWN_BITS = 128
+
+
+def shown(value: object) -> str:
+    """Return a short form of a value for a message, whatever its size."""
+    if isinstance(value, int) and value.bit_length() > MAX_SHOWN_BITS:
+        # Python refuses to convert an integer of more than some thousand digits to text.
+        return f"an integer of {value.bit_length()} bits"
+    if isinstance(value, str):
+        return ascii(value[:MAX_SHOWN_CHARS])
+    if value is None or isinstance(value, bool | int | float):
+        return str(value)
+    return f"a value of type {type(value).__name__}"
+
+
 def matches(
     pattern: re.Pattern[str], expected: str, *, allow_empty: bool = False, is_secret: bool = False
 ) -> Check:
@@ -66,6 +83,25 @@
     return None if is_valid else f"expected IP:PORT, got {value[:80]!r}"
 
 
+def is_dialable(address: str) -> bool:
+    """Return whether a text is the `IP:PORT` of one IPv4 host, in the usual form of both parts.
+
+    Connections to backend servers are IPv4, and a host name would be resolved on the event loop.
+    """
+    text, _, port = address.rpartition(":")
+    try:
+        ip = ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    is_host = not (ip.is_unspecified or ip.is_multicast or ip.is_reserved)
+    return is_host and _is_port(port) and port == str(int(port))
+
+
+def _is_port(text: str) -> bool:
+    # Python refuses to convert thousands of digits to a number.
+    return text.isascii() and text.isdigit() and len(text) <= 5 and 0 < int(text) < 65536
+
+
 def between(low: float, high: float) -> Check:
     """Return a check that a number lies strictly between two bounds."""
 
--- a/packages/wasabilb-entry/src/wasabilb_entry/placer.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/placer.py
@@ -3,7 +3,7 @@
 import math
 from functools import partial
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 from wasabilb_core.catalog import EngineSpec
 from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.overload import (
@@ -50,7 +50,9 @@
     is_first : bool
         Whether it has not been sent to any runner yet.
     tried : frozenset of str
-        Runners to exclude.
+        Runners to exclude; used again for a begun answer if there is no other one.
+    has_begun : bool
+        Whether the caller has received a part of the answer.
     """
 
     service: str
@@ -61,6 +63,7 @@
     is_resubmitted: bool
     is_first: bool
     tried: frozenset[str]
+    has_begun: bool = False
 
 
 @frozen(kw_only=True)
@@ -109,6 +112,9 @@
                 if not is_sent and not req.is_caller_gone:
                     return self._overloaded(needs.service, len(views), "no slot became free")
                 chosen = self.fleet.choose(request, views)
+        if chosen is None and needs.has_begun and needs.tried:
+            # A runner that refused it or loaded a version may accept it by now.
+            return await self.place(evolve(needs, tried=frozenset()), req)
         placement = self.fleet.placement(needs.service, chosen) if chosen is not None else None
         if placement is not None:
             return placement
@@ -120,6 +126,23 @@
             is_earliest=retry_after.is_earliest,
         )
 
+    def refuse_held(self) -> None:
+        """Refuse all held requests."""
+        for dispatcher in self._dispatchers.values():
+            dispatcher.refuse_all()
+
+    def run_s(self, service: str, prompt_tokens: int, answer_tokens: int) -> float | None:
+        """Return the predicted time of an answer of at most some tokens, None if unknown."""
+        engine = self.fleet.engine(service)
+        if engine is None or not answer_tokens:
+            return None
+        views = self.fleet.views(service, RouteRequest())
+        if not views:
+            return None
+        best = min(views, key=expected_wait_s)
+        own_s = engine.prefill_s(prompt_tokens) + best.token_s * answer_tokens
+        return expected_wait_s(best) + best.pace * own_s
+
     def retry_after(self, service: str) -> RetryAfter:
         """Return when a caller of a service should retry."""
         retry_after = self._after_pause(service)
--- a/packages/wasabilb-node/src/wasabilb_node/published_source.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_source.py
@@ -13,26 +13,48 @@
 
 @frozen(kw_only=True)
 class Snapshot:
-    """All published items; changes after `revision` may be missing."""
+    """All published items; changes after `revision` may be missing.
+
+    `era` is that of the store, None if it named none.
+    """
 
     items: tuple[StateItem, ...]
     revision: int
+    era: int | None = None
 
 
 @frozen(kw_only=True)
 class Changes:
-    """The items that changed after a revision, unless the history no longer reaches back to it."""
+    """The items that changed after a revision, unless the history no longer reaches back to it.
+
+    `era` is that of the store, None if it named none. In a later era than that of the revision the
+    items are not all that changed.
+    """
 
     items: tuple[StateItem, ...]
     revision: int
     is_history_lost: bool = False
+    era: int | None = None
+
+
+@frozen(kw_only=True)
+class Unusable:
+    """Content of a published item that cannot be used.
+
+    Parameters
+    ----------
+    detail : str
+        What is wrong, with the path of the value; short whatever the content is.
+    """
+
+    detail: str
 
 
 class PublishedDecoder(Protocol):
     """Decodes published items into the types of the core."""
 
-    def decode(self, item: StateItem) -> Catalog | Runner | WeightTarget | None:
-        """Return the decoded item, None if it cannot be used."""
+    def decode(self, item: StateItem) -> Catalog | Runner | WeightTarget | Unusable:
+        """Return the decoded item, or why it cannot be used."""
 
     def runner_id(self, name: str) -> str | None:
         """Return the id of the runner that an item name refers to, if any."""
