A connection is closed only while nothing of a request has arrived, and a dropped request is reported

What callers saw: a whole request that arrived as its connection was closed for being idle (the idle time had passed, a drain, the limit on connections) was read and dropped: the connection ended without an answer, and no line or counter told of it.

Cause: "idle" was judged by the socket alone. What had been read a moment before waits with the library, which gives it to us one or two rounds of the event loop later, when the stream is closed. The library's own idle timer closes without any look: after a standstill of the process the arrival of a request and the timer are due in the same round. The same timer also ended bodies that were slow in all but never silent.

A whole request whose caller has gone is logged (request_dropped) and counted (wasabilb_dropped_requests_total).

Not changed: a caller that sends its next request before the answer, which then says Connection: close, gets no answer to it.

--- a/features/steps/memory_links.py
+++ b/features/steps/memory_links.py
@@ -36,9 +36,18 @@
         super()._run_once()
 
 
-def run_virtual(main):
+class VirtualSocketLoop(VirtualLoop):
+    """Virtual loop that looks at its sockets before its clock jumps."""
+
+    def _run_once(self):
+        if not self._ready and self._scheduled and not self._selector.select(0):
+            self.now_s = max(self.now_s, self._scheduled[0].when())
+        asyncio.SelectorEventLoop._run_once(self)
+
+
+def run_virtual(main, loop_factory=VirtualLoop):
     """Run a coroutine function with the loop's time as the clock of all components."""
-    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+    with asyncio.Runner(loop_factory=loop_factory) as runner:
         loop = runner.get_loop()
         source = SimpleNamespace(
             CLOCK_BOOTTIME=0,
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -138,6 +138,9 @@
     "connection_refused": _spec(
         "A caller's connection exceeded the limit and got 503.", "connections"
     ),
+    "request_dropped": _spec(
+        "A whole request was not passed on, as its connection had ended.", "reason"
+    ),
     "request_done": _spec(
         "The last byte of an answer was sent, or the answer ended early.",
         "request account kind model version service host status outcome error tokens "
--- a/packages/wasabilb-entry/src/wasabilb_entry/caller_connection.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/caller_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from functools import partial
 from http.client import responses
 
 from tornado.http1connection import HTTP1Connection
@@ -18,10 +19,14 @@
 from tornado.netutil import bind_sockets
 from wasabilb_core.catalog import CallerLimits
 from wasabilb_node.clock import now
-from wasabilb_node.http_client import has_pending_input
 from wasabilb_node.logs import EventLog
 
-from wasabilb_entry.bounded_server import BoundedServer, ConnectionLimits
+from wasabilb_entry.bounded_server import (
+    BoundedServer,
+    ConnectionLimits,
+    has_begun_message,
+    is_quiet,
+)
 
 LISTEN_BACKLOG = 1024
 # Connections of callers on one entry host: three quarters of the smallest known limit on open
@@ -119,18 +124,24 @@
     """Collects one request."""
 
     def __init__(
-        self, *, conn: HTTP1Connection, on_request: Callable[[ReceivedRequest], None]
+        self,
+        *,
+        conn: HTTP1Connection,
+        on_request: Callable[[ReceivedRequest], None],
+        on_dropped: Callable[[], None],
     ) -> None:
         self._conn = conn
         self._on_request = on_request
+        self._on_dropped = on_dropped
         self._line: RequestStartLine | None = None
         self._headers = HTTPHeaders()
         self._parts: list[bytes] = []
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request has begun and no input waits to be read."""
-        return self._line is None and not has_pending_input(self._conn.stream)
+        """Return whether no request has begun and no input waits to be processed."""
+        stream = self._conn.stream
+        return self._line is None and is_quiet(stream) and not has_begun_message(stream)
 
     def close(self) -> None:
         """Close the connection."""
@@ -153,7 +164,8 @@
     def finish(self) -> None:
         assert self._line is not None
         if self._conn.stream.closed():
-            # The request crossed the close of an idle connection and must not be forwarded.
+            # Nobody can receive the answer.
+            self._on_dropped()
             return
         self._on_request(
             ReceivedRequest(
@@ -173,9 +185,11 @@
     on_request : callable
         Called with each whole request, which it must answer.
     log : EventLog
-        Receives an event for each refused connection.
+        Receives an event for each refused connection and each dropped request.
     connections : int
         Maximum number of open connections.
+    on_dropped : callable or None
+        Called for each whole request that is not passed on, as its connection has ended.
     """
 
     def __init__(
@@ -184,8 +198,11 @@
         on_request: Callable[[ReceivedRequest], None],
         log: EventLog,
         connections: int = MAX_CONNECTIONS,
+        on_dropped: Callable[[], None] | None = None,
     ) -> None:
         self._on_request = on_request
+        self._log = log
+        self._count_dropped = on_dropped or (lambda: None)
         self._connections = connections
         self._open: dict[object, _RequestDelegate] = {}
         self._server = BoundedServer(self)
@@ -194,7 +211,6 @@
             on_refused=lambda count: log.event("connection_refused", connections=count),
             on_closed=self.on_close,
         )
-        self.on_limits(CallerLimits())
 
     @property
     def connections(self) -> int:
@@ -210,21 +226,19 @@
 
     def on_limits(self, limits: CallerLimits) -> None:
         """Apply limits from the next request of each connection on."""
-        params = self._server.conn_params
-        params.max_header_size = limits.header_bytes
-        params.max_body_size = limits.body_bytes
-        # The library's header timeout starts at the end of the last answer and includes idle time.
-        params.header_timeout = limits.idle_timeout_s
-        params.body_timeout = limits.idle_timeout_s
         self._server.on_limits(self._connection_limits(limits))
 
     def _connection_limits(self, limits: CallerLimits) -> ConnectionLimits:
         return ConnectionLimits(
-            connections=self._connections, header_timeout_s=limits.header_timeout_s
+            connections=self._connections,
+            header_timeout_s=limits.header_timeout_s,
+            idle_timeout_s=limits.idle_timeout_s,
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
         )
 
     def sweep(self) -> None:
-        """Close connections whose header takes too long; called about once a second."""
+        """Close connections that wait for too long; called about once a second."""
         self._server.sweep()
 
     def start_request(
@@ -232,7 +246,11 @@
     ) -> HTTPMessageDelegate:
         """Return the collector of a connection's next request."""
         assert isinstance(request_conn, HTTP1Connection)
-        delegate = _RequestDelegate(conn=request_conn, on_request=self._on_request)
+        delegate = _RequestDelegate(
+            conn=request_conn,
+            on_request=self._on_request,
+            on_dropped=partial(self._on_dropped, request_conn),
+        )
         self._open[server_conn] = delegate
         return delegate
 
@@ -240,6 +258,11 @@
         """Remove a closed connection."""
         self._open.pop(server_conn, None)
 
+    def _on_dropped(self, conn: HTTP1Connection) -> None:
+        error = conn.stream.error
+        self._log.event("request_dropped", reason=type(error).__name__ if error else "closed")
+        self._count_dropped()
+
     def end_keep_alive(self) -> None:
         """Make each answer from now on, including those in progress, the last on its connection."""
         self._server.conn_params.no_keep_alive = True
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -181,7 +181,11 @@
             guard=self._guard,
             on_limit_changed=limit_exchange.on_changed,
         )
-        self._callers = CallerServer(on_request=self._forwarder.on_request, log=self.log)
+        self._callers = CallerServer(
+            on_request=self._forwarder.on_request,
+            log=self.log,
+            on_dropped=self._metrics.on_dropped,
+        )
         self._is_draining = False
         # Called once per heartbeat, for checks of state that changes without a signal.
         self.on_tick: list[Callable[[], None]] = []
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway_metrics.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway_metrics.py
@@ -58,6 +58,11 @@
             ["service", "repeated"],
             registry=self._registry,
         )
+        self._dropped = Counter(
+            "wasabilb_dropped_requests",
+            "Whole requests that were not passed on, as their connections had ended.",
+            registry=self._registry,
+        )
         self._first_byte = Histogram(
             "wasabilb_first_byte_seconds",
             "Time from the arrival of a request to the first byte of its answer.",
@@ -115,6 +120,10 @@
         """Count a request sent to a runner that has named a limit."""
         self._limited_sends.labels(service, str(is_repeated).lower()).inc()
 
+    def on_dropped(self) -> None:
+        """Count a whole request that was not passed on, as its connection had ended."""
+        self._dropped.inc()
+
     def on_connection(self) -> None:
         """Count a new connection to a runner."""
         self._connections.inc()
--- a/packages/wasabilb-entry/src/wasabilb_entry/process.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/process.py
@@ -219,14 +219,14 @@
         server = BoundedServer(
             _new_application(self._caller_routes()),
             ssl_options=self._tls.context if self._tls else None,
-            max_header_size=limits.header_bytes * SERVER_LIMIT_FACTOR,
-            max_body_size=limits.body_bytes * SERVER_LIMIT_FACTOR,
-            idle_connection_timeout=limits.idle_timeout_s,
-            body_timeout=limits.idle_timeout_s,
         )
         server.set_up(
             ConnectionLimits(
-                connections=limits.connections, header_timeout_s=limits.header_timeout_s
+                connections=limits.connections,
+                header_timeout_s=limits.header_timeout_s,
+                idle_timeout_s=limits.idle_timeout_s,
+                header_bytes=limits.header_bytes * SERVER_LIMIT_FACTOR,
+                body_bytes=limits.body_bytes * SERVER_LIMIT_FACTOR,
             ),
             on_refused=lambda count: self.log.event("connection_refused", connections=count),
         )
