New limits of callers reach the connections that are open

What callers saw: after a configuration with a longer idle time, a connection that waited already was closed at the end of the earlier one while its caller might still use it, up to four fifths of the new time. The same held for the time of a header and of a body, and a larger header or body on such a connection was refused with 400.

Cause: the library reads the limits when it begins to wait and keeps them.

Change: on_limits extends each open connection's limits by longer and larger ones. Shorter ones count from the next wait on, as before.

Evidence: "New limits while a connection waits" in features/caller_connections.feature; the rows "a request" and "a body" (2 s, then 10 s), "a larger body" and "a larger header" failed before.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -10,9 +10,13 @@
 
     Examples:
       | what             | first | second | pause |
+      | a request        | 2.0   | 10.0   | 8.0   |
       | a request        | 10.0  | 2.0    | 8.0   |
+      | a body           | 2.0   | 10.0   | 8.0   |
       | a body           | 10.0  | 2.0    | 8.0   |
       | a slow body      | 4.0   | 4.0    | 3.0   |
+      | a larger body    | 4.0   | 4.0    | 1.0   |
+      | a larger header  | 4.0   | 4.0    | 1.0   |
 
   Scenario Outline: A connection that is not used
     # Guards against connections that are never closed.
--- a/packages/wasabilb-entry/src/wasabilb_entry/bounded_server.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/bounded_server.py
@@ -48,6 +48,16 @@
     header_bytes: int
     body_bytes: int
 
+    def extended(self, other: "ConnectionLimits") -> "ConnectionLimits":
+        """Return the longer and larger of both limits for a connection that is open."""
+        return ConnectionLimits(
+            connections=other.connections,
+            header_timeout_s=max(self.header_timeout_s, other.header_timeout_s),
+            idle_timeout_s=max(self.idle_timeout_s, other.idle_timeout_s),
+            header_bytes=max(self.header_bytes, other.header_bytes),
+            body_bytes=max(self.body_bytes, other.body_bytes),
+        )
+
 
 def has_begun_message(stream: IOStream) -> bool:
     """Return whether part of a message has arrived, which the library does not expose."""
@@ -66,8 +76,9 @@
 class _WaitingConnection:
     """A connection that waits for a request, or for the rest of one.
 
-    Its limits are those in force when the wait began, as a caller that has not heard of shorter
-    ones keeps to them.
+    Its limits are those in force when the wait began, extended by later ones: a caller that has
+    heard of longer limits uses them at once, and one that has not heard of shorter ones keeps to
+    the earlier ones.
     """
 
     stream: IOStream
@@ -130,10 +141,15 @@
         self.on_limits(limits)
 
     def on_limits(self, limits: ConnectionLimits) -> None:
-        """Apply new limits from the next request of each connection on."""
+        """Apply new limits; open connections wait for the longer of these and their own."""
         self._limits = limits
         self.conn_params.max_header_size = limits.header_bytes
         self.conn_params.max_body_size = limits.body_bytes
+        for conn in self._waiting.values():
+            conn.limits = conn.limits.extended(limits)
+            if conn.body_begun_at is None and conn.stream.reading():
+                # The library passes the limit on when it begins to wait for a header.
+                conn.stream._read_max_bytes = conn.limits.header_bytes
 
     def sweep(self) -> None:
         """Close connections that wait for too long; called about once a second."""
@@ -162,6 +178,7 @@
         return _WaitObserver(
             delegate=delegate,
             conn=conn,
+            http=request_conn,
             on_end=lambda: self._waiting.pop(server_conn, None),
         )
 
@@ -195,16 +212,19 @@
         *,
         delegate: HTTPMessageDelegate,
         conn: _WaitingConnection,
+        http: HTTP1Connection,
         on_end: Callable[[], object],
     ) -> None:
         self._delegate = delegate
         self._conn = conn
+        self._http = http
         self._on_end = on_end
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
         self._conn.body_begun_at = self._conn.progress_at = now()
+        self._http.set_max_body_size(self._conn.limits.body_bytes)
         return self._delegate.headers_received(start_line, headers)
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
--- a/packages/wasabilb-entry/src/wasabilb_entry/caller_connection.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/caller_connection.py
@@ -225,7 +225,7 @@
         return sockets
 
     def on_limits(self, limits: CallerLimits) -> None:
-        """Apply limits from the next request of each connection on."""
+        """Apply limits; connections that are open wait for the longer of these and their own."""
         self._server.on_limits(self._connection_limits(limits))
 
     def _connection_limits(self, limits: CallerLimits) -> ConnectionLimits:
