--- a/packages/wasabilb-core/src/wasabilb_core/attempts.py
+++ b/packages/wasabilb-core/src/wasabilb_core/attempts.py
@@ -25,6 +25,8 @@
     BROKEN = "broken"
     SILENT = "silent"
     OUTDATED = "outdated"
+    # The runner did not begin in time to take over from one that could go on.
+    LATE = "late"
     MOVED = "moved"
     DEADLINE = "deadline"
     # The process ends before the answer.
@@ -49,6 +51,7 @@
     TIME_UP = "time-up"
     PROCESS_ENDS = "process-ends"
     CALLER_GONE = "caller-gone"
+    PROCESS_ENDS = "process-ends"
     NOT_REPEATABLE = "not-repeatable"
     ATTEMPTS_USED = "attempts-used"
     CONNECTIONS_FAILED = "connections-failed"
