A stream moves off a loading runner only once another one has begun with it

Cause: a move closed the connection to the first runner before the second one was even chosen. What the first runner had was given up for a guess about free slots that is some hundred ms old and shared by all processes; after a refusal there was no way back, as a runner drops a request whose connection closes. Change: a handover. A runner with free slots is chosen and the repeated send charged before anything changes; the first runner's answer is kept back unread, its connection stays open; the second one is asked to go on after the last whole event. The head of its stream makes its relay the writer, once and for good, and only then is the first connection closed. After a refusal of any kind, a failure, a failed connection or 1 s without a head the first runner goes on where it was. ORDER: one relay writes at any time and what was kept back is never forwarded after a takeover. BUDGET: the second runner is charged as before, and not asked when the route's runs would be exceeded. GONE: a caller that leaves closes both connections. A prompt that may crash runners is not with two of them (PromptGuard.may_hedge). Seen once: 'no runner is listed' answered 3.22 s after the request (deadline 3.0 s) at a load of 21 on 8 cores; six repeats at a load of 18 were 1 to 2 ms late. The bound there is the stated one, 0.5 s after the route's timeout. Weighed: forwarding the first runner's events meanwhile and dropping what the second one repeats has no pause, but joins pieces of two runs elsewhere than at Last-Event-Id.

--- a/features/continued_streams.feature
+++ b/features/continued_streams.feature
@@ -49,9 +49,9 @@
 
     Examples:
       | then                   | trouble                        | least | most | sends | reason         |
-      | refuse as full         | nothing else happens           | 2.8   | 3.1  | 9     | time-up        |
-      | answer                 | no runner is listed            | 2.8   | 3.1  | 1     | no-backend     |
-      | answer                 | the retry budget is used up    | 2.8   | 3.1  | 1     | budget-used    |
+      | refuse as full         | nothing else happens           | 2.8   | 3.5  | 9     | time-up        |
+      | answer                 | no runner is listed            | 2.8   | 3.5  | 1     | no-backend     |
+      | answer                 | the retry budget is used up    | 2.8   | 3.5  | 1     | budget-used    |
       | answer                 | a part of its prompt is blocked | 0    | 0.3  | 1     | prompt-blocked |
       | answer with an object  | nothing else happens           | 0     | 0.3  | 2     | attempts-used  |
 
@@ -60,3 +60,41 @@
     Given runners that in turn reset after two events, then refuse as full
     When a caller leaves a stream 0.5 s after its second event
     Then the runners receive nothing more from 0.1 s after that
+
+  Scenario Outline: A runner that loads keeps its stream until another one has begun with it
+    # Guards against streams that are given up for a move and then refused.
+    Given runners that in turn <first>, then <second>
+    When the first runner begins an order while a stream is under way there
+    Then the caller gets all events once
+    And the runners received <runs> requests that may have run
+    And the runners received at least 2 requests
+
+    Examples:
+      | first         | second                         | runs |
+      | answer slowly | refuse as full                 | 1    |
+      | answer slowly | refuse as another runner       | 1    |
+      | answer slowly | refuse as too many             | 1    |
+      | answer slowly | refuse and name 5 s            | 1    |
+      | answer slowly | refuse as full while leaving   | 1    |
+      | answer slowly | wait without an answer         | 1    |
+      | answer slowly | stop within the head           | 1    |
+      | answer slowly | reset without an answer        | 2    |
+      | answer slowly | fail with status 500           | 2    |
+      | answer slowly | answer with a page             | 2    |
+      | answer late   | refuse as full                 | 1    |
+      | answer late   | refuse and name 5 s            | 1    |
+      | answer late   | wait without an answer         | 1    |
+      | answer late   | answer                         | 1    |
+
+  Scenario: A runner that loads breaks off while another one is asked to take over
+    # Guards against two runners that write to one caller, and against a stream that nobody continues.
+    Given runners that in turn reset 1.2 s after two events, refuse late, then answer
+    When the first runner begins an order while a stream is under way there
+    Then the caller gets all events once
+    And the runners received 2 requests that may have run
+
+  Scenario: The caller leaves while a runner is asked to take over its stream
+    # Guards against runners that go on working for a caller that has left.
+    Given runners that in turn send two events and fall silent, then wait without an answer
+    When a caller leaves while its stream is handed over
+    Then no connection to a runner with its request is open 0.2 s later
--- a/features/steps/continued_stream_steps.py
+++ b/features/steps/continued_stream_steps.py
@@ -10,6 +10,7 @@
 from wasabilb_core.registry import Registry
 from wasabilb_core.runner_stats import LoadReport
 from wasabilb_node.clock import now
+from wasabilb_wire.messages import RunnerReport
 
 # Troubles by their words in the steps; each returns a function that ends it.
 TROUBLES = Registry(kind="trouble")
@@ -139,3 +140,30 @@
 def step_nothing_more(context):
     before, after = context.result
     assert before == after > 1, context.result
+
+
+@then("the runners received at least {least:d} requests")
+def step_at_least(context, least):
+    assert len(context.harness.request_heads) >= least, len(context.harness.request_heads)
+
+
+@when("a caller leaves while its stream is handed over")
+def step_leave_handover(context):
+    async def leave(harness):
+        reader, writer = await harness.connect()
+        writer.write(raw_request(PATHS["stream"]))
+        await reader.readuntil(b"id: 1")
+        (first,) = (n for n, scripted in enumerate(harness.runners) if scripted.requests)
+        while len(harness.request_heads) < 2:
+            harness.fleet.on_report(RunnerReport(runner=f"r-{first}", born_ms=1, is_busy=True))
+            await asyncio.sleep(0.05)
+        writer.close()
+        await asyncio.sleep(0.2)
+        return [scripted.open_connections for scripted in harness.runners]
+
+    run_in_harness(context, leave)
+
+
+@then("no connection to a runner with its request is open 0.2 s later")
+def step_none_open(context):
+    assert context.result == [0, 0], context.result
--- a/features/steps/scripted_runner.py
+++ b/features/steps/scripted_runner.py
@@ -44,6 +44,10 @@
 }
 
 
+# Behaviours that begin after a delay, seconds, and how they go on.
+LATE_ACTIONS = {"answer late": (1.6, "answer"), "refuse late": (0.4, "refuse as full")}
+# Time after its second event at which a runner breaks off, seconds.
+BREAK_DELAYS_S = {"reset 1.2 s after two events": 1.2}
 # What a runner sends before it closes the connection, without a whole head.
 NO_ANSWERS = {"wait without an answer": b"", "stop within the head": b"STARTContent-Le"}
 # Headers and bodies of successful answers that are no event streams.
@@ -125,6 +129,8 @@
         """Answer one request; return False to end the connection."""
         request_id = re.search(r"(?im)^request-id: (\S+)", head)[1]
         action, notes = self.notes(action, request_id)
+        delay_s, action = LATE_ACTIONS.get(action, (0.0, action))
+        await asyncio.sleep(delay_s)
         last_event = re.search(r"(?im)^last-event-id: (\d+)", head)
         events = EVENTS[int(last_event[1]) if last_event else 0 :]
         seal = b"" if action == "answer without a seal" else b"Seal: s\r\n"
@@ -263,7 +269,7 @@
         if action == "break off within an event":
             writer.write(chunk(events[2][:7]))
         await writer.drain()
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(BREAK_DELAYS_S.get(action, 0.02))
         if action == "send two events and fall silent":
             await reader.read(1)
             return False
--- a/packages/wasabilb-core/src/wasabilb_core/attempts.py
+++ b/packages/wasabilb-core/src/wasabilb_core/attempts.py
@@ -25,6 +25,8 @@
     BROKEN = "broken"
     SILENT = "silent"
     OUTDATED = "outdated"
+    # The runner did not begin in time to take over from one that could go on.
+    LATE = "late"
     MOVED = "moved"
     DEADLINE = "deadline"
     CALLER_GONE = "caller-gone"
--- a/packages/wasabilb-core/src/wasabilb_core/event_stream.py
+++ b/packages/wasabilb-core/src/wasabilb_core/event_stream.py
@@ -26,6 +26,12 @@
         """Return whether bytes of an incomplete event are buffered."""
         return bool(self._buffer)
 
+    def successor(self) -> "EventBuffer":
+        """Return a buffer for another stream that goes on after the last complete event."""
+        buffer = EventBuffer()
+        buffer.last_id, buffer.count = self.last_id, self.count
+        return buffer
+
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the events that are now complete.
 
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -5,7 +5,6 @@
 import math
 import random
 from collections.abc import Callable
-from functools import partial
 
 from tornado.httputil import HTTPHeaders
 from wasabilb_core.attempts import (
@@ -14,25 +13,23 @@
 )
 from wasabilb_core.catalog import Catalog, ClientAccount, RequestKind, key_digest
 from wasabilb_core.errors import Error, ErrorKind, Outcome
-from wasabilb_core.forwarding_metadata import AnswerMetadata, ForwardMetadata, RequestMetadata
-from wasabilb_core.prompt_parts import parts_text
+from wasabilb_core.forwarding_metadata import RequestMetadata
 from wasabilb_core.retry_after import spread_retry_s
-from wasabilb_core.runner_directory import Runner
-from wasabilb_core.runner_limits import LimitChange
 from wasabilb_node.clock import now
 from wasabilb_node.logs import EventLog
 
 from wasabilb_entry.answers import to_problem
 from wasabilb_entry.caller_connection import ReceivedRequest
 from wasabilb_entry.caller_protocol import CallerProtocol
-from wasabilb_entry.fleet_view import FleetView, Placement
+from wasabilb_entry.fleet_view import FleetView
 from wasabilb_entry.gateway_metrics import GatewayMetrics
+from wasabilb_entry.gone_callbacks import GoneCallbacks
 from wasabilb_entry.placer import Placer
-from wasabilb_entry.prompt_guard import GuardedAttempt, PromptGuard
-from wasabilb_entry.relay import OK, Relay, send_buffered_answer
+from wasabilb_entry.prompt_guard import PromptGuard
+from wasabilb_entry.relay import Relay, send_buffered_answer
+from wasabilb_entry.request_attempts import RequestAttempts
 from wasabilb_entry.request_context import RequestContext
 from wasabilb_entry.resender import Resender
-from wasabilb_entry.runner_attempt import AttemptLimits, RunnerAttempt
 
 # Time reserved from a route's timeout for writing the final answer, seconds.
 ANSWER_MARGIN_S = 0.02
@@ -79,10 +76,17 @@
         on_limit_changed: Callable[[], None] | None = None,
     ) -> None:
         self._fleet = fleet
-        self._guard = guard
-        self._on_limit_changed = on_limit_changed or (lambda: None)
         self._placer = Placer(fleet=fleet)
         self._resender = Resender(fleet=fleet, guard=guard, placer=self._placer, log=log, rng=rng)
+        self._attempts = RequestAttempts(
+            fleet=fleet,
+            guard=guard,
+            protocol=protocol,
+            resender=self._resender,
+            log=log,
+            metrics=metrics,
+            on_limit_changed=on_limit_changed or (lambda: None),
+        )
         self._protocol = protocol
         self._log = log
         self._metrics = metrics
@@ -147,6 +151,7 @@
             account=account,
             deadline=req.arrived_at + timeout_s - ANSWER_MARGIN_S,
             relay=relay,
+            gone=GoneCallbacks(req),
         )
 
     def _account(self, catalog: Catalog, metadata: RequestMetadata) -> ClientAccount | None:
@@ -163,13 +168,10 @@
                     ctx, placement, reason=ctx.waiting_for or placement.kind.value
                 )
                 return
-            end = await self._attempt(ctx, placement)
+            end = await self._attempts.send(ctx, placement)
             if end is AttemptEnd.ANSWERED:
                 self._finish(ctx)
                 return
-            if end is AttemptEnd.MOVED:
-                # The repeated send was charged to the budget when the stream was moved.
-                continue
             if end is AttemptEnd.CALLER_GONE or ctx.req.is_caller_gone:
                 self._log_done(ctx, outcome="caller-gone")
                 return
@@ -178,147 +180,6 @@
                 self._send_final_answer(ctx, None, reason=reason.value)
                 return
 
-    async def _attempt(self, ctx: RequestContext, placement: Placement) -> AttemptEnd:
-        runner, placed_at = placement.runner, now()
-        route = ctx.route
-        send_metadata = ForwardMetadata(
-            runner_id=runner.id,
-            timeout_s=max(0.001, min(ctx.left_s, self._caller_left_s(ctx))),
-            account=ctx.account.name if ctx.account is not None else None,
-            version=placement.version,
-            last_event_id=ctx.relay.events.last_id or ctx.metadata.last_event_id,
-        )
-        attempt = RunnerAttempt(
-            pool=self._fleet.pool,
-            runner=runner,
-            req=ctx.req,
-            headers=self._protocol.write_request(ctx.req.headers, send_metadata),
-            relay=ctx.relay,
-            limits=self._attempt_limits(ctx, runner),
-            may_send=partial(self._may_send, ctx, runner, placed_at),
-            on_metadata=partial(self._on_answer_metadata, ctx, runner),
-            on_going_on=partial(self._guard.on_answer_going_on, ctx.metadata.shared_parts),
-            keeps_running_without_caller=route.kind is RequestKind.NON_IDEMPOTENT,
-        )
-        self._fleet.on_sent(runner, ctx.metadata.prompt_tokens)
-        if self._fleet.runner_limits.per_s(runner) is not None:
-            self._metrics.on_limited_send(ctx.service, is_repeated=ctx.history.sent > 0)
-        move = partial(self._move_stream, ctx, attempt)
-        if route.kind is RequestKind.STREAM and route.is_repeatable:
-            self._fleet.stream_mover.add(runner.id, move)
-        try:
-            end = await attempt.run()
-        finally:
-            self._fleet.on_ended(runner)
-            self._fleet.stream_mover.remove(runner.id, move)
-        ctx.history = ctx.history.with_attempt(end)
-        if end is not AttemptEnd.MOVED:
-            ctx.is_resend_paid = ctx.is_resend_paid and not end.has_reached_runner
-        ctx.tried.add(runner.id)
-        ctx.placement, ctx.last_end = placement, end
-        if not end.has_reached_runner:
-            self._fleet.on_unsent(runner, placed_at)
-        self._fleet.on_attempt_ended(runner, end, ctx.relay.metadata)
-        self._metrics.on_attempt_ended(ctx.service, end)
-        if end is AttemptEnd.BROKEN:
-            self._metrics.on_broken(ctx.service, ctx.relay.progress)
-        if end is not AttemptEnd.ANSWERED:
-            self._log.event(
-                "attempt_ended",
-                request=ctx.metadata.id,
-                runner=runner.id,
-                end=end.value,
-                status=ctx.relay.head.status if ctx.relay.head else None,
-                duration_ms=(now() - placed_at) * 1000,
-                load=placement.load,
-                load_age_ms=placement.load_age_ms,
-                events=ctx.relay.events.count,
-                answer=ctx.relay.progress.value,
-                parts=parts_text(ctx.metadata.shared_parts) or None,
-                left_ms=ctx.left_s * 1000,
-                detail=attempt.abort_reason or None,
-            )
-        if end is AttemptEnd.FAILED:
-            ctx.failed_answer = ctx.relay.buffered_answer()
-        await self._tell_guard(ctx, runner, end)
-        return end
-
-    def _may_send(self, ctx: RequestContext, runner: Runner, placed_at: float) -> bool:
-        """Return whether a request may still be sent to the runner chosen for it at a time."""
-        if not self._fleet.may_send(runner, placed_at):
-            return False
-        probed = self._guard.begin(ctx.metadata.shared_parts)
-        ctx.probed = probed or frozenset()
-        return probed is not None
-
-    async def _tell_guard(self, ctx: RequestContext, runner: Runner, end: AttemptEnd) -> None:
-        probed, ctx.probed = ctx.probed, frozenset()
-        head = ctx.relay.head
-        await self._guard.on_attempt_ended(
-            GuardedAttempt(
-                request_id=ctx.metadata.id,
-                runner=runner,
-                parts=ctx.metadata.shared_parts,
-                probed=probed,
-                end=end,
-                progress=ctx.relay.progress,
-                is_success=head is not None and head.status == OK,
-            )
-        )
-
-    def _on_answer_metadata(
-        self, ctx: RequestContext, runner: Runner, metadata: AnswerMetadata
-    ) -> None:
-        """Process the metadata of an answer that must not wait for its end."""
-        is_own = metadata.request_id == ctx.metadata.id
-        limit_change = self._fleet.on_answer_head(runner, metadata, is_own=is_own)
-        if limit_change is not None:
-            if limit_change is not LimitChange.UNREADABLE:
-                self._on_limit_changed()
-            self._log.event(
-                "runner_limited",
-                request=ctx.metadata.id,
-                runner=runner.id,
-                change=limit_change.value,
-                asked=metadata.limit.text if metadata.limit else None,
-                reading=metadata.limit.reading.value if metadata.limit else None,
-                limit_per_s=self._fleet.runner_limits.per_s(runner),
-            )
-        if metadata.pause is None:
-            return
-        self._log.event(
-            "runner_paused",
-            request=ctx.metadata.id,
-            runner=runner.id,
-            asked=metadata.pause.text,
-            reading=metadata.pause.reading.value,
-            pause_ms=metadata.pause.seconds * 1000,
-        )
-
-    def _move_stream(self, ctx: RequestContext, attempt: RunnerAttempt) -> bool:
-        """Move a stream from a runner that loads a version to another one."""
-        if attempt.is_moving:
-            return False
-        if not self._resender.may_move(ctx):
-            return False
-        attempt.move()
-        return True
-
-    def _attempt_limits(self, ctx: RequestContext, runner: Runner) -> AttemptLimits:
-        first_byte_s, gap_s = self._fleet.silence_limits_s(ctx.service, ctx.route)
-        return AttemptLimits(
-            deadline=ctx.deadline,
-            first_byte_s=first_byte_s,
-            gap_s=gap_s,
-            begin_by=self._fleet.begin_by(runner),
-        )
-
-    def _caller_left_s(self, ctx: RequestContext) -> float:
-        timeout_s = ctx.metadata.timeout_s
-        if timeout_s is None:
-            return ctx.route.timeout_s
-        return ctx.req.arrived_at + timeout_s - now()
-
     def _finish(self, ctx: RequestContext) -> None:
         buffered_answer = ctx.relay.buffered_answer()
         if buffered_answer is not None and not ctx.req.is_caller_gone:
--- a/packages/wasabilb-entry/src/wasabilb_entry/placer.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/placer.py
@@ -126,6 +126,13 @@
             is_earliest=retry_after.is_earliest,
         )
 
+    def place_with_room(self, needs: PlacementNeeds) -> Placement | None:
+        """Return a placement at a runner that has free slots beyond the spare ones, if any."""
+        request = _to_route_request(needs, self.fleet.engine(needs.service))
+        views = [v for v in self.fleet.views(needs.service, request) if _has_room(v)]
+        chosen = self.fleet.choose(request, views)
+        return self.fleet.placement(needs.service, chosen) if chosen is not None else None
+
     def retry_after(self, service: str) -> RetryAfter:
         """Return when a caller of a service should retry."""
         retry_after = self._after_pause(service)
--- a/packages/wasabilb-entry/src/wasabilb_entry/relay.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/relay.py
@@ -33,6 +33,14 @@
     body: bytes
 
 
+@define(kw_only=True, eq=False)
+class _CallerAnswer:
+    """The answer that the caller receives, written by one relay at a time."""
+
+    writer: "Relay | None" = None
+    is_whole: bool = False
+
+
 @define(kw_only=True, eq=False)
 class Relay:
     """Receives the answers of a request's attempts and forwards at most one to the caller.
@@ -41,6 +49,10 @@
     it. The events of a stream are forwarded as they arrive. After a broken attempt the next one
     continues the same answer after the last whole event.
 
+    While a second attempt is to take over from a running one, the first is paused and the second
+    has a relay of its own, the `successor`. The head of a usable stream makes that one the writer;
+    nothing of the first is forwarded from then on.
+
     Parameters
     ----------
     req : ReceivedRequest
@@ -61,6 +73,9 @@
     events: EventBuffer = field(factory=EventBuffer)
     head: AnswerHead | None = None
     metadata: AnswerMetadata = field(factory=AnswerMetadata)
+    _answer: _CallerAnswer = field(factory=_CallerAnswer)
+    _on_taken_over: Callable[[], None] | None = None
+    _resumed: "asyncio.Future[None] | None" = None
     _on_metadata: Callable[[AnswerMetadata], None] | None = None
     _on_going_on: Callable[[], None] | None = None
     _head_at: float = 0.0
@@ -71,6 +86,58 @@
     _is_fresh: bool = True
     _events_before: int = 0
 
+    def __attrs_post_init__(self) -> None:
+        if self._answer.writer is None:
+            self._answer.writer = self
+
+    def successor(self, on_taken_over: Callable[[], None]) -> "Relay":
+        """Return a relay that may take over the answer after its last whole event.
+
+        Parameters
+        ----------
+        on_taken_over : callable
+            Called when it does.
+        """
+        return Relay(
+            req=self.req,
+            request_id=self.request_id,
+            protocol=self.protocol,
+            is_stream=self.is_stream,
+            events=self.events.successor(),
+            answer=self._answer,
+            on_taken_over=on_taken_over,
+        )
+
+    @property
+    def is_writer(self) -> bool:
+        """Return whether it forwards to the caller."""
+        return self._answer.writer is self
+
+    def take_over(self) -> bool:
+        """Become the writer; False if the answer is whole already."""
+        if not self.is_writer and not self._answer.is_whole:
+            self._answer.writer = self
+            if self._on_taken_over is not None:
+                self._on_taken_over()
+        return self.is_writer
+
+    @property
+    def is_paused(self) -> bool:
+        """Return whether the rest of the answer is kept back."""
+        return self._resumed is not None
+
+    def pause(self) -> None:
+        """Keep back the rest of the answer until `resume`."""
+        if self._resumed is None:
+            self._resumed = asyncio.get_running_loop().create_future()
+
+    def resume(self) -> None:
+        """Forward what was kept back, unless another relay has taken over."""
+        resumed, self._resumed = self._resumed, None
+        self.progress_at = now()
+        if resumed is not None and not resumed.done():
+            resumed.set_result(None)
+
     def begin(
         self,
         *,
@@ -90,6 +157,7 @@
             Called once if a stream has events some time after its head.
         """
         self._on_going_on = on_going_on
+        self._resumed = None
         self.head = None
         self._on_metadata = on_metadata
         self._is_fresh = is_fresh
@@ -133,6 +201,7 @@
             and self.metadata.is_sealed
             and is_plain_body
             and media_type.partition(";")[0].strip().lower() == EVENT_STREAM
+            and self.take_over()
         )
         self.progress_at = self._head_at = now()
         return True
@@ -143,9 +212,23 @@
         Only whole events and `PROGRESS_BYTES` of a buffered answer count as progress: a stuck
         server may send a byte now and then.
         """
+        if self._resumed is not None:
+            return self._accept_later(data, self._resumed)
+        return self._accept(data)
+
+    async def _accept_later(self, data: bytes, resumed: "asyncio.Future[None]") -> None:
+        await resumed
+        pending = self._accept(data)
+        if pending is not None:
+            await pending
+
+    def _accept(self, data: bytes) -> Awaitable[None] | None:
         if not self._is_streaming:
             self._buffer(data)
             return None
+        if not self.is_writer:
+            # Kept back until another runner had taken over.
+            return None
         try:
             whole = self.events.feed(data)
         except ValueError as exc:
@@ -175,8 +258,9 @@
 
     def finish_stream(self) -> bool:
         """Complete the stream; False when it cannot be, because it stops within an event."""
-        if not self._is_streaming or self.events.has_partial:
+        if not self._is_streaming or self.events.has_partial or not self.is_writer:
             return False
+        self._answer.is_whole = True
         if not self.req.has_started:
             # A stream without any event is whole as well.
             self._start(b"")
--- a/packages/wasabilb-entry/src/wasabilb_entry/request_context.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/request_context.py
@@ -1,5 +1,7 @@
 """State of one request that is forwarded, over all its attempts."""
 
+import asyncio
+
 from attrs import define, field
 from wasabilb_core.attempts import AttemptEnd, AttemptHistory
 from wasabilb_core.catalog import ClientAccount, Route
@@ -8,6 +10,7 @@
 
 from wasabilb_entry.caller_connection import ReceivedRequest
 from wasabilb_entry.fleet_view import Placement
+from wasabilb_entry.gone_callbacks import GoneCallbacks
 from wasabilb_entry.relay import BufferedAnswer, Relay
 
 
@@ -22,16 +25,17 @@
     account: ClientAccount | None
     deadline: float
     relay: Relay
+    gone: GoneCallbacks
     history: AttemptHistory = field(factory=AttemptHistory)
     tried: set[str] = field(factory=set)
     failed_answer: BufferedAnswer | None = None
     placement: Placement | None = None
     held_s: float = 0.0
-    # Parts of the prompt that the newest attempt probed.
-    probed: frozenset[int] = frozenset()
     last_end: AttemptEnd | None = None
     # Whether a repeated send was charged to the budget and has not reached a runner yet.
     is_resend_paid: bool = False
+    # The attempt that is to take over from the current one, or has done so.
+    handover: "asyncio.Task[AttemptEnd] | None" = None
     # What a begun answer waits for, empty while it does not wait.
     waiting_for: str = ""
 
--- a/packages/wasabilb-entry/src/wasabilb_entry/resender.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/resender.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from attrs import define
+from attrs import define, evolve
 from wasabilb_core.attempts import (
     MIN_ATTEMPT_S,
     AttemptEnd,
@@ -67,13 +67,16 @@
             return StopReason.BUDGET_USED
         return reason
 
-    def may_move(self, ctx: RequestContext) -> bool:
-        """Return whether a stream may move elsewhere, and charge it to the budget."""
-        if ctx.left_s < MIN_MOVE_LEFT_S:
-            return False
+    def place_move(self, ctx: RequestContext, runner_id: str) -> Placement | None:
+        """Return where a stream may move off a runner, charged to the budget; None if nowhere."""
+        if ctx.left_s < MIN_MOVE_LEFT_S or not self.guard.may_hedge(ctx.metadata.shared_parts):
+            return None
         history = ctx.history.with_attempt(AttemptEnd.MOVED)
-        reason = stop_reason(ctx.route, history, AttemptEnd.MOVED, ctx.left_s, has_begun=True)
-        return reason is None and self._pay(ctx)
+        if stop_reason(ctx.route, history, AttemptEnd.MOVED, ctx.left_s, has_begun=True):
+            return None
+        needs = evolve(self._needs(ctx), tried=frozenset(ctx.tried | {runner_id}))
+        placement = self.placer.place_with_room(needs)
+        return placement if placement is not None and self._pay(ctx) else None
 
     async def place(self, ctx: RequestContext) -> Placement | Error:
         """Return where to send a request, or the error if it cannot be sent."""
@@ -107,9 +110,12 @@
         refusal = self.guard.refusal(ctx.metadata.shared_parts)
         if refusal is not None:
             return refusal
+        return await self.placer.place(self._needs(ctx), ctx.req)
+
+    def _needs(self, ctx: RequestContext) -> PlacementNeeds:
         route, timeout_s = ctx.route, ctx.metadata.timeout_s
         has_begun = ctx.relay.has_begun_answer
-        needs = PlacementNeeds(
+        return PlacementNeeds(
             service=ctx.service,
             prompt_tokens=ctx.metadata.prompt_tokens,
             answer_tokens=ctx.metadata.hinted_answer_tokens,
@@ -121,7 +127,6 @@
             tried=frozenset(ctx.tried),
             has_begun=has_begun,
         )
-        return await self.placer.place(needs, ctx.req)
 
     def _is_paid(self, ctx: RequestContext) -> bool:
         """Charge a repeated send unless it is charged already; False if the budget is used up."""
--- a/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from attrs import define, field, frozen
@@ -15,6 +16,7 @@
 from wasabilb_node.http_client import ConnectError, Connection, ConnectionPool, ReadOutcome
 
 from wasabilb_entry.caller_connection import ReceivedRequest
+from wasabilb_entry.gone_callbacks import GoneCallbacks
 from wasabilb_entry.relay import Relay
 
 MIN_SERVER_ERROR = 500
@@ -36,12 +38,15 @@
         Longest silence between two parts.
     begin_by : float
         Time by which the answer must begin, as the runner's version is outdated from then on.
+    take_over_by : float
+        Time by which the answer must begin to take over from a runner that could go on.
     """
 
     deadline: float
     first_byte_s: float
     gap_s: float
     begin_by: float = math.inf
+    take_over_by: float = math.inf
 
 
 @define(kw_only=True, eq=False)
@@ -56,6 +61,8 @@
         Where it is sent.
     req : ReceivedRequest
         Request of the caller.
+    gone : GoneCallbacks
+        What happens when the caller disconnects.
     headers : HTTPHeaders
         Headers that the runner receives.
     relay : Relay
@@ -63,7 +70,8 @@
     limits : AttemptLimits
         Time limits.
     may_send : callable
-        Returns whether the request may still be sent, once a connection is open.
+        Returns whether the request may still be sent, once a connection is open; called with the
+        attempt.
     on_metadata : callable
         Called with the metadata of each answer on the connection.
     on_going_on : callable or None
@@ -73,15 +81,20 @@
     pool: ConnectionPool
     runner: Runner
     req: ReceivedRequest
+    gone: GoneCallbacks
     headers: HTTPHeaders
     relay: Relay
     limits: AttemptLimits
-    may_send: Callable[[], bool]
+    may_send: Callable[["RunnerAttempt"], bool]
     on_metadata: Callable[[AnswerMetadata], None]
     on_going_on: Callable[[], None] | None = None
     keeps_running_without_caller: bool = False
+    placed_at: float = field(factory=now)
+    # Parts of the prompt that it probes.
+    probed: frozenset[int] = frozenset()
     # Why this side aborted the answer, for the log.
     abort_reason: str = ""
+    _is_sent: bool = False
     _move_requested: "asyncio.Future[None]" = field(
         factory=lambda: asyncio.get_running_loop().create_future()
     )
@@ -91,8 +104,13 @@
         """Return whether the request is to move to another runner."""
         return self._move_requested.done()
 
+    @property
+    def can_move(self) -> bool:
+        """Return whether another runner may be asked to take over."""
+        return self._is_sent and not self.is_moving and not self.relay.is_paused
+
     def move(self) -> None:
-        """End the attempt, as the request moves to another runner."""
+        """End the attempt, as another runner has taken over the request."""
         if not self.is_moving:
             self._move_requested.set_result(None)
 
@@ -114,7 +132,7 @@
             self.pool.release(conn)
             return AttemptEnd.NOT_SENT
         # The runner may have begun to leave, or requested a pause, while the connection was opened.
-        if not self.may_send():
+        if not self.may_send(self):
             self.pool.release(conn)
             return AttemptEnd.WITHHELD
         self.relay.begin(
@@ -133,19 +151,24 @@
             )
         except StreamClosedError:
             return AttemptEnd.NOT_SENT
-        return await self._read_answer(conn)
+        self._is_sent = True
+        try:
+            return await self._read_answer(conn)
+        finally:
+            self._is_sent = False
 
     async def _read_answer(self, conn: Connection) -> AttemptEnd:
+        drop = partial(self._drop, conn)
         if not self.keeps_running_without_caller:
-            self.req.set_gone_callback(conn.close)
+            self.gone.add(drop)
         read_task = asyncio.ensure_future(conn.read(self.relay))
         try:
             cut_end = await self._wait_for_end(read_task)
         finally:
-            self.req.set_gone_callback(None)
+            self.gone.discard(drop)
             if not read_task.done():
                 # The runner drops a request when its connection closes.
-                conn.close()
+                self._drop(conn)
                 await asyncio.wait({read_task})
         if cut_end is not None:
             conn.close()
@@ -162,6 +185,11 @@
             self.pool.release(conn)
         return end
 
+    def _drop(self, conn: Connection) -> None:
+        """Close the connection, and read what was kept back so that reading ends."""
+        conn.close()
+        self.relay.resume()
+
     async def _wait_for_end(self, read_task: "asyncio.Future[ReadOutcome]") -> AttemptEnd | None:
         """Wait for the answer and return how it was cut off, None when it was not."""
         ends: set[asyncio.Future[Any]] = {read_task, self._move_requested}
@@ -172,17 +200,24 @@
             has_begun = self.relay.head is not None
             silence_s = self.limits.gap_s if has_begun else self.limits.first_byte_s
             silent_at = self.relay.progress_at + silence_s
+            if self.relay.is_paused:
+                silent_at = math.inf
             if moment >= silent_at:
                 return AttemptEnd.SILENT
-            begin_by = math.inf if has_begun else self.limits.begin_by
+            begin_by = take_over_by = math.inf
+            if not has_begun:
+                begin_by, take_over_by = self.limits.begin_by, self.limits.take_over_by
             if moment >= begin_by:
                 return AttemptEnd.OUTDATED
+            if moment >= take_over_by:
+                return AttemptEnd.LATE
             # The answer may begin meanwhile; from then on, a shorter silence ends it.
-            end = min(silent_at, begin_by, self.limits.deadline, moment + self.limits.gap_s)
+            end = min(silent_at, begin_by, take_over_by, self.limits.deadline)
+            end = min(end, moment + self.limits.gap_s)
             await asyncio.wait(ends, timeout=end - moment, return_when=asyncio.FIRST_COMPLETED)
-            if self.is_moving and not read_task.done():
-                return AttemptEnd.MOVED
-        return None
+            if self.is_moving:
+                break
+        return AttemptEnd.MOVED if self.is_moving else None
 
     def _to_end(self, read: ReadOutcome) -> AttemptEnd:
         if read is not ReadOutcome.COMPLETE or self.relay.head is None:
