--- a/packages/wasabilb-core/src/wasabilb_core/attempts.py
+++ b/packages/wasabilb-core/src/wasabilb_core/attempts.py
@@ -49,7 +49,6 @@
     """Why a request that has not been answered is sent to no further runner."""
 
     TIME_UP = "time-up"
-    PROCESS_ENDS = "process-ends"
     CALLER_GONE = "caller-gone"
     PROCESS_ENDS = "process-ends"
     NOT_REPEATABLE = "not-repeatable"
