--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -157,3 +157,222 @@
     When the list has every odd entry beside a sound one, and then changes
     Then both processes have the sound runners and no other, and their link stays up
     And each process logs at most 20 short lines about the odd ones
+
+  Scenario Outline: An odd configuration
+    # Guards against an invalid configuration that is taken in part or as a whole: a route that answers
+    # nothing, a limit that refuses every request, an error at each request.
+    When a configuration with <oddity> is published
+    Then it is refused as a whole, and the reason is short and holds no key
+
+    Examples:
+      | oddity |
+      | a version of 70 bits |
+      | a negative version |
+      | true as its version |
+      | the version 7.0 |
+      | no version |
+      | no routes |
+      | null as its routes |
+      | an object as its routes |
+      | a text as a route |
+      | no services |
+      | a text as its services |
+      | no limits |
+      | a list as its limits |
+      | a text as its tenants |
+      | the timeout NaN |
+      | the timeout Infinity |
+      | the timeout 1e999 |
+      | a timeout of 400 digits |
+      | the timeout 0 |
+      | a negative timeout |
+      | true as a timeout |
+      | a text as a timeout |
+      | the objective 1e999 |
+      | a negative objective |
+      | a negative pause |
+      | a negative weight |
+      | the weight NaN |
+      | the weight 1e999 |
+      | a weight of 400 digits |
+      | a text as a weight |
+      | weights of 0 alone |
+      | attempts of 70 bits |
+      | negative attempts |
+      | 1.5 attempts |
+      | a prefix without a slash at its end |
+      | a prefix without a slash at its start |
+      | a number as a prefix |
+      | a number as a host |
+      | a lone surrogate in a host |
+      | two routes of one prefix |
+      | two routes of one prefix in other letters |
+      | a route to a service that is not there |
+      | a split to a service that is not there |
+      | an unknown kind |
+      | a list as a kind |
+      | a negative priority |
+      | a priority of 70 bits |
+      | a text as a flag |
+      | a number as a flag |
+      | two services of one name |
+      | a negative connection limit |
+      | an engine without slots |
+      | an engine step of 1e999 |
+      | a negative engine step |
+      | a negative reading rate |
+      | a list as an engine |
+      | a text as the models |
+      | layers of 70 bits |
+      | negative chunks |
+      | an origin with port 99999 |
+      | an origin rate of 1e999 |
+      | a negative origin rate |
+      | two tenants of one name |
+      | two tenants with one key |
+      | a number as a key |
+      | a text as the keys |
+      | an empty key |
+      | a line break in a tenant's name |
+      | a negative tenant priority |
+      | a text as a tenant's priority |
+      | the header limit 0 |
+      | a negative body limit |
+      | a body limit of 70 bits |
+      | the header time 0 |
+      | a negative idle time |
+      | the idle time 1e999 |
+      | nesting of 100,000 levels |
+      | 100 MB |
+      | a field twice |
+      | broken text |
+
+  Scenario: Any value anywhere in a configuration
+    # Guards against errors out of the reader, and at the requests that a configuration allows.
+    When random values replace random parts of a sound configuration
+    Then each configuration that is taken can be used for every request that it allows
+    And each reason why the others are refused is short
+
+  Scenario: An invalid configuration between two valid ones
+    # Guards against a process without a configuration, and against one that misses the next one.
+    Given a process with configuration 7 and version 2 of the weights in force
+    When invalid ones of both are published, and then configuration 9 and version 3
+    Then those before stay in force, and the next valid ones are taken
+    And one log line for each invalid one names the path that is wrong
+
+  Scenario Outline: An odd named version
+    # Guards against a version that no runner can ever hold, and that no message can carry.
+    When a version of weights is named with <oddity>
+    Then it is refused as a whole, and the reason is short and holds no key
+
+    Examples:
+      | oddity |
+      | the version true |
+      | the version 0 |
+      | a negative version |
+      | the version 2.0 |
+      | the version 1e999 |
+      | a version of 33 bits |
+      | a version of 400 digits |
+      | the version "2" |
+      | no version |
+      | a number as its model |
+      | an empty model |
+      | a lone surrogate in its model |
+      | no model |
+      | a list |
+
+  Scenario: Any JSON as a named version
+    # Guards against errors out of the reader and out of the messages to other processes.
+    When any JSON is published as a named version
+    Then each version that is taken is a number from 1 on that fits the messages
+
+  Scenario Outline: An odd report of a runner
+    # Guards against a report that ends the agent's round before it loads weights, and against one that
+    # no message to the entry processes can carry.
+    When a runner reports <oddity>
+    Then the answer counts as unusable, with a short reason
+
+    Examples:
+      | oddity |
+      | running 1e999 |
+      | running NaN |
+      | running -1 |
+      | running 33 bits |
+      | running true |
+      | running "12" |
+      | no running |
+      | waiting of 400 digits |
+      | kvUsed of 70 bits |
+      | kvUsed -1 |
+      | kvTotal 1e999 |
+      | born 1e999 |
+      | born of 70 bits |
+      | born true |
+      | sequence -1 |
+      | sequence 1e999 |
+      | pace NaN |
+      | pace 1e999 |
+      | pace -1 |
+      | busy "no" |
+      | layers reversed |
+      | layers of 20 bits |
+      | a version of 33 bits |
+      | a text as its models |
+      | a number as a model |
+      | a lone surrogate in a model |
+      | nesting of 100,000 levels |
+      | a list |
+      | nothing |
+
+  Scenario: Any value in any field of a report
+    # Guards against errors out of the reader and out of the messages to entry processes.
+    When random values replace random fields of a report
+    Then each state that is read arrives at entry processes as it was sent
+
+  Scenario Outline: An odd manifest of the origin
+    # Guards against an agent whose transfers end with an error, and against a manifest that its peers
+    # refuse, so that each of them asks the origin.
+    When the origin answers with a manifest with <oddity>
+    Then the answer counts as unusable, with a short reason
+
+    Examples:
+      | oddity |
+      | the chunk size 1e999 |
+      | the chunk size 0 |
+      | a negative chunk size |
+      | a chunk size of 70 bits |
+      | a chunk size of 1 GiB |
+      | no digests |
+      | an empty list of digests |
+      | 5,000 digests |
+      | a digest that is no hex |
+      | a digest that is a number |
+      | a digest of 10 MB |
+      | another model |
+      | another version |
+      | the version "2" |
+      | the version true |
+      | nesting of 100,000 levels |
+      | a list |
+      | broken text |
+
+  Scenario: Any value in any field of a manifest
+    When random values replace random fields of a manifest
+    Then each manifest that is taken is one that peers take, too
+
+  Scenario Outline: Odd numbers in the load that a runner names in its answer
+    # Guards against a runner that looks emptier than all others because of one number.
+    When a runner answers with the load "<text>"
+    Then its slots are read as <slots> and its pace as <pace>
+
+    Examples:
+      | text               | slots | pace |
+      | 3,0,8              | 8     | 1    |
+      | 3,0,8,250          | 8     | 2.5  |
+      | 3,0,0              | None  | 1    |
+      | 3,0,99999999999    | None  | 1    |
+      | 3,0,8,999999999999 | 8     | 1    |
+      | 3,0,nan            | no    | load |
+      | 3,-1,8             | no    | load |
+      | 3,0,1e999          | no    | load |
