A ticket of a later era replaces those of earlier ones, whatever their numbers

Callers: after the configuration service had come back from a copy, a change published under a number that was given out again was refused as a conflict by every process that knew the lost ticket, and taken by a process that did not: confirmed, but not in force, and processes that never agree. One published under a lower number than that of a lost ticket was read and overruled by it.

Cause: tickets were ordered by their number alone, as if numbers were given out once for all time.

Change: wasabilb_core.ticket_order owns the order: one integer of era and number, which is the number in era 0. FleetState, TicketSpread, the exchange between peers, fencing tokens of orders and the generations of callers' own keys use it; logs, metrics and the status show the number, and the status the era too. TicketPush carries the era in a field at its end; an older build sends and reads era 0. Summaries and heartbeats carry orders, so that builds mixed during a rolling update agree unless a restore falls into it. A text that does not have the digest of the index is not accepted: the service came back between the two reads. Numbers are limited to 44 bits, eras to 16, so that an order fits the links; 62 bits were allowed for numbers before.

Test, features/restored_config.feature: before, 'not within 7.0 s: e1 v4, e2 v4, e3 v4, r1 v4' for ticket 3 with other content at v9. features/tickets.feature checks random tickets of three eras in random orders.

Known limit: when lost tickets are published again one after another, a thing that several of them declare has the value of the last one that is back until the operator has gone through the series (docs/operations/platform.md).

--- a/features/restored_config.feature
+++ b/features/restored_config.feature
@@ -8,6 +8,14 @@
     And the operator writes ticket 9, which is lost too, and then ticket 7
     Then all processes have ticket 7 in force within 7 s, in equal states
 
+  Scenario: Tickets under numbers that are given out again are in force in time
+    Guards against a process that takes a new ticket for a conflicting copy of a lost one, or that
+    watches from a number which the service no longer has.
+    Given two readers, a further entry process and an agent with the tickets 1 to 4
+    When the service comes back from a copy with the tickets 1 and 2
+    And the operator writes ticket 3 with other content
+    Then all processes have the new ticket 3 in force within 7 s, in equal states
+
   Scenario: A process keeps the tickets that a copy lacks
     Guards against a fleet that goes back to an older state with the service.
     Given two readers, a further entry process and an agent with the tickets 1 to 4
@@ -15,6 +23,12 @@
     And a process without tickets starts and reads the copy
     Then no process goes back, and the new one has ticket 4 from its peers
 
+  Scenario: A ticket is not taken for another one that was written under its number meanwhile
+    Guards against a text of the new era that counts as the ticket of the earlier one.
+    Given a reader that has read the index with ticket 2
+    When the service comes back from a copy before ticket 2 is read, and has another ticket 2
+    Then the reader has the new ticket 2 in force, in its own era
+
   Scenario: The whole fleet does not read the service when it is back
     Guards against readers that repeat a watch from a position that was lost, without a pause.
     Given two readers, a further entry process and an agent with the tickets 1 to 4
--- a/features/steps/restored_config_steps.py
+++ b/features/steps/restored_config_steps.py
@@ -119,6 +119,23 @@
     assert [publication.number for publication in lost] == [3, 4]
 
 
+@when("the operator writes ticket 3 with other content")
+def step_written(context):
+    publish(context, 3, "v9")
+
+
+@then("all processes have the new ticket 3 in force within 7 s, in equal states")
+def step_in_force(context):
+    async def scene():
+        await until(lambda: set(versions(context).values()) == {"v9"}, lambda: versions(context))
+        await until(
+            lambda: len({p.fleet.digest() for p in context.processes.values()}) == 1,
+            lambda: "equal states",
+        )
+
+    run(context, scene())
+
+
 @when("the operator writes ticket 9, which is lost too, and then ticket 7")
 def step_new_model(context):
     async def scene():
@@ -174,6 +191,62 @@
     assert context.seen[-1]["e0"] == "v4", context.seen[-1]
 
 
+class SlowTicketClient(PlatformClient):
+    """Client that reads the first ticket only after a step of the scenario."""
+
+    def __init__(self, *, step, **options):
+        super().__init__(**options)
+        self.step = step
+
+    async def ticket(self, number):
+        """Take the step, then read the ticket."""
+        step, self.step = self.step, None
+        if step:
+            step()
+        return await super().ticket(number)
+
+
+@given("a reader that has read the index with ticket 2")
+def step_reader(context):
+    context.service = begin(context, ConfigService())
+    context.network, context.processes, context.tasks = Network(), {}, []
+    context.add_cleanup(lambda: run(context, stop(context)))
+    copied_at = time.monotonic()
+    publish(context, 2, "v2")
+
+    def restore():
+        context.service.restore(copied_at)
+        publish(context, 2, "v9")
+
+    context.restore = restore
+
+
+@when("the service comes back from a copy before ticket 2 is read, and has another ticket 2")
+def step_between(context):
+    async def scene():
+        process = Process(links=context.network.add("e1", "entry"), service=context.service)
+        context.processes["e1"] = process
+        process.reader._client = SlowTicketClient(
+            config_service=context.service.url,
+            host_list="",
+            metrics=METRICS,
+            step=context.restore,
+        )
+        context.tasks.append(asyncio.ensure_future(process.reader.run_tickets()))
+        await until(lambda: process.version == "v9", lambda: process.version)
+        # A reader that took the text for the earlier ticket reads the new one again.
+        await until(lambda: context.service.pending_watches, lambda: "a watch")
+
+    run(context, scene())
+
+
+@then("the reader has the new ticket 2 in force, in its own era")
+def step_own_era(context):
+    orders = context.processes["e1"].fleet.orders()
+    index = context.service.index()
+    assert len(orders) == 1 and orders[0] >> 44 == index["era"] == 1, orders
+
+
 @when("the service comes back from a copy twice, 1 s apart, while watches wait")
 def step_twice(context):
     async def scene():
--- a/features/steps/ticket_steps.py
+++ b/features/steps/ticket_steps.py
@@ -1,6 +1,7 @@
 """Steps about tickets and the fleet state."""
 
 import random
+from collections import Counter
 
 from behave import given, then, when
 from hypothesis import given as property_given
@@ -11,12 +12,12 @@
 from wasabilb_core.tickets import Ticket, parse_ticket
 
 
-def model_ticket(number: int, *models: tuple[str, str]) -> Ticket:
-    """Return a valid ticket that puts each model at a version."""
+def model_ticket(number: int, *models: tuple[str, str], era: int = 0) -> Ticket:
+    """Return a valid ticket of an era that puts each model at a version."""
     lines = [f"number = {number}"]
     for name, version in models:
         lines += ["[[models]]", f'name = "{name}"', f'version = "{version}"', 'runners = ["r1"]']
-    return parse_ticket("\n".join(lines)).unwrap()
+    return parse_ticket("\n".join(lines), era=era).unwrap()
 
 
 @given('an accepted ticket {number:d} with model "{name}" at version "{version}"')
@@ -46,17 +47,31 @@
 
 def state_of(fleet: FleetState) -> tuple:
     """Return all observable parts of the state."""
-    models = tuple((m, fleet.number_of(f"model:{m.name}")) for m in fleet.models())
-    return (str(models), fleet.numbers(), fleet.digest())
+    models = tuple((m, fleet.order_of(f"model:{m.name}")) for m in fleet.models())
+    return (str(models), fleet.orders(), fleet.digest())
 
 
 @when("random tickets arrive in random orders with repeats")
 def step_random_orders(context):
-    context.ends, context.reverts = [], []
+    check_orders(context, last_era=0)
+
+
+@when("random tickets of several eras arrive in random orders with repeats")
+def step_random_eras(context):
+    check_orders(context, last_era=2)
 
-    @property_given(st.lists(TOUCHES, min_size=1, max_size=8), st.integers(0, 2**32))
-    def check(touches, seed):
-        tickets = [model_ticket(n + 1, *touched.items()) for n, touched in enumerate(touches)]
+
+def check_orders(context, *, last_era):
+    """Merge tickets of the eras up to the last one, each with numbers from 1."""
+    context.ends, context.reverts = [], []
+    written = st.lists(st.tuples(st.integers(0, last_era), TOUCHES), min_size=1, max_size=8)
+
+    @property_given(written, st.integers(0, 2**32))
+    def check(written, seed):
+        numbers, tickets = Counter(), []
+        for era, touched in written:
+            numbers[era] += 1
+            tickets.append(model_ticket(numbers[era], *touched.items(), era=era))
         states = []
         for turn in range(3):
             order = tickets * 2
@@ -66,9 +81,9 @@
             for ticket in order:
                 fleet.apply(ticket).unwrap()
                 for key in ("model:a", "model:b", "model:c", "model:d"):
-                    if fleet.number_of(key) < highest.get(key, 0):
+                    if fleet.order_of(key) < highest.get(key, 0):
                         context.reverts.append((seed, key))
-                    highest[key] = fleet.number_of(key)
+                    highest[key] = fleet.order_of(key)
             states.append(state_of(fleet))
         context.ends.append(len(set(states)))
 
@@ -113,10 +128,10 @@
 
 @then("the reader reads {numbers}")
 def step_reads(context, numbers):
-    found = context.spread.numbers_to_read(context.index, random.Random(1))
+    found = context.spread.orders_to_read(context.index, random.Random(1))
     assert found == [int(number) for number in numbers.split(", ")], found
 
 
 @then("after that it does not read number 3 again")
 def step_reads_again(context):
-    assert 3 not in context.spread.numbers_to_read(context.index, random.Random(1))
+    assert 3 not in context.spread.orders_to_read(context.index, random.Random(1))
--- a/features/tickets.feature
+++ b/features/tickets.feature
@@ -6,6 +6,12 @@
     Then every order ends in the same state
     And nothing accepted reverts in between
 
+  Scenario: Tickets of several eras end in the same state too, with numbers given out again
+    Guards against two processes that keep different tickets after a restore of the service.
+    When random tickets of several eras arrive in random orders with repeats
+    Then every order ends in the same state
+    And nothing accepted reverts in between
+
   Scenario: The same number with other content is refused
     Given an accepted ticket 3 with model "draft" at version "v1"
     When ticket 3 arrives with model "draft" at version "v2"
--- a/packages/wasabilb-agent/src/wasabilb_agent/reconciler.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/reconciler.py
@@ -9,6 +9,7 @@
 from wasabilb_core.fleet import FleetState
 from wasabilb_core.metric_names import Metric
 from wasabilb_core.orders import Order, OrderAction, next_order, servable_variants
+from wasabilb_core.ticket_order import ticket_number
 from wasabilb_core.tickets import Variant
 from wasabilb_node.logs import EventLog
 from wasabilb_node.metrics import Metrics
@@ -92,7 +93,7 @@
         """Return the wanted variants that the engine lacks, with their ticket numbers."""
         present = status.models.loaded | status.models.loading | status.committed
         return {
-            model.variant: self._fleet.number_of(f"model:{model.name}")
+            model.variant: ticket_number(self._fleet.order_of(f"model:{model.name}"))
             for model in self._fleet.models_on(self._host)
             if model.variant not in present
         }
@@ -119,16 +120,16 @@
 
     def _set_ready(self, ready: frozenset[Variant]) -> None:
         for variant in sorted(ready - self.ready, key=str):
-            ticket_number = self._fleet.number_of(f"model:{variant.model}")
+            ticket = ticket_number(self._fleet.order_of(f"model:{variant.model}"))
             self._log.event(
-                "version_ready", ticket=ticket_number, model=variant.model, version=variant.version
+                "version_ready", ticket=ticket, model=variant.model, version=variant.version
             )
         self.ready = ready
 
 
 def _log_fields(order: Order) -> dict[str, Any]:
     return {
-        "ticket": order.fence,
+        "ticket": ticket_number(order.fence),
         "order": order.action.value,
         "model": order.variant.model,
         "version": order.variant.version,
--- a/packages/wasabilb-core/src/wasabilb_core/_release_messages.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_release_messages.py
@@ -115,9 +115,9 @@
     if spec is None:
         return None
     listed = {*spec.owners, *spec.retired_once_hosts, *earlier_owners}
-    gone = {h for h in listed if fleet.number_of(f"host:{h}") and fleet.host(h) is None}
+    gone = {h for h in listed if fleet.order_of(f"host:{h}") and fleet.host(h) is None}
     return Generation(
-        number=fleet.number_of(f"service:{service}"),
+        number=fleet.order_of(f"service:{service}"),
         owners=tuple(spec.owners),
         retired=tuple(spec.retired_once_hosts),
         gone=frozenset(gone),
--- a/packages/wasabilb-core/src/wasabilb_core/_ticket_checks.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_ticket_checks.py
@@ -8,6 +8,7 @@
 import attrs
 
 from wasabilb_core._value_checks import NAME_PATTERN, Check, above, check_address, matches, one_of
+from wasabilb_core.ticket_order import MAX_NUMBER
 
 PathMessage = tuple[str, str]
 
@@ -17,7 +18,6 @@
 METHODS = ("POST", "PUT", "PATCH", "DELETE", "GET")
 ROLES = ("entry", "backend")
 STATES = ("joining", "live", "leaving", "gone")
-_MAX_NUMBER = 1 << 62
 
 
 def body_problems(body: Any) -> Iterator[PathMessage]:
@@ -28,8 +28,8 @@
 def raw_problems(data: dict[str, Any]) -> Iterator[PathMessage]:
     """Yield the mistakes in parsed TOML; values of a wrong type are skipped."""
     number = data.get("number")
-    if type(number) is int and not 0 < number < _MAX_NUMBER:
-        yield "number", f"expected a positive integer, got {number}"
+    if type(number) is int and not 0 < number <= MAX_NUMBER:
+        yield "number", f"expected 1 to {MAX_NUMBER}, got {number}"
     for section, rules in _RULES.items():
         items = data.get(section)
         items = items if isinstance(items, list) else []
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -73,7 +73,7 @@
     "certificate_refused": _spec("Changed certificate files cannot be used.", "detail"),
     "frame_refused": _spec("A malformed frame closed a link.", "peer detail"),
     # Tickets and the platform
-    "ticket_accepted": _spec("A ticket is in force on this host.", "ticket source"),
+    "ticket_accepted": _spec("A ticket is in force on this host.", "ticket source era"),
     "ticket_refused": _spec("A ticket is invalid or conflicts.", "ticket source detail"),
     "platform_up": _spec("A service of the platform answers again.", "service"),
     "platform_down": _spec("A service of the platform does not answer.", "service detail"),
--- a/packages/wasabilb-core/src/wasabilb_core/fleet.py
+++ b/packages/wasabilb-core/src/wasabilb_core/fleet.py
@@ -23,17 +23,17 @@
 
 @frozen(kw_only=True)
 class Declaration:
-    """The newest declaration under one key, with the number of its ticket."""
+    """The newest declaration under one key, with the order of its ticket."""
 
-    number: int
+    order: int
     value: DeclaredSpec
 
 
 class FleetState:
     """Merges tickets to the same state for any order of arrival, with repeats or gaps.
 
-    For each key the highest ticket number wins. The merge is commutative, associative and
-    idempotent, and a declaration is never replaced by one with a lower number.
+    For each key the ticket that is last in the order of `ticket_order` wins. The merge is
+    commutative, associative and idempotent, and a declaration is never replaced by an earlier one.
     """
 
     def __init__(self) -> None:
@@ -45,9 +45,9 @@
     def apply(self, ticket: Ticket) -> Result[frozenset[str], Error]:
         """Merge a ticket and return the keys of the declarations that it changed.
 
-        Fails with `TICKET_CONFLICT` when another text was accepted under the same number.
+        Fails with `TICKET_CONFLICT` when another text was accepted under the same number and era.
         """
-        known = self._digests.get(ticket.number)
+        known = self._digests.get(ticket.order)
         if known is not None:
             if known == ticket.digest:
                 return Success(frozenset())
@@ -56,20 +56,20 @@
         changed = set()
         for key, value in ticket.body.declarations():
             current = self._declared.get(key)
-            if current is None or current.number < ticket.number:
-                self._declared[key] = Declaration(number=ticket.number, value=value)
+            if current is None or current.order < ticket.order:
+                self._declared[key] = Declaration(order=ticket.order, value=value)
                 changed.add(key)
         self._store(ticket)
         return Success(frozenset(changed))
 
     def newest(self) -> int:
-        """Return the highest accepted ticket number, 0 before the first ticket."""
+        """Return the order of the last accepted ticket, 0 before the first ticket."""
         return max(self._digests, default=0)
 
-    def number_of(self, key: str) -> int:
-        """Return the number of the ticket whose declaration of a key is in force, 0 for none."""
+    def order_of(self, key: str) -> int:
+        """Return the order of the ticket whose declaration of a key is in force, 0 for none."""
         declared = self._declared.get(key)
-        return declared.number if declared else 0
+        return declared.order if declared else 0
 
     def model(self, name: str) -> ModelSpec | None:
         """Return a model deployment that is not removed."""
@@ -115,33 +115,33 @@
         return [model for model in self.models() if host in model.runners]
 
     def tickets(self) -> list[Ticket]:
-        """Return the tickets with a declaration in force, lowest number first."""
-        return [self._tickets[number] for number in sorted(self._tickets)]
+        """Return the tickets with a declaration in force, in their order."""
+        return [self._tickets[order] for order in sorted(self._tickets)]
 
-    def numbers(self) -> tuple[int, ...]:
-        """Return the numbers of the tickets with a declaration in force."""
+    def orders(self) -> tuple[int, ...]:
+        """Return the orders of the tickets with a declaration in force."""
         return tuple(sorted(self._tickets))
 
-    def tickets_missing_from(self, numbers: Iterable[int]) -> list[Ticket]:
-        """Return the tickets with a declaration in force whose numbers are not given."""
-        known = set(numbers)
-        return [ticket for ticket in self.tickets() if ticket.number not in known]
+    def tickets_missing_from(self, orders: Iterable[int]) -> list[Ticket]:
+        """Return the tickets with a declaration in force whose orders are not given."""
+        known = set(orders)
+        return [ticket for ticket in self.tickets() if ticket.order not in known]
 
     def digest(self) -> int:
         """Return a 64-bit digest of the state; equal states have equal digests."""
         return self._digest
 
-    def digest_of(self, number: int) -> int | None:
-        """Return the digest of the text accepted under a number."""
-        return self._digests.get(number)
+    def digest_of(self, order: int) -> int | None:
+        """Return the digest of the text accepted at a place in the order."""
+        return self._digests.get(order)
 
     def _store(self, ticket: Ticket) -> None:
-        self._digests[ticket.number] = ticket.digest
+        self._digests[ticket.order] = ticket.digest
         while len(self._digests) > MAX_STORED_DIGESTS:
-            oldest = min(number for number in self._digests if number not in self._tickets)
+            oldest = min(order for order in self._digests if order not in self._tickets)
             del self._digests[oldest]
-        self._tickets[ticket.number] = ticket
-        live = {declared.number for declared in self._declared.values()}
+        self._tickets[ticket.order] = ticket
+        live = {declared.order for declared in self._declared.values()}
         self._tickets = {n: t for n, t in self._tickets.items() if n in live}
         content = ",".join(f"{n}:{t.digest}" for n, t in sorted(self._tickets.items()))
         self._digest = xxhash.xxh3_64_intdigest(content.encode())
--- a/packages/wasabilb-core/src/wasabilb_core/orders.py
+++ b/packages/wasabilb-core/src/wasabilb_core/orders.py
@@ -35,7 +35,7 @@
 
 @frozen(kw_only=True)
 class Order:
-    """One order, with the newest known ticket number as its fencing token.
+    """One order, with the order of the last known ticket as its fencing token.
 
     An engine keeps one highest token for all its models. With a token per model it would refuse
     an order for a model whose ticket is older than that of another model.
@@ -70,7 +70,7 @@
     wanted_models = {variant.model for variant in wanted_variants}
     for variant in sorted(report.loaded, key=str):
         # Without a ticket about the model, the engine may go on serving it.
-        is_declared = fleet.number_of(f"model:{variant.model}") > 0
+        is_declared = fleet.order_of(f"model:{variant.model}") > 0
         if variant.model not in wanted_models and is_declared:
             return Order(fence=fleet.newest(), action=OrderAction.UNLOAD, variant=variant)
     return None
--- a/packages/wasabilb-core/src/wasabilb_core/status.py
+++ b/packages/wasabilb-core/src/wasabilb_core/status.py
@@ -64,7 +64,9 @@
     state : str
         `starting`, `ready` or `draining`.
     newest_ticket : int
-        Highest accepted ticket number.
+        Number of the newest accepted ticket.
+    newest_era : int
+        Era of the configuration service in which that ticket was published.
     state_digest : str
         Digest of the fleet state in hex; equal on hosts with equal state.
     uptime_s : float
@@ -84,6 +86,7 @@
     incarnation: str = ""
     state: str = ""
     newest_ticket: int = 0
+    newest_era: int = 0
     state_digest: str = ""
     uptime_s: float = 0.0
     in_flight: int = 0
--- a/packages/wasabilb-core/src/wasabilb_core/ticket_spread.py
+++ b/packages/wasabilb-core/src/wasabilb_core/ticket_spread.py
@@ -27,7 +27,7 @@
 
 @frozen(kw_only=True)
 class SummaryReply:
-    """Tickets to push to a peer that sent its ticket numbers, and numbers to request."""
+    """Tickets to push to a peer that sent the orders of its own, and orders to request."""
 
     push: list[Ticket]
     want: list[int]
@@ -109,15 +109,15 @@
         entry_hosts = sum(1 for host in self._fleet.hosts() if host.is_entry)
         return max(entry_hosts, 1) / self._service_calls_per_s
 
-    def on_ticket(self, text: str) -> Result[AcceptedTicket | None, Error]:
-        """Check and merge a ticket; return None when it was known before."""
-        parsed = parse_ticket(text)
+    def on_ticket(self, text: str, *, era: int = 0) -> Result[AcceptedTicket | None, Error]:
+        """Check and merge a ticket of an era; return None when it was known before."""
+        parsed = parse_ticket(text, era=era)
         if isinstance(parsed, Failure):
             problems = parsed.failure()
             detail = "; ".join(str(problem) for problem in problems)
             return Failure(Error(kind=ErrorKind.BAD_TICKET, detail=detail))
         ticket = parsed.unwrap()
-        is_known = self._fleet.digest_of(ticket.number) == ticket.digest
+        is_known = self._fleet.digest_of(ticket.order) == ticket.digest
         changed = self._fleet.apply(ticket)
         if isinstance(changed, Failure):
             return Failure(changed.failure())
@@ -125,41 +125,41 @@
             None if is_known else AcceptedTicket(ticket=ticket, changed=changed.unwrap())
         )
 
-    def unknown_numbers(self, numbers: Collection[int]) -> list[int]:
-        """Return the numbers under which this process has not accepted a ticket."""
-        return [number for number in numbers if self._fleet.digest_of(number) is None]
+    def unknown_orders(self, orders: Collection[int]) -> list[int]:
+        """Return the orders at which this process has not accepted a ticket."""
+        return [order for order in orders if self._fleet.digest_of(order) is None]
 
-    def numbers_to_read(self, digests: Mapping[int, int], rng: random.Random) -> list[int]:
-        """Return the numbers to read from the configuration service, the newest first.
+    def orders_to_read(self, digests: Mapping[int, int], rng: random.Random) -> list[int]:
+        """Return the orders of the tickets to read from the configuration service, newest first.
 
         The newest tickets determine most of the state, so that a starting reader with thousands of
         unread tickets is up to date after a few reads. The others follow in random order, so that
-        processes that start together read different tickets and push them to each other. A number
+        processes that start together read different tickets and push them to each other. A ticket
         whose digest differs from the accepted one is read once, so that the conflict is reported.
 
         Parameters
         ----------
         digests : mapping of int to int
-            Number and digest of each published ticket.
+            Order and digest of each published ticket.
         rng : random.Random
             Source of the random order.
         """
         unread = []
-        for number in sorted(digests, reverse=True):
-            known = self._fleet.digest_of(number)
-            is_conflict = known is not None and known != digests[number]
-            if is_conflict and digests[number] in self._reported_conflicts:
+        for order in sorted(digests, reverse=True):
+            known = self._fleet.digest_of(order)
+            is_conflict = known is not None and known != digests[order]
+            if is_conflict and digests[order] in self._reported_conflicts:
                 continue
             if is_conflict:
-                self._reported_conflicts.add(digests[number])
+                self._reported_conflicts.add(digests[order])
             if known is None or is_conflict:
-                unread.append(number)
+                unread.append(order)
         rest = unread[NEWEST_FIRST:]
         rng.shuffle(rest)
         return unread[:NEWEST_FIRST] + rest
 
-    def on_summary(self, numbers: Collection[int]) -> SummaryReply:
-        """Return the tickets that a peer lacks and the numbers that this process lacks."""
+    def on_summary(self, orders: Collection[int]) -> SummaryReply:
+        """Return the tickets that a peer lacks and the orders of those that this process lacks."""
         return SummaryReply(
-            push=self._fleet.tickets_missing_from(numbers), want=self.unknown_numbers(numbers)
+            push=self._fleet.tickets_missing_from(orders), want=self.unknown_orders(orders)
         )
--- a/packages/wasabilb-core/src/wasabilb_core/tickets.py
+++ b/packages/wasabilb-core/src/wasabilb_core/tickets.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from wasabilb_core import _ticket_checks
+from wasabilb_core.ticket_order import MAX_ERA, ticket_order
 from wasabilb_core.toml_check import Problem, line_of, read_toml, structure
 
 MAX_TICKET_BYTES = 1 << 20
@@ -279,24 +280,35 @@
         The TOML text as published.
     digest : int
         64-bit digest of the text, to distinguish tickets with the same number.
+    era : int
+        Era of the configuration service in which it was published.
     """
 
     body: TicketBody
     text: str
     digest: int
+    era: int = 0
 
     @property
     def number(self) -> int:
         """Return the ticket's number."""
         return self.body.number
 
+    @property
+    def order(self) -> int:
+        """Return the ticket's place in the order of all tickets."""
+        return ticket_order(self.era, self.body.number)
+
 
-def parse_ticket(text: str) -> Result[Ticket, tuple[Problem, ...]]:
-    """Parse and check a ticket, or fail with every problem in it."""
+def parse_ticket(text: str, *, era: int = 0) -> Result[Ticket, tuple[Problem, ...]]:
+    """Parse and check a ticket of an era, or fail with every problem in it."""
     size = len(text.encode())
     if size > MAX_TICKET_BYTES:
         message = f"{size} bytes, expected at most {MAX_TICKET_BYTES}"
         return Failure((Problem(path="", line=0, message=message),))
+    if not 0 <= era <= MAX_ERA:
+        message = f"era {era}, expected 0 to {MAX_ERA}"
+        return Failure((Problem(path="", line=0, message=message),))
     data = read_toml(text)
     if not isinstance(data, Success):
         return Failure(data.failure())
@@ -318,7 +330,7 @@
         )
     if problems:
         return Failure(tuple(sorted(problems, key=lambda problem: (problem.line, problem.path))))
-    return Success(Ticket(body=body.unwrap(), text=text, digest=ticket_digest(text)))
+    return Success(Ticket(body=body.unwrap(), text=text, digest=ticket_digest(text), era=era))
 
 
 def ticket_digest(text: str) -> int:
--- a/packages/wasabilb-entry/src/wasabilb_entry/operator_pages.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/operator_pages.py
@@ -4,6 +4,7 @@
 from jinja2 import Environment
 from tornado.web import RequestHandler
 from wasabilb_core.status import HostStatus, LinkStatus, Status, to_status_json
+from wasabilb_core.ticket_order import ticket_era, ticket_number
 from wasabilb_node.clock import now
 
 from wasabilb_entry.entry import Entry
@@ -36,7 +37,8 @@
         failure_domain=node.cfg.failure_domain,
         incarnation=f"{node.links.identity.incarnation:x}",
         state="draining" if entry.is_draining else state,
-        newest_ticket=node.fleet.newest(),
+        newest_ticket=ticket_number(node.fleet.newest()),
+        newest_era=ticket_era(node.fleet.newest()),
         state_digest=f"{node.fleet.digest():016x}",
         uptime_s=moment - node.started_at,
         in_flight=entry.in_flight,
--- a/packages/wasabilb-entry/src/wasabilb_entry/service_requests.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/service_requests.py
@@ -214,7 +214,7 @@
         raise self._unreachable_error(target, record, error)
 
     def _once_target(self, spec: ServiceSpec, call: ServiceCall) -> _Target:
-        generation = self._fleet.number_of(f"service:{spec.name}")
+        generation = self._fleet.order_of(f"service:{spec.name}")
         if not call.key_text:
             key = self.issue(spec.name)
             return _Target(host=key.host, key=key, is_fresh=True, generation=generation)
--- a/packages/wasabilb-node/src/wasabilb_node/node.py
+++ b/packages/wasabilb-node/src/wasabilb_node/node.py
@@ -8,6 +8,7 @@
 from wasabilb_core.membership import Membership
 from wasabilb_core.metric_names import Metric
 from wasabilb_core.settings import AgentSettings, EntrySettings
+from wasabilb_core.ticket_order import ticket_number
 from wasabilb_core.ticket_spread import TicketSpread
 from wasabilb_core.tickets import HostRole, HostSpec
 from wasabilb_core.topology import agent_link_targets, entry_link_targets
@@ -226,7 +227,7 @@
         self.metrics.count(Metric.LINK_BYTES, sent - self._reported_link_bytes)
         self._reported_link_bytes = sent
         self.metrics.gauge(Metric.LINKS, len(self.links.peers()))
-        self.metrics.gauge(Metric.NEWEST_TICKET, self.fleet.newest())
+        self.metrics.gauge(Metric.NEWEST_TICKET, ticket_number(self.fleet.newest()))
 
     def _run_tick_callback(self, callback: Callable[[], None]) -> None:
         # The heartbeat must continue: an unreadable certificate of the callers' listener once ended
--- a/packages/wasabilb-node/src/wasabilb_node/platform_client.py
+++ b/packages/wasabilb-node/src/wasabilb_node/platform_client.py
@@ -8,6 +8,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 from wasabilb_core.errors import Error, unavailable
 from wasabilb_core.metric_names import Metric
+from wasabilb_core.ticket_order import MAX_ERA, MAX_NUMBER, ticket_number, ticket_order
 from wasabilb_core.tickets import MAX_TICKET_BYTES
 
 from wasabilb_node.metrics import Metrics
@@ -27,7 +28,7 @@
     newest : int
         Highest number that it shows.
     digests : dict of int to int
-        Digest of each ticket by its number.
+        Digest of each ticket by its order.
     """
 
     era: int
@@ -124,8 +125,24 @@
         return body
     try:
         data: Any = json.loads(body.unwrap())
-        digests = {int(ticket["number"]): int(ticket["digest"], 16) for ticket in data["tickets"]}
-        newest = max(digests, default=0)
-        return Success(TicketIndex(era=int(data.get("era", 0)), newest=newest, digests=digests))
+        digests = {
+            ticket_order(_to_era(ticket), _bounded(ticket["number"], MAX_NUMBER)): int(
+                ticket["digest"], 16
+            )
+            for ticket in data["tickets"]
+        }
+        newest = max(map(ticket_number, digests), default=0)
+        return Success(TicketIndex(era=_to_era(data), newest=newest, digests=digests))
     except (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError) as exc:
         return unavailable(f"index is malformed: {type(exc).__name__}")
+
+
+def _to_era(data: dict[str, Any]) -> int:
+    return _bounded(data.get("era", 0), MAX_ERA)
+
+
+def _bounded(value: Any, limit: int) -> int:
+    number = int(value)
+    if not 0 <= number <= limit:
+        raise ValueError(f"{number} is not between 0 and {limit}")
+    return number
--- a/packages/wasabilb-node/src/wasabilb_node/platform_reader.py
+++ b/packages/wasabilb-node/src/wasabilb_node/platform_reader.py
@@ -7,6 +7,7 @@
 from returns.result import Failure
 from wasabilb_core.fleet import FleetState
 from wasabilb_core.membership import Membership
+from wasabilb_core.ticket_order import ticket_era, ticket_number
 from wasabilb_core.ticket_spread import TicketSpread
 from wasabilb_core.tickets import ticket_digest
 from wasabilb_wire.messages import HostList
@@ -133,25 +134,25 @@
     async def _read_tickets(self, index: TicketIndex) -> bool:
         """Read the tickets of an index that this process lacks; return whether it has all."""
         is_complete = True
-        numbers = self._spread.numbers_to_read(index.digests, self._rng)
-        conflicts = set(numbers) - set(self._spread.unknown_numbers(numbers))
-        for number in numbers:
+        orders = self._spread.orders_to_read(index.digests, self._rng)
+        conflicts = set(orders) - set(self._spread.unknown_orders(orders))
+        for order in orders:
             if not self._spread.is_reader(self._links.linked_hosts()):
                 # The first tickets named other hosts as readers; they send the rest.
                 return False
-            if self._spread.unknown_numbers([number]) == [] and number not in conflicts:
+            if self._spread.unknown_orders([order]) == [] and order not in conflicts:
                 continue
-            read = await self._client.ticket(number)
+            read = await self._client.ticket(ticket_number(order))
             if isinstance(read, Failure):
                 self._log_error("configuration service", read.failure().detail)
                 is_complete = False
                 continue
             text = read.unwrap()
-            if ticket_digest(text) != index.digests[number]:
+            if ticket_digest(text) != index.digests[order]:
                 # The service came back from a copy since it sent the index.
                 is_complete = False
                 continue
-            self._exchange.accept_ticket(text, source="service", sender=None)
+            self._exchange.accept_ticket(text, source="service", sender=None, era=ticket_era(order))
         return is_complete
 
     def _log_era(self, era: int) -> None:
--- a/packages/wasabilb-node/src/wasabilb_node/ticket_exchange.py
+++ b/packages/wasabilb-node/src/wasabilb_node/ticket_exchange.py
@@ -6,6 +6,7 @@
 from wasabilb_core.fleet import FleetState
 from wasabilb_core.metric_names import Metric
 from wasabilb_core.ticket_spread import TicketSpread
+from wasabilb_core.tickets import Ticket
 from wasabilb_wire.messages import Ping, TicketPush, TicketSummary, TicketWant
 
 from wasabilb_node.clock import now, wall_ms
@@ -52,9 +53,9 @@
         links.on_link_up.append(self.on_link_up)
         links.on_link_down.append(self.on_link_down)
 
-    def accept_ticket(self, text: str, *, source: str, sender: Peer | None) -> None:
-        """Merge a ticket and forward it if it is new."""
-        result = self._spread.on_ticket(text)
+    def accept_ticket(self, text: str, *, source: str, sender: Peer | None, era: int = 0) -> None:
+        """Merge a ticket of an era and forward it if it is new."""
+        result = self._spread.on_ticket(text, era=era)
         if isinstance(result, Failure):
             error = result.failure()
             self._metrics.count(Metric.TICKETS_REFUSED)
@@ -68,9 +69,9 @@
         accepted = result.unwrap()
         if accepted is None:
             return
-        number = accepted.ticket.number
-        self._log.event("ticket_accepted", ticket=number, source=source)
-        self._links.broadcast(self._to_push(number, text), skip=sender)
+        ticket = accepted.ticket
+        self._log.event("ticket_accepted", ticket=ticket.number, source=source, era=ticket.era)
+        self._links.broadcast(self._to_push(ticket), skip=sender)
         self._on_changed(accepted.changed)
 
     def has_state_of(self, addresses: Collection[str]) -> bool:
@@ -114,12 +115,12 @@
         peer.remote_now = max(peer.remote_now, ping.sent_now)
         self._newest_pings[peer] = ping
         if ping.state_digest != self._fleet.digest():
-            peer.send(TicketSummary(numbers=list(self._fleet.numbers())))
+            peer.send(TicketSummary(numbers=list(self._fleet.orders())))
 
     def on_ticket_summary(self, peer: Peer, summary: TicketSummary) -> None:
         """Send the tickets that the peer lacks and request those that this process lacks."""
         reply = self._spread.on_summary(summary.numbers)
-        self._push(peer, [ticket.number for ticket in reply.push])
+        self._push(peer, [ticket.order for ticket in reply.push])
         if reply.want:
             peer.send(TicketWant(numbers=reply.want))
 
@@ -130,13 +131,18 @@
     def on_ticket_push(self, peer: Peer, push: TicketPush) -> None:
         """Accept a ticket from a peer."""
         self._log.receive(from_wire(push.hlc))
-        self.accept_ticket(push.text, source=peer.host, sender=peer)
+        self.accept_ticket(push.text, source=peer.host, sender=peer, era=push.era)
 
-    def _push(self, peer: Peer, numbers: list[int]) -> None:
-        wanted = set(numbers)
+    def _push(self, peer: Peer, orders: list[int]) -> None:
+        wanted = set(orders)
         for ticket in self._fleet.tickets():
-            if ticket.number in wanted:
-                peer.send(self._to_push(ticket.number, ticket.text))
+            if ticket.order in wanted:
+                peer.send(self._to_push(ticket))
 
-    def _to_push(self, number: int, text: str) -> TicketPush:
-        return TicketPush(number=number, text=text, hlc=to_wire(self._log.timestamp()))
+    def _to_push(self, ticket: Ticket) -> TicketPush:
+        return TicketPush(
+            number=ticket.number,
+            text=ticket.text,
+            hlc=to_wire(self._log.timestamp()),
+            era=ticket.era,
+        )
--- a/packages/wasabilb-wire/src/wasabilb_wire/messages.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/messages.py
@@ -47,25 +47,26 @@
 
 @frozen(kw_only=True, slots=True)
 class TicketSummary(Message):
-    """The numbers of the tickets that the sender holds."""
+    """The orders of the tickets that the sender holds; in era 0 they are the numbers."""
 
     numbers: list[int] = field(factory=list)
 
 
 @frozen(kw_only=True, slots=True)
 class TicketWant(Message):
-    """The numbers of the tickets that the sender lacks."""
+    """The orders of the tickets that the sender lacks; in era 0 they are the numbers."""
 
     numbers: list[int] = field(factory=list)
 
 
 @frozen(kw_only=True, slots=True)
 class TicketPush(Message):
-    """One ticket as published."""
+    """One ticket as published in an era of the configuration service."""
 
     number: int
     text: str
     hlc: int = 0
+    era: int = 0
 
 
 @frozen(kw_only=True, slots=True)
--- a/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
+++ b/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
@@ -66,6 +66,7 @@
   number @0 :UInt64;
   text @1 :Text;
   hlc @2 :UInt64;
+  era @3 :UInt16;
 }
 
 struct HostList {
