Lost tickets that are published again one after another bring no older state back

Callers: after a restore an operator publishes the lost tickets again. Between the first and the last of them each thing that several declare went back to the state of the one that was back last: a version loaded again, a key refused that had been declared valid.

Change: a reader holds back a ticket of a later era that may be a lost one (its number is below that of the newest ticket of the earlier era and its content is the same or not known) until that number is published again too, at most 3 s. The series is then read newest first, as ever. A ticket with other content under a known number is taken at once, and one that is published alone after 3 s, within the 7 s of the promise.

--- a/features/restored_config.feature
+++ b/features/restored_config.feature
@@ -16,6 +16,20 @@
     And the operator writes ticket 3 with other content
     Then all processes have the new ticket 3 in force within 7 s, in equal states
 
+  Scenario: Lost tickets that are published again one after another bring no older state back
+    Guards against a fleet that goes through the states of lost tickets a second time.
+    Given two readers, a further entry process and an agent with the tickets 1 to 4
+    When the service comes back from a copy with the tickets 1 and 2
+    And the operator publishes ticket 3 again, and 1.5 s later ticket 4
+    Then no process goes back, and all have the new ticket 4 in equal states
+
+  Scenario: A lost ticket that is published again alone is in force in time
+    Guards against a ticket that waits for others that never come.
+    Given two readers, a further entry process and an agent with the tickets 1 to 4
+    When the service comes back from a copy with the tickets 1 and 2
+    And the operator publishes only ticket 3 again
+    Then all processes have ticket 3 of the new era in force within 7 s
+
   Scenario: A process keeps the tickets that a copy lacks
     Guards against a fleet that goes back to an older state with the service.
     Given two readers, a further entry process and an agent with the tickets 1 to 4
--- a/features/steps/restored_config_steps.py
+++ b/features/steps/restored_config_steps.py
@@ -9,6 +9,7 @@
 from memory_links import Network
 from standin_steps import begin, run
 from wasabilb_core.membership import Membership
+from wasabilb_core.ticket_order import ticket_era
 from wasabilb_core.ticket_spread import TicketSpread
 from wasabilb_node.host_list_exchange import HostListExchange
 from wasabilb_node.platform_client import PlatformClient
@@ -174,6 +175,41 @@
     run(context, scene())
 
 
+@when("the operator publishes ticket 3 again, and 1.5 s later ticket 4")
+def step_again(context):
+    async def scene():
+        context.seen = []
+        for number in (3, 4):
+            publish(context, number, f"v{number}")
+            for _ in range(150):
+                context.seen.append(versions(context))
+                await asyncio.sleep(0.01)
+
+    run(context, scene())
+
+
+@then("no process goes back, and all have the new ticket 4 in equal states")
+def step_all_again(context):
+    kept = {version for seen in context.seen for version in seen.values()}
+    assert kept == {"v4"}, kept
+    newest = {ticket_era(p.fleet.newest()) for p in context.processes.values()}
+    assert newest == {1}, newest
+    assert len({p.fleet.digest() for p in context.processes.values()}) == 1
+
+
+@when("the operator publishes only ticket 3 again")
+def step_again_alone(context):
+    publish(context, 3, "v3")
+
+
+@then("all processes have ticket 3 of the new era in force within 7 s")
+def step_alone(context):
+    run(
+        context,
+        until(lambda: set(versions(context).values()) == {"v3"}, lambda: versions(context)),
+    )
+
+
 @when("a process without tickets starts and reads the copy")
 def step_start(context):
     async def scene():
@@ -248,7 +284,7 @@
 def step_own_era(context):
     orders = context.processes["e1"].fleet.orders()
     index = context.service.index()
-    assert len(orders) == 1 and orders[0] >> 44 == index["era"] == 1, orders
+    assert len(orders) == 1 and ticket_era(orders[0]) == index["era"] == 1, orders
 
 
 @when("the service comes back from a copy twice, 1 s apart, while watches wait")
--- a/features/steps/ticket_steps.py
+++ b/features/steps/ticket_steps.py
@@ -128,10 +128,10 @@
 
 @then("the reader reads {numbers}")
 def step_reads(context, numbers):
-    found = context.spread.orders_to_read(context.index, random.Random(1))
+    found = context.spread.orders_to_read(context.index, random.Random(1), now=0.0)
     assert found == [int(number) for number in numbers.split(", ")], found
 
 
 @then("after that it does not read number 3 again")
 def step_reads_again(context):
-    assert 3 not in context.spread.orders_to_read(context.index, random.Random(1))
+    assert 3 not in context.spread.orders_to_read(context.index, random.Random(1), now=0.0)
--- a/packages/wasabilb-core/src/wasabilb_core/fleet.py
+++ b/packages/wasabilb-core/src/wasabilb_core/fleet.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from wasabilb_core.errors import Error, ErrorKind
+from wasabilb_core.ticket_order import ticket_era
 from wasabilb_core.tickets import (
     AccountSpec,
     DeclaredSpec,
@@ -62,9 +63,14 @@
         self._store(ticket)
         return Success(frozenset(changed))
 
-    def newest(self) -> int:
-        """Return the order of the last accepted ticket, 0 before the first ticket."""
-        return max(self._digests, default=0)
+    def newest(self, *, before_era: int | None = None) -> int:
+        """Return the order of the last accepted ticket, 0 before the first ticket.
+
+        With an era, only tickets of earlier ones count.
+        """
+        if before_era is None:
+            return max(self._digests, default=0)
+        return max((o for o in self._digests if ticket_era(o) < before_era), default=0)
 
     def order_of(self, key: str) -> int:
         """Return the order of the ticket whose declaration of a key is in force, 0 for none."""
--- a/packages/wasabilb-core/src/wasabilb_core/ticket_spread.py
+++ b/packages/wasabilb-core/src/wasabilb_core/ticket_spread.py
@@ -1,5 +1,6 @@
 """Ticket dissemination: reads of the configuration service and exchange between peers."""
 
+import math
 import random
 from collections.abc import Collection, Mapping
 
@@ -9,12 +10,16 @@
 from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.fleet import FleetState
 from wasabilb_core.rendezvous import rank
+from wasabilb_core.ticket_order import ticket_era, ticket_number, ticket_order
 from wasabilb_core.tickets import Ticket, parse_ticket
 
 # Number of standby readers, which are linked in advance so that they detect the loss of a reader.
 STANDBY_READERS = 2
 # Number of newest tickets that a starting reader reads in order before the others.
 NEWEST_FIRST = 4
+# After a restore lost tickets are published again one after another. Within this time the series is
+# taken as a whole, and a single new ticket is still in force everywhere within 7 s.
+REPUBLICATION_HOLD_S = 3.0
 
 
 @frozen(kw_only=True)
@@ -68,6 +73,7 @@
         self._readers_per_domain = readers_per_domain
         self._service_calls_per_s = service_calls_per_s
         self._reported_conflicts: set[int] = set()
+        self._held_since: dict[int, float] = {}
 
     def reader_candidates(self) -> list[str]:
         """Return the entry hosts of this failure domain in reader order."""
@@ -129,13 +135,17 @@
         """Return the orders at which this process has not accepted a ticket."""
         return [order for order in orders if self._fleet.digest_of(order) is None]
 
-    def orders_to_read(self, digests: Mapping[int, int], rng: random.Random) -> list[int]:
+    def orders_to_read(
+        self, digests: Mapping[int, int], rng: random.Random, now: float
+    ) -> list[int]:
         """Return the orders of the tickets to read from the configuration service, newest first.
 
         The newest tickets determine most of the state, so that a starting reader with thousands of
         unread tickets is up to date after a few reads. The others follow in random order, so that
         processes that start together read different tickets and push them to each other. A ticket
         whose digest differs from the accepted one is read once, so that the conflict is reported.
+        A ticket that may be a lost one published again waits for those that followed it, at most
+        `REPUBLICATION_HOLD_S`: alone it would bring an older state back.
 
         Parameters
         ----------
@@ -143,8 +153,12 @@
             Order and digest of each published ticket.
         rng : random.Random
             Source of the random order.
+        now : float
+            Monotonic time, seconds.
         """
         unread = []
+        held = self._republished(digests)
+        self._held_since = {order: self._held_since.get(order, now) for order in held}
         for order in sorted(digests, reverse=True):
             known = self._fleet.digest_of(order)
             is_conflict = known is not None and known != digests[order]
@@ -152,14 +166,37 @@
                 continue
             if is_conflict:
                 self._reported_conflicts.add(digests[order])
-            if known is None or is_conflict:
+            if (known is None and not self._is_held(order, now)) or is_conflict:
                 unread.append(order)
         rest = unread[NEWEST_FIRST:]
         rng.shuffle(rest)
         return unread[:NEWEST_FIRST] + rest
 
+    def hold_s(self, now: float) -> float | None:
+        """Return the seconds until a ticket is no longer held back, None if none is."""
+        ends = [at + REPUBLICATION_HOLD_S - now for at in self._held_since.values()]
+        return min((end_s for end_s in ends if end_s > 0.0), default=None)
+
     def on_summary(self, orders: Collection[int]) -> SummaryReply:
         """Return the tickets that a peer lacks and the orders of those that this process lacks."""
         return SummaryReply(
             push=self._fleet.tickets_missing_from(orders), want=self.unknown_orders(orders)
         )
+
+    def _is_held(self, order: int, now: float) -> bool:
+        return now - self._held_since.get(order, -math.inf) < REPUBLICATION_HOLD_S
+
+    def _republished(self, digests: Mapping[int, int]) -> list[int]:
+        """Return the orders of lost tickets that may be back before those that followed them."""
+        republished = []
+        for era in {ticket_era(order) for order in digests} - {0}:
+            lost = self._fleet.newest(before_era=era)
+            if ticket_order(era, ticket_number(lost)) in digests:
+                continue
+            for order in digests:
+                if not ticket_order(era, 0) < order < ticket_order(era, ticket_number(lost)):
+                    continue
+                earlier_order = ticket_order(ticket_era(lost), ticket_number(order))
+                if self._fleet.digest_of(earlier_order) in (None, digests[order]):
+                    republished.append(order)
+        return republished
--- a/packages/wasabilb-node/src/wasabilb_node/platform_reader.py
+++ b/packages/wasabilb-node/src/wasabilb_node/platform_reader.py
@@ -117,7 +117,9 @@
     async def _read_tickets_once(self) -> bool:
         position, self._position = self._position, None
         if position is not None:
-            read = await self._client.watch(after=position, timeout_s=self._watch_timeout_s)
+            hold_s = self._spread.hold_s(now())
+            timeout_s = min(self._watch_timeout_s, hold_s or self._watch_timeout_s)
+            read = await self._client.watch(after=position, timeout_s=timeout_s)
         else:
             read = await self._client.index()
         if isinstance(read, Failure):
@@ -134,7 +136,7 @@
     async def _read_tickets(self, index: TicketIndex) -> bool:
         """Read the tickets of an index that this process lacks; return whether it has all."""
         is_complete = True
-        orders = self._spread.orders_to_read(index.digests, self._rng)
+        orders = self._spread.orders_to_read(index.digests, self._rng, now())
         conflicts = set(orders) - set(self._spread.unknown_orders(orders))
         for order in orders:
             if not self._spread.is_reader(self._links.linked_hosts()):
