An answer of the product's own interface that has begun is not ended by runners that refuse to go on with it

Cause: a refusal of a resumed answer was handled like one of a new request. Change: attempts that certainly did not run (outcome not-run of a kind after which another runner may succeed) neither count nor exclude once the caller has tokens. Requests without tokens keep their limits and get a true refusal. ServiceRouter: answers of plain services cannot be resumed, so nothing is sent on after the head; not concerned. AttemptWatch moves a slow stream before another runner has accepted it, and returns to the slow one when the others refuse; that costs a prefill and no answer.

--- a/features/forwarding.feature
+++ b/features/forwarding.feature
@@ -36,3 +36,28 @@
     Guards against a waiting stream that is treated as stalled and moved until it fails.
     When a stream is preempted after 1 token and the heartbeat comes
     Then the entry host gets a part without tokens at position 1
+
+  Scenario Outline: An answer that has begun outlives runners that refuse to go on with it
+    # Guards against answers that are cut in the middle because the next runner refused them.
+    When the runner of an answer fails after 5 of 12 tokens and the next <count> attempts end as <kind>
+    Then the caller got each of the 12 tokens once
+
+    Examples:
+      | count | kind                 |
+      | 1     | overloaded           |
+      | 6     | overloaded           |
+      | 6     | deadline-unreachable |
+      | 6     | not-ready            |
+      | 6     | draining             |
+      | 6     | version-mismatch     |
+      | 6     | backend-unreachable  |
+
+  Scenario: An answer that has begun waits while a part of its prompt is probed
+    # Guards against answers that are cut because another request probes their prompt at one moment.
+    When the runner of an answer fails after 5 of 12 tokens and a part of its prompt is probed for a while
+    Then the caller got each of the 12 tokens once
+
+  Scenario: An answer that all runners refuse to go on with ends with its time
+    # Guards against endless attempts for a caller whose time is up.
+    When the runner of an answer fails after 5 of 12 tokens and all further attempts end as overloaded
+    Then the answer ends as broken at its deadline
--- a/features/steps/forwarding_steps.py
+++ b/features/steps/forwarding_steps.py
@@ -22,7 +22,8 @@
 from wasabilb_agent.engine_client import Tokens
 from wasabilb_agent.model_calls import ModelCalls
 from wasabilb_agent.outgoing_answer import OutgoingAnswer
-from wasabilb_core.errors import Outcome
+from wasabilb_core.crashing_parts import PartDecision
+from wasabilb_core.errors import ErrorKind, Outcome
 from wasabilb_core.queueing import QUEUES, Preempt
 from wasabilb_core.retries import RetryBudget
 from wasabilb_core.routing import ROUTING
@@ -179,13 +180,16 @@
     )
 
 
-async def fetch_texts(links, **options):
+PROMPT = b'{"model": "m", "prompt": "p"}'
+
+
+async def fetch_texts(links, *, timeout_s=60.0, body=PROMPT, **options):
     """Return the texts that the caller received."""
     account = SimpleNamespace(name="a", weight=1.0)
     texts = []
     async for part in make_router(links, **options).answer(
-        req=CallerRequest(id="r", account=account, deadline=now() + 60.0),
-        prompt=parse_prompt(b'{"model": "m", "prompt": "p"}', is_chat=False).unwrap(),
+        req=CallerRequest(id="r", account=account, deadline=now() + timeout_s),
+        prompt=parse_prompt(body, is_chat=False).unwrap(),
         record=RequestRecord(kind="completion"),
     ):
         texts += part.texts
@@ -241,6 +245,70 @@
         self.handlers[Fail](peer, Fail(id=call.id, kind=kind, detail="", outcome=outcome))
 
 
+class RefusingLinks(FakeLinks):
+    """Links on which calls that resume a failed answer are refused a number of times."""
+
+    def __init__(self, *, count, kind):
+        super().__init__(length=12, cut=5, overlap=0, fault="fail", rng=random.Random(1))
+        self.count, self.kind = count, kind
+
+    async def answer(self, peer, call):
+        if 1 < len(self.calls) <= 1 + self.count:
+            fail = Fail(id=call.id, kind=self.kind, detail="", outcome="not-run")
+            self.handlers[Fail](peer, fail)
+        else:
+            await super().answer(peer, call)
+
+
+FAILS_AFTER_5 = "the runner of an answer fails after 5 of 12 tokens and "
+
+
+def fetch_refused(context, links, **options):
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        context.links, context.error = links, None
+        try:
+            context.texts = runner.run(fetch_texts(links, **options))
+        except RequestFailedError as exc:
+            context.error = exc.error
+
+
+@when(FAILS_AFTER_5 + "the next {count:d} attempts end as {kind}")
+def step_refused(context, count, kind):
+    fetch_refused(context, RefusingLinks(count=count, kind=kind))
+
+
+@when(FAILS_AFTER_5 + "all further attempts end as {kind}")
+def step_all_refused(context, kind):
+    context.started_at = now()
+    fetch_refused(context, RefusingLinks(count=10**6, kind=kind), timeout_s=0.3)
+
+
+@when(FAILS_AFTER_5 + "a part of its prompt is probed for a while")
+def step_probed(context):
+    guard, links = make_guard(LOG), RefusingLinks(count=0, kind="")
+    answers = [frozenset(), None, None, None, frozenset()]
+    guard.parts.begin = lambda *_: answers.pop(0)
+    guard.parts.decide = lambda *_: PartDecision.WAIT
+    text = "shared " * 400
+    body = json.dumps({"model": "m", "prompt": text}).encode()
+    fetch_refused(context, links, guard=guard, body=body)
+    assert not answers, answers
+
+
+@then("the caller got each of the 12 tokens once")
+def step_twelve(context):
+    assert context.error is None, context.error
+    assert context.texts == [f"{i} " for i in range(12)], context.texts
+
+
+@then("the answer ends as broken at its deadline")
+def step_ends_broken(context):
+    took_s = now() - context.started_at
+    assert context.error.kind in (ErrorKind.STREAM_BROKEN, ErrorKind.DEADLINE_PASSED)
+    assert context.error.effective_outcome is Outcome.UNKNOWN, context.error
+    assert 0.3 <= took_s <= 0.8, took_s
+
+
 HEDGING = SimpleNamespace(delay_s=lambda: 0.1, may_hedge=lambda **_: True, observe=lambda _: None)
 
 
--- a/packages/wasabilb-entry/src/wasabilb_entry/model_requests.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/model_requests.py
@@ -8,6 +8,7 @@
 
 import attrs
 from returns.result import Failure, Success
+from wasabilb_core.attempts import MAX_RESUME_PAUSE_S
 from wasabilb_core.crashing_parts import SURVIVED_S
 from wasabilb_core.errors import Error, ErrorKind, Outcome
 from wasabilb_core.membership import Membership
@@ -37,6 +38,8 @@
 # Below this number of predicted tokens a request counts as short work.
 SHORT_TOKENS = 64
 NO_RUNNER_RETRY_S = 1.0
+# Interval between checks whether a probe of a part of the prompt has ended, seconds.
+PROBE_CHECK_S = 0.05
 # The agent reports a silent engine after its own timeout; this longer one covers a silent agent.
 PROGRESS_TIMEOUT_FACTOR = 2.0
 _JSON_DECODER = json.JSONDecoder()
@@ -119,7 +122,7 @@
         state = self._new_state(req, prompt, record, route)
         self._budget.on_request(predicted)
         while True:
-            attempt = self._start_attempt(state)
+            attempt = await self._start_attempt(state)
             try:
                 attempt = await self._first_to_answer(state, attempt)
                 async for part in self._receive(state, attempt):
@@ -158,12 +161,12 @@
         )
         return state
 
-    def _start_attempt(self, state: RequestState) -> Attempt:
-        """Send the call to the best runner."""
+    async def _start_attempt(self, state: RequestState) -> Attempt:
+        """Send the call to the best runner; an answer that has begun waits for a probe's result."""
         while True:
             if state.req.left_s <= 0:
                 raise new_error(ErrorKind.DEADLINE_PASSED, "the deadline has passed")
-            if state.record.attempts - state.movable.moves >= MAX_ATTEMPTS:
+            if state.counted_attempts >= MAX_ATTEMPTS:
                 raise self._final_error(state)
             chosen = self._selector.choose(state, avoided_host=state.avoided_host)
             if chosen is None:
@@ -171,7 +174,11 @@
             host, variant = chosen
             probed = self.guard.begin(state.parts)
             if probed is None:
-                raise self._refusal(state)
+                refusal = self.guard.refusal(state.parts)
+                if state.has_begun and _is_probed(refusal):
+                    await asyncio.sleep(PROBE_CHECK_S)
+                    continue
+                raise self._refusal(state, refusal)
             attempt = self._attempts.start(host, self._to_call(state, variant))
             if attempt is None:
                 self.guard.on_probe_ended(probed)
@@ -328,9 +335,8 @@
             attempt.head_at = math.inf
             self.guard.on_answer_going_on(state.parts)
 
-    def _refusal(self, state: RequestState) -> RequestFailedError:
+    def _refusal(self, state: RequestState, error: Error | None) -> RequestFailedError:
         """Return the error for a request whose prompt must not be sent now."""
-        error = self.guard.refusal(state.parts)
         if error is None:
             # Another request became the probe of the part in this moment.
             error = Error(kind=ErrorKind.PROMPT_PROBED, detail="a part of the prompt is probed")
@@ -385,6 +391,14 @@
             return 0.0
         if error is None or error.kind not in MOVABLE:
             raise self._final_error(state)
+        if state.is_refusal(error):
+            # The caller has a part of the answer, so that a refusal must not end it.
+            state.refused.add(attempt.host)
+            state.refusals += 1
+            self._log_moved(state, attempt, error)
+            if state.refusals < 2:
+                return 0.0
+            return backoff_s(state.refusals - 1, self._rng, cap_s=MAX_RESUME_PAUSE_S)
         state.excluded.add(attempt.host)
         if error.kind in OVERLOADS and state.cursor.position == 0:
             # A refusal costs the engine no work, but trying every runner would add to the load.
@@ -393,7 +407,7 @@
         elif error.kind not in REFUSALS:
             self._budget.charge()
         self._log_moved(state, attempt, error)
-        failures = state.record.attempts - state.movable.moves
+        failures = state.counted_attempts
         # The first move is immediate, since the caller waits in the middle of an answer.
         return backoff_s(failures - 1, self._rng) if failures > 1 else 0.0
 
@@ -446,6 +460,11 @@
         )
 
 
+def _is_probed(refusal: Error | None) -> bool:
+    """Return whether a request must only wait for the result of a probe of its prompt."""
+    return refusal is None or refusal.kind is ErrorKind.PROMPT_PROBED
+
+
 async def _has_part_in_time(attempt: Attempt, timeout_s: float) -> bool:
     try:
         await asyncio.wait_for(attempt.ready(), timeout_s)
--- a/packages/wasabilb-entry/src/wasabilb_entry/request_state.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/request_state.py
@@ -1,7 +1,7 @@
 """State of one model request over its attempts, and the errors after which it may move."""
 
 from attrs import define, field, frozen
-from wasabilb_core.errors import Error, ErrorKind
+from wasabilb_core.errors import Error, ErrorKind, Outcome
 from wasabilb_core.routing import RouteRequest
 from wasabilb_core.stream_cursor import StreamCursor
 from wasabilb_core.tickets import Variant
@@ -51,6 +51,25 @@
     parts: tuple[int, ...] = ()
     pinned_variant: Variant | None = None
     excluded: set[str] = field(factory=set)
+    # Hosts that refused to go on with the answer, and the number of such refusals.
+    refused: set[str] = field(factory=set)
+    refusals: int = 0
     avoided_host: str = ""
     last_error: Error | None = None
     may_have_run: bool = False
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the caller has a part of the answer."""
+        return self.cursor.position > 0
+
+    @property
+    def counted_attempts(self) -> int:
+        """Return the attempts that count against the limit."""
+        return self.record.attempts - self.movable.moves - self.refusals
+
+    def is_refusal(self, error: Error) -> bool:
+        """Return whether a runner certainly did not go on with an answer that has begun."""
+        return (
+            self.has_begun and error.kind in MOVABLE and error.effective_outcome is Outcome.NOT_RUN
+        )
--- a/packages/wasabilb-entry/src/wasabilb_entry/runner_selector.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/runner_selector.py
@@ -59,9 +59,13 @@
             predicted_tokens=state.route.predicted_tokens,
             prefix_hashes=state.route.prefix_hashes,
             is_short=state.route.is_short,
-            excluded=frozenset(state.excluded | {avoided_host}),
+            excluded=frozenset(state.excluded | state.refused | {avoided_host}),
         )
         chosen = self._routing.choose(route, views, moment, self._rng)
+        if chosen is None and state.refused:
+            # A runner that refused to go on with the answer may have room by now.
+            state.refused.clear()
+            return self.choose(state, avoided_host=avoided_host)
         if chosen is None and avoided_host:
             return self.choose(state)
         return (chosen.host, variant_of[chosen.host]) if chosen else None
