A runner's silence ends no answer that nobody else takes over

What callers saw: a stream whose runner was silent for 1.2 s was ended: closed in the middle if it may not be resumed, if the other runners were full, if the budget for repeats was used up or if there was no other runner, although its runner went on a moment later. A plain request was answered 504 after 0.4 of its time limit when its only runner was silent. Where another runner could go on, the first one's work was given up before that one had begun. And each stream at a silent runner counted as a failure of its own, so that 16 of them kept requests from the runner for 3 s.

Cause: silence was a verdict (AttemptEnd.SILENT) that ended the attempt first and looked for another runner afterwards.

Change: silence asks. A stream is handed over as one at a loading runner is: another runner is asked, the first is given up when that one has begun, and asked again every 0.25 s while none can be. A plain request that may be repeated is given up only if another runner is usable and the budget allows it. What may not be repeated waits for its time limit. A silent runner gets no new requests for 0.4 s, once for all its requests.

Evidence: features/silent_runners.feature; before, the four rows of "A runner falls silent within a stream and goes on", "A runner is silent before a plain answer while no other can take over" and "Many streams at one runner fall silent at the same time" failed. All pass now; "A runner falls silent within a stream while another can take over" passes before and after.

--- /dev/null
+++ b/features/silent_runners.feature
@@ -0,0 +1,37 @@
+Feature: A sound runner falls silent for a second or so
+  What it costs callers when a runner stops sending and goes on.
+
+  Scenario Outline: A runner falls silent within a stream and goes on
+    # Guards against streams that are ended, or run twice, because their runner was silent.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And a stream route that <may be> resumed, and <runners> runners of which <other>
+    When a stream is sent whose runner is silent for 1.6 s after two events
+    Then the caller gets all events once
+    And the runners received 1 requests that may have run
+
+    Examples:
+      | may be     | runners | other                        |
+      | may be     | 2       | the other is full            |
+      | may not be | 2       | the other answers            |
+      | may be     | 1       | none answers                 |
+      | may be     | 2       | the budget allows no repeat  |
+
+  Scenario: A runner falls silent within a stream while another can take over
+    # Guards against callers that leave a stream whose runner has died without a sign.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And runners that send two events and fall silent and then answer
+    When a caller sends a request on the stream route
+    Then the caller gets all events once
+    And the runners received 2 requests that may have run
+
+  Scenario: A runner is silent before a plain answer while no other can take over
+    # Guards against requests that are given up because their only runner was silent.
+    Given a catalog with an idempotent, an at-most-once and a resumable stream route
+    And a stream route that may be resumed, and 1 runners of which none answers
+    When a plain request is sent whose runner is silent for 1.6 s
+    Then the caller gets the whole answer
+
+  Scenario: Many streams at one runner fall silent at the same time
+    # Guards against a sound runner that gets no requests for seconds after one silence.
+    When 16 streams at one runner are found silent at the same time
+    Then the runner gets requests again after 0.4 s
--- a/features/steps/scripted_runner.py
+++ b/features/steps/scripted_runner.py
@@ -59,6 +59,10 @@
 }
 
 
+# Pauses after the second event of a stream.
+STREAM_PAUSES_S = {"answer with a pause": 0.3, "answer after a silence": 1.6}
+
+
 class ChunkWriter:
     """Writer that sends each part as an HTTP chunk."""
 
@@ -180,6 +184,8 @@
             writer.write(start + b"\r\n" + BODY)
             await writer.drain()
             return False
+        if action == "answer late":
+            await asyncio.sleep(1.6)
         body = BODY + request_id.encode()
         answer_bytes = start + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
         previous = self.last_answers.get(writer)
@@ -261,9 +267,9 @@
             writer.write(b"".join(chunk(event) for event in events) + b"0\r\n\r\n")
             return True
         writer.write(b"".join(chunk(event) for event in events[:2]))
-        if action == "answer with a pause":
+        if action in STREAM_PAUSES_S:
             await writer.drain()
-            await asyncio.sleep(0.3)
+            await asyncio.sleep(STREAM_PAUSES_S[action])
             writer.write(b"".join(chunk(event) for event in events[2:]) + b"0\r\n\r\n")
             return True
         if action == "break off within an event":
--- /dev/null
+++ b/features/steps/silent_runner_steps.py
@@ -0,0 +1,81 @@
+"""Steps about sound runners that fall silent."""
+
+from attrs import evolve
+from behave import given, then, when
+from direct_forwarding_steps import fetch, run_in_harness
+from fleet_view_factory import make_fleet_view
+from forwarding_harness import LIMITS, PATHS, raw_request, route
+from wasabilb_core.catalog import RequestKind
+from wasabilb_core.runner_directory import Runner
+from wasabilb_core.runner_pauses import RunnerPauses
+from wasabilb_node.clock import now
+
+
+@given("a stream route that {may_be} resumed, and {count:d} runners of which {other}")
+def step_route(context, may_be, count, other):
+    context.is_resumable, context.runner_count, context.other = may_be == "may be", count, other
+    second = "refuse as full" if other == "the other is full" else "answer"
+    context.behaviours = ["answer after a silence", second]
+
+
+def prepare(context, harness):
+    """Change the routes, the runners and the budget of a harness."""
+    published = harness.fleet.published
+    routes = tuple(
+        evolve(r, is_resumable=context.is_resumable, timeout_s=3.0)
+        for r in published.catalog.routes
+    )
+    published.catalog = evolve(published.catalog, routes=routes)
+    if context.runner_count == 1:
+        harness.fleet.directory.on_removed("r-1", now())
+    if context.other == "the budget allows no repeat":
+        harness.fleet.on_limits(evolve(LIMITS, retry_slack=0.0))
+
+
+@when("a stream is sent whose runner is silent for 1.6 s after two events")
+def step_stream(context):
+    async def send(harness):
+        prepare(context, harness)
+        return await fetch(harness, raw_request(PATHS["stream"]))
+
+    run_in_harness(context, send)
+
+
+@when("a plain request is sent whose runner is silent for 1.6 s")
+def step_plain(context):
+    context.behaviours = ["answer late", "answer late"]
+
+    async def send(harness):
+        prepare(context, harness)
+        return await fetch(harness, raw_request(PATHS["idempotent"]))
+
+    run_in_harness(context, send)
+
+
+@when("a stream route has a latency objective of {objective:g} s and a gap objective of {gap:g} s")
+def step_objectives(context, objective, gap):
+    context.route = evolve(
+        route("stream", RequestKind.STREAM, gap_objective_s=gap), objective_s=objective
+    )
+
+
+@then("another runner is asked after a silence of {silence:g} s within the stream")
+def step_silence(context, silence):
+    gap_s = make_fleet_view([]).silence_limits_s("s", context.route)[1]
+    assert abs(gap_s - silence) < 1e-6, gap_s
+
+
+@when("{count:d} streams at one runner are found silent at the same time")
+def step_many_silent(context, count):
+    context.runner = Runner(
+        id="r", born_ms=1, service="s", address="127.0.0.1:1", failure_domain="a", slots=16
+    )
+    context.pauses = RunnerPauses()
+    for _ in range(count):
+        context.pauses.on_silent(context.runner, 100.0)
+
+
+@then("the runner gets requests again after {pause:g} s")
+def step_again(context, pause):
+    assert not context.pauses.may_send(context.runner, 100.0)
+    assert context.pauses.may_send(context.runner, 100.0 + pause)
--- a/packages/wasabilb-core/src/wasabilb_core/runner_pauses.py
+++ b/packages/wasabilb-core/src/wasabilb_core/runner_pauses.py
@@ -120,6 +120,11 @@
         pause.failures = min(pause.failures + 1, 8)
         pause.backoff_until = max(pause.backoff_until, now + pause_s)
 
+    def on_silent(self, runner: Runner, now: float) -> None:
+        """Record that the runner is silent; its requests find that at the same time."""
+        if now >= self._pause_of(runner).backoff_until:
+            self.on_failure(runner, now)
+
     def on_full(self, runner: Runner, now: float) -> None:
         """Record that the runner refused a request because it is full."""
         pause = self._pause_of(runner)
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -31,8 +31,8 @@
 
 from wasabilb_entry.stream_mover import StreamMover
 
-# Silence of a stream's runner after which another one takes over. Callers leave after 2 s; a step
-# of a full batch takes 0.1 s, and a prompt that joins it adds up to 0.25 s.
+# Silence of a stream's runner after which another one is asked to take over, seconds. Sound runners
+# fall silent for a second or so, and callers leave after 2 s.
 STREAM_GAP_S = 1.2
 STREAM_FIRST_BYTE_S = 2.0
 # Part of a plain request's timeout after which a repeatable one is tried elsewhere.
@@ -296,12 +296,21 @@
             return None
         return self.runner_limits.on_answer(runner, metadata.limit, now())
 
+    def on_silent(self, runner: Runner) -> None:
+        """Process that a runner has sent nothing for long, as it may be dead."""
+        self.stats.pauses.on_silent(runner, now())
+        self.pool.drop(runner.address)
+
+    def may_repeat(self, service: str) -> bool:
+        """Return whether the budget allows a repeated send now."""
+        return self._retry_window(service).allowance(now(), self._processes()) >= 1
+
     def on_attempt_ended(self, runner: Runner, end: AttemptEnd, metadata: AnswerMetadata) -> None:
         """Process the end of an attempt."""
         moment = now()
         if metadata.load is not None and self.engine(runner.service) is None:
             self.stats.on_report(runner, metadata.load)
-        if end in (AttemptEnd.NOT_SENT, AttemptEnd.BROKEN, AttemptEnd.SILENT):
+        if end in (AttemptEnd.NOT_SENT, AttemptEnd.BROKEN):
             self.stats.pauses.on_failure(runner, moment)
             if end is not AttemptEnd.BROKEN:
                 self.pool.drop(runner.address)
@@ -313,7 +322,7 @@
             self.pool.drop(runner.address)
 
     def silence_limits_s(self, service: str, route: Route) -> tuple[float, float]:
-        """Return the longest silence before the first part of an answer and between parts."""
+        """Return the silence before and between the parts of an answer that is noticed."""
         if route.kind is RequestKind.STREAM:
             return STREAM_FIRST_BYTE_S, STREAM_GAP_S
         if route.is_repeatable and route.max_attempts > 1:
--- a/packages/wasabilb-entry/src/wasabilb_entry/request_attempts.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/request_attempts.py
@@ -112,6 +112,7 @@
             may_send=partial(self._may_send, ctx),
             on_metadata=partial(self._on_answer_metadata, ctx, runner),
             on_going_on=partial(self.guard.on_answer_going_on, metadata.shared_parts),
+            gives_up_silent=partial(self._gives_up_silent, ctx),
             keeps_running_without_caller=ctx.route.kind is RequestKind.NON_IDEMPOTENT,
         )
 
@@ -152,6 +153,20 @@
         await self._tell_guard(ctx, attempt, end)
         return end
 
+    def _gives_up_silent(self, ctx: RequestContext, attempt: RunnerAttempt) -> bool:
+        """Return whether to give up an attempt whose runner is silent.
+
+        The runner may be sound and go on. A stream is given up only once another runner has taken
+        over, and a request only if another runner could run it.
+        """
+        if not ctx.route.is_repeatable:
+            return False
+        self.fleet.on_silent(attempt.runner)
+        if ctx.route.kind is RequestKind.STREAM:
+            self._start_handover(ctx, attempt)
+            return False
+        return self.resender.can_resend(ctx, attempt.runner.id)
+
     def _start_handover(self, ctx: RequestContext, first: RunnerAttempt) -> bool:
         """Ask another runner to take over a stream; the first goes on with it if none does."""
         if ctx.handover is not None or not first.can_move:
--- a/packages/wasabilb-entry/src/wasabilb_entry/resender.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/resender.py
@@ -12,6 +12,7 @@
     stop_reason,
 )
 from wasabilb_core.errors import Error, ErrorKind
+from wasabilb_core.routing import RouteRequest
 from wasabilb_node.clock import now
 from wasabilb_node.logs import EventLog
 
@@ -67,6 +68,14 @@
             return StopReason.BUDGET_USED
         return reason
 
+    def can_resend(self, ctx: RequestContext, runner_id: str) -> bool:
+        """Return whether a request could be sent to another runner than a silent one."""
+        history = ctx.history.with_attempt(AttemptEnd.SILENT)
+        if stop_reason(ctx.route, history, AttemptEnd.SILENT, ctx.left_s):
+            return False
+        others = RouteRequest(excluded=frozenset(ctx.tried | {runner_id}))
+        return self.fleet.may_repeat(ctx.service) and bool(self.fleet.views(ctx.service, others))
+
     def place_move(self, ctx: RequestContext, runner_id: str) -> Placement | None:
         """Return where a stream may move off a runner, charged to the budget; None if nowhere."""
         if ctx.left_s < MIN_MOVE_LEFT_S or not self.guard.may_hedge(ctx.metadata.shared_parts):
--- a/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
@@ -22,6 +22,8 @@
 MIN_SERVER_ERROR = 500
 # Methods whose requests state a length even without a body (RFC 9110, 8.6).
 BODY_METHODS = ("POST", "PUT", "PATCH")
+# Interval at which it is checked again whether another runner can replace a silent one, seconds.
+SILENT_CHECK_S = 0.25
 
 
 @frozen(kw_only=True)
@@ -33,9 +35,9 @@
     deadline : float
         Time by which the request must end, seconds on the process's clock.
     first_byte_s : float
-        Longest silence before the first part of the body.
+        Silence before the first part of the body after which the attempt may be given up.
     gap_s : float
-        Longest silence between two parts.
+        The same between two parts.
     begin_by : float
         Time by which the answer must begin, as the runner's version is outdated from then on.
     take_over_by : float
@@ -76,6 +78,8 @@
         Called with the metadata of each answer on the connection.
     on_going_on : callable or None
         Called once if a stream has events some time after its head.
+    gives_up_silent : callable
+        Returns whether to end the attempt as its runner is silent; called with the attempt.
     """
 
     pool: ConnectionPool
@@ -87,6 +91,7 @@
     limits: AttemptLimits
     may_send: Callable[["RunnerAttempt"], bool]
     on_metadata: Callable[[AnswerMetadata], None]
+    gives_up_silent: Callable[["RunnerAttempt"], bool]
     on_going_on: Callable[[], None] | None = None
     keeps_running_without_caller: bool = False
     placed_at: float = field(factory=now)
@@ -203,17 +208,21 @@
     async def _wait_for_end(self, read_task: "asyncio.Future[ReadOutcome]") -> AttemptEnd | None:
         """Wait for the answer and return how it was cut off, None when it was not."""
         ends: set[asyncio.Future[Any]] = {read_task, self._early_end}
+        checked_at = -math.inf
         while not read_task.done():
             moment = now()
             if moment >= self.limits.deadline:
                 return AttemptEnd.DEADLINE
             has_begun = self.relay.head is not None
             silence_s = self.limits.gap_s if has_begun else self.limits.first_byte_s
-            silent_at = self.relay.progress_at + silence_s
+            silent_at = max(self.relay.progress_at + silence_s, checked_at + SILENT_CHECK_S)
             if self.relay.is_paused:
                 silent_at = math.inf
             if moment >= silent_at:
-                return AttemptEnd.SILENT
+                if self.gives_up_silent(self):
+                    return AttemptEnd.SILENT
+                checked_at = moment
+                continue
             begin_by = take_over_by = math.inf
             if not has_begun:
                 begin_by, take_over_by = self.limits.begin_by, self.limits.take_over_by
