A silent stream moves in the time that its caller waits, not before

What callers saw: a stream whose runner was silent for 1.2 s ran a second time elsewhere, also where its caller would have waited 3 s and the runner went on by then.

Cause: one figure for all routes, from the 2 s that callers wait at least.

Change: another runner is asked 0.8 s before the caller would leave (the longest of 2 s, 4 latency objectives and 8 gap objectives), at the earliest after 1.2 s as before and at the latest after 2 s, as a runner may have died without a sign.

Evidence: "The longest silence of a stream" in features/silent_runners.feature; the rows with 1.6 and 2.0 s failed before. With the known routes (gap objective 0.4 s) the silence is 2.0 s.

--- a/features/silent_runners.feature
+++ b/features/silent_runners.feature
@@ -31,6 +31,19 @@
     When a plain request is sent whose runner is silent for 1.6 s
     Then the caller gets the whole answer
 
+  Scenario Outline: The longest silence of a stream
+    # Guards against streams that move although their callers would wait, or after these have left.
+    When a stream route has a latency objective of <objective> s and a gap objective of <gap> s
+    Then another runner is asked after a silence of <silence> s within the stream
+
+    Examples:
+      | objective | gap  | silence |
+      | 0.4       | 0.0  | 1.2     |
+      | 0.4       | 0.25 | 1.2     |
+      | 0.4       | 0.3  | 1.6     |
+      | 0.4       | 0.4  | 2.0     |
+      | 2.0       | 0.0  | 2.0     |
+
   Scenario: Many streams at one runner fall silent at the same time
     # Guards against a sound runner that gets no requests for seconds after one silence.
     When 16 streams at one runner are found silent at the same time
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -32,9 +32,15 @@
 from wasabilb_entry.stream_mover import StreamMover
 
 # Silence of a stream's runner after which another one is asked to take over, seconds. Sound runners
-# fall silent for a second or so, and callers leave after 2 s.
+# fall silent for a second or so. Callers leave after the longest of 2 s, 4 latency objectives and 8
+# gap objectives; the other runner needs part of that to begin.
 STREAM_GAP_S = 1.2
+MAX_STREAM_GAP_S = 2.0
 STREAM_FIRST_BYTE_S = 2.0
+CALLER_PATIENCE_S = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_GAP_OBJECTIVES = 8.0
+TAKE_OVER_RESERVE_S = 0.8
 # Part of a plain request's timeout after which a repeatable one is tried elsewhere.
 PLAIN_SILENCE_SHARE = 0.4
 # Routing costs of distance, seconds. A request to another region puts 5 KB on a narrow link; a wait
@@ -324,7 +330,13 @@
     def silence_limits_s(self, service: str, route: Route) -> tuple[float, float]:
         """Return the silence before and between the parts of an answer that is noticed."""
         if route.kind is RequestKind.STREAM:
-            return STREAM_FIRST_BYTE_S, STREAM_GAP_S
+            patience_s = max(
+                CALLER_PATIENCE_S,
+                PATIENCE_OBJECTIVES * route.objective_s,
+                PATIENCE_GAP_OBJECTIVES * route.gap_objective_s,
+            )
+            gap_s = min(MAX_STREAM_GAP_S, patience_s - TAKE_OVER_RESERVE_S)
+            return STREAM_FIRST_BYTE_S, max(STREAM_GAP_S, gap_s)
         if route.is_repeatable and route.max_attempts > 1:
             return (PLAIN_SILENCE_SHARE * route.timeout_s,) * 2
         return route.timeout_s, route.timeout_s
