The soak plays a configuration service that comes back from a copy

The fault config-restored takes the service away for 0.5 to 3 s and brings back a copy that is 5 s older; the operator publishes what is lost again within 2 s, at seeded moments, and goes on meanwhile. Sightings and publications are compared by the order of tickets, so that a number that is given out again is no reversal, and one of an earlier era is.

--- a/packages/wasabilb-standins/src/wasabilb_standins/fleet.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/fleet.py
@@ -20,6 +20,7 @@
 from attrs import define, field, frozen
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 from wasabilb_core.account_keys import hash_key
+from wasabilb_core.ticket_order import ticket_order
 
 from wasabilb_standins.config_service import ConfigService
 from wasabilb_standins.engine import Engine
@@ -103,6 +104,11 @@
         }
 
 
+def status_order(status: dict[str, Any]) -> int:
+    """Return the order of the newest ticket in a status document."""
+    return ticket_order(int(status.get("newest_era", 0)), int(status["newest_ticket"]))
+
+
 _RETURNED_PORTS: set[int] = set()
 
 
@@ -286,10 +292,13 @@
         found: dict[str, Any] = json.loads(answer.body)
         return found
 
-    async def wait_in_force(self, number: int, *, timeout_s: float = START_TIMEOUT_S) -> float:
-        """Wait until all entry processes hold a ticket; return the elapsed seconds."""
+    async def wait_in_force(self, order: int, *, timeout_s: float = START_TIMEOUT_S) -> float:
+        """Wait until all entry processes hold a ticket or a later one; return the seconds.
+
+        In the first era of the configuration service, the order of a ticket is its number.
+        """
         started = time.monotonic()
-        await self._wait_for_status(lambda status: status["newest_ticket"] >= number, timeout_s)
+        await self._wait_for_status(lambda status: status_order(status) >= order, timeout_s)
         return time.monotonic() - started
 
     async def wait_version(self, version: str, *, timeout_s: float = 60.0) -> float:
--- a/packages/wasabilb-standins/src/wasabilb_standins/observer.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/observer.py
@@ -7,10 +7,11 @@
 
 import attrs
 from returns.result import Success
+from wasabilb_core.ticket_order import ticket_order
 from wasabilb_core.timeline import Event, parse_event
 
 from wasabilb_standins.call_records import CallRecord
-from wasabilb_standins.fleet import LocalFleet, LocalHost
+from wasabilb_standins.fleet import LocalFleet, LocalHost, status_order
 from wasabilb_standins.promises import (
     EngineRun,
     Execution,
@@ -44,8 +45,8 @@
         self.interrupted_hosts: set[str] = set()
 
     def publish(self, number: int, text: str) -> None:
-        """Publish a ticket and record the time."""
-        self.published[number] = time.monotonic()
+        """Publish a ticket and record the time under its order."""
+        self.published[ticket_order(self._fleet.config_service.era, number)] = time.monotonic()
         self._fleet.publish(text)
 
     async def run(self) -> None:
@@ -65,7 +66,7 @@
                     Sighting(
                         process=f"{host.name}/{status['incarnation']}",
                         at=requested_at,
-                        newest=int(status["newest_ticket"]),
+                        newest=status_order(status),
                         digest=status["state_digest"],
                     )
                 )
@@ -95,7 +96,7 @@
             Sighting(
                 process=f"{host.name}/{event.incarnation}",
                 at=self.at(event),
-                newest=int(event.fields["ticket"]),
+                newest=ticket_order(int(event.number("era")), int(event.fields["ticket"])),
             )
             for host, events in events_by_host
             for event in events
--- a/packages/wasabilb-standins/src/wasabilb_standins/promises.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/promises.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable, Iterator
 
 from attrs import field, frozen
+from wasabilb_core.ticket_order import ticket_era, ticket_number
 
 from wasabilb_standins.call_records import CallRecord
 
@@ -71,7 +72,7 @@
     Parameters
     ----------
     newest : int
-        Highest ticket number that it held.
+        Order of the newest ticket that it held; in the first era its number.
     digest : str
         Digest of its state; empty if unknown.
     """
@@ -91,7 +92,7 @@
     calls : tuple of CallRecord
         Attempts of the callers.
     published : dict
-        Publication time by ticket number.
+        Publication time by the ticket's order.
     processes : tuple of str
         Processes that ran from before the first publication until `until`.
     until : float
@@ -131,6 +132,12 @@
     return sorted(found, key=lambda violation: violation.promise)
 
 
+def ticket_name(order: int) -> str:
+    """Return the name of a ticket in reports."""
+    era = f" of era {ticket_era(order)}" if ticket_era(order) else ""
+    return f"ticket {ticket_number(order)}{era}"
+
+
 def _check_contents(record: FleetRecord) -> Iterator[Violation]:
     for rec in record.calls:
         name = f"{rec.kind} {rec.number} through {rec.entry}"
@@ -214,15 +221,17 @@
         highest = 0
         for sighting in history:
             if sighting.newest < highest:
-                detail = f"{process} reverted from ticket {highest} to {sighting.newest}"
+                before, after = ticket_name(highest), ticket_name(sighting.newest)
+                detail = f"{process} reverted from {before} to {after}"
                 yield Violation(promise=7, detail=detail)
             highest = max(highest, sighting.newest)
-    for number, at in record.published.items():
+    for order, at in record.published.items():
         limit = at + TICKET_BOUND_S
         for process in record.processes if record.until >= limit else ():
             history = by_process[process]
-            if not any(s.newest >= number and s.at <= limit for s in history):
-                detail = f"{process} did not hold ticket {number} within {TICKET_BOUND_S:.0f} s"
+            if not any(s.newest >= order and s.at <= limit for s in history):
+                name = ticket_name(order)
+                detail = f"{process} did not hold {name} within {TICKET_BOUND_S:.0f} s"
                 yield Violation(promise=7, detail=detail)
     yield from _check_states(by_process.values())
 
@@ -235,5 +244,5 @@
     newest = max((sighting.newest for sighting in final_states), default=0)
     digests = {sighting.digest for sighting in final_states if sighting.newest == newest}
     if len(digests) > 1:
-        detail = f"{len(digests)} different states at ticket {newest} at the end"
+        detail = f"{len(digests)} different states at {ticket_name(newest)} at the end"
         yield Violation(promise=7, detail=detail)
--- a/packages/wasabilb-standins/src/wasabilb_standins/soak/_platform_faults.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_platform_faults.py
@@ -1,7 +1,9 @@
 """Faults of the stand-ins: configuration service, store, engines and services."""
 
+import time
 from typing import TYPE_CHECKING, Any, ClassVar
 
+from wasabilb_standins.restorable import Restore
 from wasabilb_standins.soak._faults import CALLS, RUNNER, SERVICE, TICKETS, Fault, fault
 
 if TYPE_CHECKING:
@@ -9,6 +11,11 @@
     from wasabilb_standins.soak._testbed import Testbed
 
 
+# Age of the copy at the beginning of the absence, and the time in which all is published again.
+COPY_AGE_S = 5.0
+REWRITE_S = 2.0
+
+
 class StandinFault(Fault):
     """Fault settings of a stand-in for a time.
 
@@ -65,6 +72,31 @@
     on, off = {"delay_s": 1.0}, {"delay_s": 0.0}
 
 
+@fault("config-restored")
+class ConfigRestored(ConfigFault):
+    """The configuration service is away, and comes back from a copy.
+
+    The operator publishes what is lost again within `REWRITE_S`, which is part of the fault.
+    """
+
+    on, off = {"down": "drop"}, {"down": ""}
+    weight = 1.0
+    duration_range_s = (0.5, 3.0)
+
+    async def begin(self, testbed: "Testbed", host: "LocalHost | None") -> None:
+        """Take the service away."""
+        self._copied_at = time.monotonic() - COPY_AGE_S
+        await super().begin(testbed, host)
+
+    async def end(self, testbed: "Testbed", host: "LocalHost | None") -> None:
+        """Bring the copy back and publish what it lacks."""
+        service = testbed.fleet.config_service
+        lost = service.restore(self._copied_at)
+        await super().end(testbed, host)
+        restore = Restore(rewrite_s=REWRITE_S, seed=service.era)
+        await testbed.republish(lost, restore.rewrite_delays_s(len(lost)))
+
+
 class StoreFault(StandinFault):
     """Fault of the store, which only prolongs a rollout."""
 
--- a/packages/wasabilb-standins/src/wasabilb_standins/soak/_testbed.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_testbed.py
@@ -5,7 +5,10 @@
 from pathlib import Path
 from typing import Any
 
+from wasabilb_core.ticket_order import ticket_order
+
 from wasabilb_standins.call_records import CallRecord
+from wasabilb_standins.config_service import Publication
 from wasabilb_standins.fleet import FleetShape, LocalFleet, LocalHost
 from wasabilb_standins.observer import Observer
 from wasabilb_standins.promises import Shutdown
@@ -69,6 +72,7 @@
         self.probe_tasks: set[asyncio.Future[CallRecord]] = set()
         self.flood_tasks: dict[tuple[str, str], list[asyncio.Future[None]]] = {}
         self.ticket_number = 0
+        self.ticket_order = 0
         self.versions = ["v1"]
 
     def _new_callers(self, account: str, seed: int) -> KeepAliveCallers:
@@ -117,13 +121,25 @@
     async def settle(self, limit_s: float) -> None:
         """Wait until the newest ticket is applied everywhere, at most `limit_s` in total."""
         async with asyncio.timeout(limit_s):
-            await self.fleet.wait_in_force(self.ticket_number)
+            await self.fleet.wait_in_force(self.ticket_order)
             await self.fleet.wait_version(self.versions[-1])
             await self.fleet.wait_services()
 
     def publish(self, text: str) -> None:
         """Publish the ticket of the newest number."""
-        self.observer.publish(self.ticket_number, text)
+        self._publish(self.ticket_number, text)
+
+    async def republish(self, lost: list[Publication], delays_s: list[float]) -> None:
+        """Publish lost tickets again, with the given delays after the return of the service."""
+        returned_at = time.monotonic()
+        for publication, delay_s in zip(lost, delays_s, strict=True):
+            await asyncio.sleep(max(0.0, returned_at + delay_s - time.monotonic()))
+            self._publish(publication.number, publication.text)
+
+    def _publish(self, number: int, text: str) -> None:
+        order = ticket_order(self.fleet.config_service.era, number)
+        self.ticket_order = max(self.ticket_order, order)
+        self.observer.publish(number, text)
 
     def publish_rollout(self) -> None:
         """Publish a ticket with a new version of the model."""
