make demo plays a restore of the configuration service

After the rollout the service goes away for 2 s and comes back from a copy without ticket 2, which the operator publishes again within 1 s. The summary tells when it is in force again, and every promise is checked over it.

--- a/packages/wasabilb-standins/src/wasabilb_standins/demo.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/demo.py
@@ -1,9 +1,10 @@
 """Demo: a rollout of a new model version under live traffic, on one machine.
 
 `python -m wasabilb_standins.demo [--seed N] [--seconds S] [--folder DIR]` starts stand-ins for the
-platform, 3 entry processes and 9 agents, sends mixed traffic, publishes a ticket with a new version
-and checks every answer. The exit status is 0 if every promise was kept, 1 if not, 2 if an option is
-invalid, and 130 after an interrupt.
+platform, 3 entry processes and 9 agents, sends mixed traffic, publishes a ticket with a new
+version, brings the configuration service back from a copy without it and checks every answer. The
+exit status is 0 if every promise was kept, 1 if not, 2 if an option is invalid, and 130 after an
+interrupt.
 """
 
 import asyncio
@@ -23,6 +24,7 @@
 from wasabilb_standins.fleet import FleetShape, LocalFleet
 from wasabilb_standins.observer import Observer
 from wasabilb_standins.promises import violations
+from wasabilb_standins.restorable import Restore, play_restore
 
 # Rates are scaled for a rollout of seconds: until all runners have a version, the link of the
 # origin can carry about four copies of it and the link of each machine about two.
@@ -46,6 +48,8 @@
 BEFORE_SHARE = 0.25
 AFTER_S = 3.0
 MAX_ROLLOUT_S = 55.0
+# The operator publishes again what the copy lacks.
+AWAY_S, REWRITE_S = 2.0, 1.0
 MIN_SECONDS, MAX_SECONDS = 8.0, 60.0
 POLL_S = 0.05
 EXIT_BROKEN, EXIT_USAGE, EXIT_INTERRUPTED = 1, 2, 130
@@ -116,12 +120,14 @@
             print_line(
                 f"ticket 2 is published: draft@{NEW_VERSION}, {MODEL_BYTES >> 20} MiB of weights"
             )
+            copied_at = time.monotonic()
             store_bytes = fleet.store.record()["total"]
             observer.publish(
                 2, fleet.model_ticket(2, version=NEW_VERSION, while_loading=OLD_VERSION)
             )
             ready_at = await self._wait_for_rollout(observer.published[2])
             store_bytes = fleet.store.record()["total"] - store_bytes
+            republished = await self._play_restore(observer, copied_at)
             remaining_s = started + self._seconds - time.monotonic()
             await asyncio.sleep(max(AFTER_S, remaining_s))
             callers.is_stopping = True
@@ -140,6 +146,7 @@
             runners=len(fleet.runners),
             origin_copies=store_bytes / MODEL_BYTES,
             lower_bound_s=self._lower_bound_s(),
+            republished=republished,
             seed=self._seed,
         )
 
@@ -167,6 +174,21 @@
             await asyncio.sleep(POLL_S)
         return ready
 
+    async def _play_restore(self, observer: Observer, copied_at: float) -> int:
+        """Bring the configuration service back from a copy; return the order of the last ticket."""
+        service = self._fleet.config_service
+        self._progress.print_line("the configuration service goes away for a moment")
+        await play_restore(
+            service,
+            Restore(away_s=AWAY_S, rewrite_s=REWRITE_S, seed=self._seed),
+            restore_copy=lambda: service.restore(copied_at),
+            write=lambda lost: observer.publish(lost.number, lost.text),
+        )
+        self._progress.print_line("it is back from a copy, and ticket 2 is published again")
+        republished = max(observer.published)
+        await self._fleet.wait_in_force(republished)
+        return republished
+
     def _lower_bound_s(self) -> float:
         """Return the minimum time in which any scheme can load the version on all engines."""
         slowest = min(STORE_BYTES_PER_S, REGION_BYTES_PER_S, HOST_BYTES_PER_S)
--- a/packages/wasabilb-standins/src/wasabilb_standins/demo_summary.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/demo_summary.py
@@ -25,6 +25,8 @@
         Minimum time that the links need to bring the version to all runners.
     origin_copies : float
         Bytes read from the store for ticket 2, in copies of the version.
+    republished : int
+        Order of ticket 2 as it was published again after a restore of the configuration service.
     """
 
     record: FleetRecord
@@ -33,6 +35,7 @@
     runners: int
     origin_copies: float
     lower_bound_s: float
+    republished: int
     seed: int
 
     @property
@@ -68,14 +71,14 @@
         )
         return not faults and self.is_complete
 
-    def in_force_s(self, number: int) -> tuple[float | None, int]:
+    def in_force_s(self, order: int) -> tuple[float | None, int]:
         """Return the seconds until the last process held a ticket, and the number of processes."""
         first_held_at: dict[str, float] = {}
         for sighting in sorted(self.record.sightings, key=lambda s: s.at):
-            if sighting.newest >= number:
+            if sighting.newest >= order:
                 first_held_at.setdefault(sighting.process, sighting.at)
         duration_s = (
-            max(first_held_at.values()) - self.record.published[number] if first_held_at else None
+            max(first_held_at.values()) - self.record.published[order] if first_held_at else None
         )
         return duration_s, len(first_held_at)
 
@@ -94,11 +97,13 @@
 
 
 def _rollout_lines(result: DemoResult) -> list[str]:
-    in_force, process_count = result.in_force_s(2)
-    time_text = (
-        f"{in_force:.2f} s on {process_count} processes" if in_force is not None else "never"
-    )
-    lines = [_row("ticket 2 in force after", time_text, f"at most {MAX_IN_FORCE_S:.0f} s")]
+    lines = [
+        _row(title, _in_force_text(result, order), f"at most {MAX_IN_FORCE_S:.0f} s")
+        for title, order in (
+            ("ticket 2 in force after", 2),
+            ("published again after a restore", result.republished),
+        )
+    ]
     if result.is_complete:
         all_s = max(result.ready_at.values())
         lines += [
@@ -116,6 +121,13 @@
     return [*lines, _row("read from the origin", copies, f"at most {MAX_ORIGIN_COPIES}")]
 
 
+def _in_force_text(result: DemoResult, order: int) -> str:
+    in_force, process_count = result.in_force_s(order)
+    if in_force is None:
+        return "never"
+    return f"{in_force:.2f} s on {process_count} processes"
+
+
 def _live_lines(result: DemoResult) -> list[str]:
     calls = result.record.calls
     refused = [rec for rec in calls if rec.verdict == "refused"]
