--- a/features/steps/scripted_runner.py
+++ b/features/steps/scripted_runner.py
@@ -12,6 +12,7 @@
 REFUSAL_HEADERS = b"Not-Run: 1\r\nRequest-Id: %s\r\n%sContent-Length: 0\r\n\r\n"
 REFUSALS = {
     "refuse as full": b"HTTP/1.1 503 Busy\r\n" + REFUSAL_HEADERS,
+    "refuse as too many": b"HTTP/1.1 429 Too Many Requests\r\n" + REFUSAL_HEADERS,
     "refuse as another runner": b"HTTP/1.1 421 Misdirected\r\n" + REFUSAL_HEADERS,
 }
 
@@ -43,6 +44,10 @@
 }
 
 
+# Behaviours that begin after a delay, seconds, and how they go on.
+LATE_ACTIONS = {"answer late": (1.6, "answer"), "refuse late": (0.4, "refuse as full")}
+# Time after its second event at which a runner breaks off, seconds.
+BREAK_DELAYS_S = {"reset 1.2 s after two events": 1.2}
 # What a runner sends before it closes the connection, without a whole head.
 NO_ANSWERS = {"wait without an answer": b"", "stop within the head": b"STARTContent-Le"}
 # Headers and bodies of successful answers that are no event streams.
@@ -54,6 +59,10 @@
 }
 
 
+# Pauses after the second event of a stream.
+STREAM_PAUSES_S = {"answer with a pause": 0.3, "answer after a silence": 1.6}
+
+
 class ChunkWriter:
     """Writer that sends each part as an HTTP chunk."""
 
@@ -124,6 +133,8 @@
         """Answer one request; return False to end the connection."""
         request_id = re.search(r"(?im)^request-id: (\S+)", head)[1]
         action, notes = self.notes(action, request_id)
+        delay_s, action = LATE_ACTIONS.get(action, (0.0, action))
+        await asyncio.sleep(delay_s)
         last_event = re.search(r"(?im)^last-event-id: (\d+)", head)
         events = EVENTS[int(last_event[1]) if last_event else 0 :]
         seal = b"" if action == "answer without a seal" else b"Seal: s\r\n"
@@ -173,6 +184,8 @@
             writer.write(start + b"\r\n" + BODY)
             await writer.drain()
             return False
+        if action == "answer late":
+            await asyncio.sleep(1.6)
         body = BODY + request_id.encode()
         answer_bytes = start + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
         previous = self.last_answers.get(writer)
@@ -254,15 +267,15 @@
             writer.write(b"".join(chunk(event) for event in events) + b"0\r\n\r\n")
             return True
         writer.write(b"".join(chunk(event) for event in events[:2]))
-        if action == "answer with a pause":
+        if action in STREAM_PAUSES_S:
             await writer.drain()
-            await asyncio.sleep(0.3)
+            await asyncio.sleep(STREAM_PAUSES_S[action])
             writer.write(b"".join(chunk(event) for event in events[2:]) + b"0\r\n\r\n")
             return True
         if action == "break off within an event":
             writer.write(chunk(events[2][:7]))
         await writer.drain()
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(BREAK_DELAYS_S.get(action, 0.02))
         if action == "send two events and fall silent":
             await reader.read(1)
             return False
--- a/packages/wasabilb-core/src/wasabilb_core/_ticket_checks.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_ticket_checks.py
@@ -16,6 +16,7 @@
     one_of,
     shown,
 )
+from wasabilb_core.ticket_order import MAX_NUMBER
 
 PathMessage = tuple[str, str]
 
@@ -25,7 +26,6 @@
 METHODS = ("POST", "PUT", "PATCH", "DELETE", "GET")
 ROLES = ("entry", "backend")
 STATES = ("joining", "live", "leaving", "gone")
-_MAX_NUMBER = 1 << 62
 
 
 def body_problems(body: Any) -> Iterator[PathMessage]:
@@ -36,8 +36,8 @@
 def raw_problems(data: dict[str, Any]) -> Iterator[PathMessage]:
     """Yield the mistakes in parsed TOML; values of a wrong type are skipped."""
     number = data.get("number")
-    if type(number) is int and not 0 < number < _MAX_NUMBER:
-        yield "number", f"expected a positive integer, got {shown(number)}"
+    if type(number) is int and not 0 < number <= MAX_NUMBER:
+        yield "number", f"expected 1 to {MAX_NUMBER}, got {shown(number)}"
     for section, rules in _RULES.items():
         items = data.get(section)
         items = items if isinstance(items, list) else []
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -73,18 +73,24 @@
     "certificate_refused": _spec("Changed certificate files cannot be used.", "detail"),
     "frame_refused": _spec("A malformed frame closed a link.", "peer detail"),
     # Tickets and the platform
-    "ticket_accepted": _spec("A ticket is in force on this host.", "ticket source"),
+    "ticket_accepted": _spec("A ticket is in force on this host.", "ticket source era"),
     "ticket_refused": _spec("A ticket is invalid or conflicts.", "ticket source detail"),
     "platform_up": _spec("A service of the platform answers again.", "service"),
     "platform_down": _spec("A service of the platform does not answer.", "service detail"),
     "entries_unusable": _spec(
         "Entries in an answer of a service of the platform cannot be used.", "service entries"
     ),
+    "platform_restored": _spec("A service of the platform came back from a copy.", "service era"),
     "reader_changed": _spec("The host starts or stops reading tickets.", "is_reader"),
     "host_changed": _spec("The state of a host changes in this process.", "host state reason"),
     "settings_reloaded": _spec("Changed settings are in force.", "seeds"),
     # Published state
     "published_from_peer": _spec("Published items arrived from a peer.", "peer revision items"),
+    "store_era_changed": _spec(
+        "The platform's store came back from a copy. Items of a higher version than the copy shows "
+        "are retained, items that it lacks are removed.",
+        "era revision era_before revision_before retained removed",
+    ),
     "published_unusable": _spec(
         "A published item cannot be used; `omitted` counts those before it that are not logged.",
         "name revision detail omitted",
@@ -144,16 +150,23 @@
     "connection_refused": _spec(
         "A caller's connection exceeded the limit and got 503.", "connections"
     ),
+    "request_dropped": _spec(
+        "A whole request was not passed on, as its connection had ended.", "reason"
+    ),
     "request_done": _spec(
         "The last byte of an answer was sent, or the answer ended early.",
         "request account kind model version service host status outcome error tokens "
         "first_byte_ms duration_ms is_whole attempts route runner events unsent catalog revision "
-        "load load_age_ms wait_ms held_ms prompt answer_max answer_hint",
+        "load load_age_ms wait_ms held_ms prompt answer_max answer_hint reason last_end left_ms",
     ),
     "attempt_ended": _spec(
         "An attempt at a runner ended without the answer that the caller receives.",
         "request runner end status duration_ms load load_age_ms events answer parts left_ms detail",
     ),
+    "stream_waiting": _spec(
+        "An answer that has begun waits until a runner can go on with it.",
+        "request cause detail last_end left_ms",
+    ),
     "request_refused": _spec(
         "A request was answered without being sent to a runner.",
         "request status error detail catalog revision",
--- a/packages/wasabilb-node/src/wasabilb_node/platform_reader.py
+++ b/packages/wasabilb-node/src/wasabilb_node/platform_reader.py
@@ -6,13 +6,15 @@
 
 from returns.result import Failure
 from wasabilb_core.fleet import FleetState
-from wasabilb_core.membership import Membership
+from wasabilb_core.ticket_order import ticket_era, ticket_number
 from wasabilb_core.ticket_spread import TicketSpread
-from wasabilb_wire.messages import HostList
+from wasabilb_core.tickets import ticket_digest
 
 from wasabilb_node.clock import now
+from wasabilb_node.host_list_exchange import HostListExchange
 from wasabilb_node.links import LinkManager
 from wasabilb_node.logs import EventLog
+from wasabilb_node.platform_answers import TicketIndex
 from wasabilb_node.platform_client import PlatformClient
 from wasabilb_node.ticket_exchange import TicketExchange
 
@@ -34,6 +36,8 @@
         Access to the platform.
     exchange : TicketExchange
         Accepts the tickets that were read.
+    host_lists : HostListExchange
+        Accepts the host lists that were read.
     watch_timeout_s : float
         Timeout of one watch, in seconds.
     seeds : collection of str
@@ -47,7 +51,7 @@
         exchange: TicketExchange,
         spread: TicketSpread,
         fleet: FleetState,
-        membership: Membership,
+        host_lists: HostListExchange,
         links: LinkManager,
         log: EventLog,
         watch_timeout_s: float,
@@ -57,7 +61,7 @@
         self._exchange = exchange
         self._spread = spread
         self._fleet = fleet
-        self._membership = membership
+        self._host_lists = host_lists
         self._links = links
         self._log = log
         self._watch_timeout_s = watch_timeout_s
@@ -65,6 +69,10 @@
         self._error_logged_at: dict[str, float] = {}
         self._rng = random.Random(links.identity.incarnation)
         self._was_reader = False
+        # Position of the next watch. After a failure the index is read instead, as the service may
+        # have come back from a copy that does not have the position.
+        self._position: TicketIndex | None = None
+        self._eras: dict[str, int] = {}
         self.is_synced = False
 
     async def run_tickets(self) -> None:
@@ -105,40 +113,59 @@
             self._log_recovery("host list")
             hosts = listed.unwrap()
             self._log_unusable("host list", hosts.unusable)
-            if self._membership.on_host_list(as_of=hosts.as_of, leaving=hosts.leaving):
-                message = HostList(as_of=hosts.as_of, leaving=list(hosts.leaving))
-                self._links.broadcast(message)
+            self._log_era("host list", hosts.era)
+            self._host_lists.on_read(hosts)
 
     async def _read_tickets_once(self) -> bool:
-        if self.is_synced:
-            index = await self._client.watch(
-                after=self._fleet.newest(), timeout_s=self._watch_timeout_s
-            )
+        position, self._position = self._position, None
+        if position is not None:
+            hold_s = self._spread.hold_s(now())
+            timeout_s = min(self._watch_timeout_s, hold_s or self._watch_timeout_s)
+            read = await self._client.watch(after=position, timeout_s=timeout_s)
         else:
-            index = await self._client.index()
-        if isinstance(index, Failure):
-            self._log_error("configuration service", index.failure().detail)
+            read = await self._client.index()
+        if isinstance(read, Failure):
+            self._log_error("configuration service", read.failure().detail)
             return False
         self._log_recovery("configuration service")
-        self._log_unusable("configuration service", index.unwrap().unusable)
+        index = read.unwrap()
+        self._log_unusable("configuration service", index.unusable)
+        self._log_era("configuration service", index.era)
+        is_complete = await self._read_tickets(index)
+        self._position = index if is_complete else None
+        self.is_synced = self.is_synced or is_complete
+        return is_complete
+
+    async def _read_tickets(self, index: TicketIndex) -> bool:
+        """Read the tickets of an index that this process lacks; return whether it has all."""
         is_complete = True
-        numbers = self._spread.numbers_to_read(index.unwrap().digests, self._rng)
-        conflicts = set(numbers) - set(self._spread.unknown_numbers(numbers))
-        for number in numbers:
+        orders = self._spread.orders_to_read(index.digests, self._rng, now())
+        conflicts = set(orders) - set(self._spread.unknown_orders(orders))
+        for order in orders:
             if not self._spread.is_reader(self._links.linked_hosts()):
                 # The first tickets named other hosts as readers; they send the rest.
                 return False
-            if self._spread.unknown_numbers([number]) == [] and number not in conflicts:
+            if self._spread.unknown_orders([order]) == [] and order not in conflicts:
                 continue
-            text = await self._client.ticket(number)
-            if isinstance(text, Failure):
-                self._log_error("configuration service", text.failure().detail)
+            read = await self._client.ticket(ticket_number(order))
+            if isinstance(read, Failure):
+                self._log_error("configuration service", read.failure().detail)
                 is_complete = False
                 continue
-            self._exchange.accept_ticket(text.unwrap(), source="service", sender=None)
-        self.is_synced = is_complete
+            text = read.unwrap()
+            if ticket_digest(text) != index.digests[order]:
+                # The service came back from a copy since it sent the index.
+                is_complete = False
+                continue
+            self._exchange.accept_ticket(text, source="service", sender=None, era=ticket_era(order))
         return is_complete
 
+    def _log_era(self, service: str, era: int) -> None:
+        known = self._eras.setdefault(service, era)
+        if era > known:
+            self._eras[service] = era
+            self._log.event("platform_restored", service=service, era=era)
+
     def _log_error(self, service: str, detail: str) -> None:
         # The service can be down for hours; one line per interval is enough.
         if self._is_line_due(service):
--- a/packages/wasabilb-node/src/wasabilb_node/published_view.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_view.py
@@ -5,7 +5,9 @@
 from wasabilb_core.catalog import Catalog, EngineSpec, WeightTarget
 from wasabilb_core.named_versions import NamedVersions
 from wasabilb_core.published import PublishedState, StateItem
-from wasabilb_core.runner_directory import Runner, RunnerDirectory
+from wasabilb_core.runner_directory import EXPIRY_GRACE_S, Runner, RunnerDirectory
+from wasabilb_core.runner_presence import PresenceState
+from wasabilb_core.state_position import StatePosition
 
 from wasabilb_node._unusable_items import UnusableItems
 from wasabilb_node.clock import now
@@ -55,8 +57,13 @@
 
     @property
     def revision(self) -> int:
-        """Return the revision up to which the published state is complete."""
-        return self._items.revision
+        """Return the revision up to which the published state is complete in its era."""
+        return self._items.position.revision
+
+    @property
+    def position(self) -> StatePosition:
+        """Return the position up to which the published state is complete."""
+        return self._items.position
 
     def engine(self, service: str) -> EngineSpec | None:
         """Return the engine parameters of a service, None for a plain or unknown service."""
@@ -85,7 +92,7 @@
         is_initial = self.catalog is None
         for item in items:
             runner_id = self._decoder.runner_id(item.name)
-            value = self._decode(item) if item.body is not None else None
+            value = self._decoder.decode(item) if item.body is not None else None
             if isinstance(value, Unusable):
                 self._on_unusable(item, value, runner_id)
             if isinstance(value, Catalog):
@@ -93,9 +100,9 @@
             elif isinstance(value, WeightTarget):
                 self._on_target(value, item.revision, is_old=is_initial)
             elif isinstance(value, Runner):
-                self._on_runner(value, item.revision)
+                self._on_runner(value, item.position)
             elif item.body is None and runner_id is not None:
-                self._on_removed(runner_id, item.revision)
+                self._on_removed(runner_id, item.position)
 
     def on_runner_announced(self, runner: Runner, request_id: str) -> None:
         """Handle the announcement in an answer that its runner is leaving."""
@@ -113,6 +120,10 @@
         else:
             self.directory.on_platform_down()
 
+    def on_era_began(self) -> None:
+        """Treat removed entries as expired ones, as the store may have come back a moment ago."""
+        self.directory.on_removal_distrust(EXPIRY_GRACE_S, now())
+
     def on_removal_distrust(self, seconds: float) -> None:
         """Record for how long a peer treats removed entries as possibly expired ones."""
         self.directory.on_removal_distrust(seconds, now())
@@ -126,16 +137,14 @@
         return self.directory.removal_distrust_s(now())
 
     def expire_runners(self) -> None:
-        """Remove the runners whose entries were not republished, once removals are trusted."""
+        """Remove the runners whose entries were not republished, once removals are trusted.
+
+        Runners whose copied entries last are used again.
+        """
         for runner_id in self.directory.remove_expired(now()):
             self._remove_runner(runner_id, "entry was not republished")
-
-    def _decode(self, item: StateItem) -> Catalog | Runner | WeightTarget | Unusable:
-        try:
-            return self._decoder.decode(item)
-        except Exception as exc:
-            # The other changes that arrived with this one must still be applied.
-            return Unusable(detail=f"the decoder failed: {type(exc).__name__}")
+        for runner_id in self.directory.confirm_lasting(now()):
+            self._log.event("runner_back", runner=runner_id, was=PresenceState.UNCONFIRMED.value)
 
     def _on_catalog(self, catalog: Catalog, revision: int) -> None:
         if self.catalog is not None and catalog.version <= self.catalog.version:
@@ -160,9 +169,9 @@
         for callback in self.on_weights_named:
             callback(target.model)
 
-    def _on_runner(self, runner: Runner, revision: int) -> None:
-        previous = self.directory.state(runner.id)
-        self.directory.on_listed(runner, revision)
+    def _on_runner(self, runner: Runner, position: StatePosition) -> None:
+        previous, revision = self.directory.state(runner.id), position.revision
+        self.directory.on_listed(runner, position, is_copied=self._items.is_copied(position))
         is_used = self.directory.state(runner.id).may_receive
         self._log.event(
             "runner_listed",
@@ -178,15 +187,15 @@
         elif previous.may_receive and not is_used:
             self._on_leaving(runner, revision=revision)
 
-    def _on_removed(self, runner_id: str, revision: int) -> None:
+    def _on_removed(self, runner_id: str, position: StatePosition) -> None:
         runner = self.directory.get(runner_id)
-        if self.directory.on_removed(runner_id, now(), revision) and runner is not None:
-            self._on_entry_gone(runner, f"revision {revision}")
+        if self.directory.on_removed(runner_id, now(), position) and runner is not None:
+            self._on_entry_gone(runner, f"revision {position.revision}")
 
     def _on_unusable(self, item: StateItem, value: Unusable, runner_id: str | None) -> None:
         self._unusable_items.on_unusable(item, value.detail)
         runner = self.directory.get(runner_id) if runner_id is not None else None
-        if runner is not None and self.directory.on_unusable(runner.id, item.revision):
+        if runner is not None and self.directory.on_unusable(runner.id, item.position):
             self._on_entry_gone(runner, f"unusable entry of revision {item.revision}")
 
     def _on_entry_gone(self, runner: Runner, reason: str) -> None:
--- a/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
+++ b/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
@@ -66,12 +66,18 @@
   number @0 :UInt64;
   text @1 :Text;
   hlc @2 :UInt64;
+  era @3 :UInt16;
 }
 
 struct HostList {
   asOf @0 :UInt64;
   leaving @1 :List(Text);
   gone @2 :List(Text);
+  era @3 :UInt16;
+  carried @4 :List(Text);
+  returned @5 :List(Text);
+  carriedEra @6 :UInt16;
+  carriedAsOf @7 :UInt64;
 }
 
 struct Report {
@@ -246,10 +252,12 @@
   entries @1 :List(EntryPlace);
   readsPlatform @2 :Bool;
   distrustMs @3 :UInt32;
+  era @4 :UInt64;
 }
 
 struct PublishedWant {
   after @0 :UInt64;
+  era @1 :UInt64;
 }
 
 struct PublishedItem {
@@ -258,6 +266,7 @@
   isRemoved @2 :Bool;
   body @3 :Data;
   isPacked @4 :Bool;
+  era @5 :UInt64;
 }
 
 struct Published {
@@ -265,6 +274,9 @@
   revision @1 :UInt64;
   items @2 :List(PublishedItem);
   distrustMs @3 :UInt32;
+  era @4 :UInt64;
+  afterEra @5 :UInt64;
+  isLast @6 :Bool;
 }
 
 struct RunnerReport {
