Answers to peers count names and numbers of entries, so that messages hold them

What happened: the answer to a peer that asks for all published state is split by the size of contents alone. With 20,000 removed entries (which have none), or 12,000 with names of 200 bytes, a frame is larger than the limit of 2 MiB or its list longer than the 16,384 items that a receiver takes: the link closes, at each request anew, so that a starting process never gets the state from its peers. Each start of a runner leaves a removed entry behind, another writer may leave any number.

Change: the size of a batch includes names and 64 bytes an item, which also bounds the items of a full one below 16,384.

Test: features/odd_entries.feature, "Any number of entries fits the messages to a peer": 3 scenarios raise before the change and pass after it.

Not changed: removed entries are kept for the life of a process, some 200 bytes each.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -457,3 +457,15 @@
     # Guards against a process that looks alive and never reads a ticket again.
     When an unexpected error ends a round of reading tickets and one of reading the host list
     Then both are read again, and each error is one log line
+
+  Scenario Outline: Any number of entries fits the messages to a peer
+    # Guards against an answer to a peer that no message can carry, which closes the link each time.
+    Given a process that knows <count> <kind> entries with names of <bytes> bytes
+    When a peer asks for all of them
+    Then every message arrives, and together they hold all entries
+
+    Examples:
+      | count | kind    | bytes |
+      | 20000 | removed | 20    |
+      | 16384 | removed | 200   |
+      | 12000 | short   | 200   |
--- a/packages/wasabilb-node/src/wasabilb_node/published_batches.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_batches.py
@@ -8,6 +8,9 @@
 
 # An answer is split into messages of at most this size; a frame is limited to 2 MiB.
 MAX_BATCH_BYTES = 1 << 20
+# Bytes of an item beside its name and body. A message of the maximum size then has fewer items than
+# the receiver's limit of 16,384.
+ITEM_BYTES = 64
 
 
 def to_batches(
@@ -46,12 +49,13 @@
 
     for item in sorted(state.changes_after(after), key=lambda item: item.position):
         packed = packer.pack(item)
-        if batch and size + len(packed.body) > MAX_BATCH_BYTES:
+        item_bytes = len(packed.name.encode()) + len(packed.body) + ITEM_BYTES
+        if batch and size + item_bytes > MAX_BATCH_BYTES:
             add_message(end, is_last=False)
             begin, batch, size = max(begin, end), [], 0
         # Retained items of earlier eras come first.
         end = max(item.position, era_start)
         batch.append(packed)
-        size += len(packed.body)
+        size += item_bytes
     add_message(state.position, is_last=True)
     return messages
