The size that a caller names for its prompt occupies a runner for 10 s at most

Cause: the time to process the prompt, which grows with the square of the tokens, is added as it is, although a runner stops work at the time limit of its caller or refuses a prompt larger than its memory at once.

Change: RunnerStats adds at most MAX_PROMPT_S (10 s) for one request.

Not changed: a request whose prompt alone takes longer than its caller waits is still sent; to refuse it at once is a decision of the placer.

Test: features/odd_entries.feature, "A caller names an absurd size of its prompt"; after 30 s the backlog was 766 s and 7 * 10^14 s, and is 0 now.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -469,3 +469,15 @@
       | 20000 | removed | 20    |
       | 16384 | removed | 200   |
       | 12000 | short   | 200   |
+
+  Scenario Outline: A caller names an absurd size of its prompt
+    # Guards against one header of one caller that takes a runner out of use at all entry processes for
+    # minutes or years.
+    Given an entry process and a peer that hears of its sends, with one model runner
+    When a request with a prompt of <tokens> tokens is sent to the runner
+    Then both use the runner again <seconds> s later
+
+    Examples:
+      | tokens        | seconds |
+      | 1000000       | 30      |
+      | 1000000000000 | 30      |
--- a/packages/wasabilb-core/src/wasabilb_core/runner_stats.py
+++ b/packages/wasabilb-core/src/wasabilb_core/runner_stats.py
@@ -20,6 +20,9 @@
 PACE_SMOOTHING_S = 1.0
 # Age at which a load report is no longer used, seconds.
 REPORT_MAX_AGE_S = 2.0
+# Longest time that one prompt is taken to occupy a runner, seconds. A runner stops work at the time
+# limit of its caller, who waits some seconds; the size of a prompt is only what its caller says.
+MAX_PROMPT_S = 10.0
 # Maximum number of sends not covered by a report; without reports only the newest ones count.
 MAX_UNREPORTED = 64
 # Mean time of a plain request; only the order of runners depends on it, seconds.
@@ -118,7 +121,7 @@
         """Count a request that another entry process has sent."""
         state = self._state_of(runner)
         state.sent.append(now)
-        state.prefill_backlog_s = state.prefill_left_s(now) + prefill_s
+        state.prefill_backlog_s = state.prefill_left_s(now) + min(MAX_PROMPT_S, prefill_s)
         state.prefill_updated_at = now
 
     def on_ended(self, runner: Runner) -> None:
