--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -22,13 +22,16 @@
 from wasabilb_agent.server_sent_events import EventStreamDecoder
 from wasabilb_core.account_keys import hash_key
 from wasabilb_core.hlc import parse_timestamp
+from wasabilb_core.json_fields import InvalidFieldError, JsonObject, parse_json
 from wasabilb_core.manifest import parse_manifest
 from wasabilb_core.once import parse_key
+from wasabilb_core.published_bounds import DURATION_MS, SLOTS
 from wasabilb_core.settings import AgentSettings, EntrySettings, parse_settings
 from wasabilb_core.status import parse_status
 from wasabilb_core.tickets import parse_ticket
 from wasabilb_core.timeline import parse_event
 from wasabilb_entry.prompts import parse_prompt
+from wasabilb_node.platform_answers import to_hosts, to_index
 from wasabilb_wire.codec import LENGTH_PREFIX, FrameBuffer, encode
 from wasabilb_wire.messages import Call, Header, Ping, Report, StreamData, TicketPush
 
@@ -36,6 +39,7 @@
 MAX_GROWTH_BYTES = 256 << 20
 WORKERS = 4
 SHRINK_TRIES = 400
+MAX_REASON_CHARS = 300
 INTERESTING = [
     b"\x00",
     b"\xff",
@@ -115,6 +119,21 @@
         return
 
 
+def parse_fields(data: bytes) -> None:
+    """Read fields of a JSON object, whose values are refused by an error of their own."""
+    try:
+        fields = JsonObject(parse_json(data, max_bytes=1 << 20))
+        fields.text("name")
+        fields.address("address")
+        fields.whole("slots", SLOTS)
+        fields.number("timeout", DURATION_MS)
+        fields.texts("keys")
+        list(fields.objects("parts"))
+    except InvalidFieldError as exc:
+        if len(str(exc)) > MAX_REASON_CHARS:
+            raise TypeError("the reason is too long") from exc
+
+
 def ticket_example() -> bytes:
     """Return a valid ticket that uses every section."""
     body = {
@@ -203,7 +222,16 @@
 STATUS = b'{"host":"e1","hosts":[{"name":"r1","variants":["draft@v1"]}],"links":[{"peer":"e2"}]}'
 KEY = b"wl1.bookings.b1.1f.1796355042255.0123456789abcdef0123456789abcdef"
 
+FIELDS = b'{"name":"a","address":"10.0.0.1:80","slots":4,"timeout":1.5,"keys":["a"],"parts":[{}]}'
+HOSTS = (
+    b'{"era":1,"as_of":3,"hosts":[{"name":"h","state":"live","era":1},{"name":"g","state":"gone"}]}'
+)
+INDEX = b'{"era":1,"tickets":[{"number":4,"era":1,"digest":"00000000000000ff"}]}'
+
 INPUT_KINDS: dict[str, InputKind] = {
+    "json fields": InputKind(examples=(FIELDS,), parse=parse_fields),
+    "host list": InputKind(examples=(HOSTS,), parse=bytes_parser(to_hosts)),
+    "ticket index": InputKind(examples=(INDEX,), parse=bytes_parser(to_index)),
     "frame": InputKind(examples=frame_examples(), parse=parse_stream),
     "ticket": InputKind(examples=(ticket_example(),), parse=text_parser(parse_ticket)),
     "entry settings": InputKind(
