--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -481,3 +481,21 @@
       | tokens        | seconds |
       | 1000000       | 30      |
       | 1000000000000 | 30      |
+
+  Scenario Outline: A changed settings file with odd content
+    # Guards against an error at each heartbeat because of a file that is half-written or wrong.
+    When the settings file of the platform's process changes to <content>
+    Then the settings in force stay, and the heartbeat goes on
+
+    Examples:
+      | content                |
+      | a list                 |
+      | half of the text       |
+      | a text as the ports    |
+      | no ports               |
+      | the port 1e999         |
+      | the rate null          |
+      | a list as the listener |
+      | a number as a seed     |
+      | bytes that are no text |
+      | nesting of 100,000 levels |
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 from hypothesis import given as property_given
 from hypothesis import strategies as st
-from platform_examples import CATALOG, DECODER, RUNNER, SALT, ScriptedStore, entry, item
+from platform_examples import CATALOG, DECODER, RUNNER, SALT, SETTINGS, ScriptedStore, entry, item
 from returns.result import Failure
 from tornado.httputil import HTTPHeaders
 from wasabilb_core.catalog import Catalog, RequestKind, WeightTarget, key_digest
@@ -23,27 +23,6 @@
 from wasabilb_platform.settings import to_settings
 from wasabilb_platform.store import store_source
 
-SETTINGS = {
-    "nodeName": "front-a-1",
-    "ip": "10.1.0.40",
-    "zone": "a",
-    "region": "r",
-    "zones": {"a": "r"},
-    "listen": {"front": "10.1.0.40:8005", "ready": "10.1.0.40:8002"},
-    "internalPorts": [7700, 7715],
-    "seeds": ["10.1.0.40:8000", "10.2.0.37:8000"],
-    "limits": {"linkMbps": 4.7},
-    "bounds": {
-        "graceS": 8,
-        "retryBudgetRatio": 0.2,
-        "budgetSlack": 102,
-        "budgetWindowS": 10,
-        "version_ms": 8000,
-    },
-    "platformStore": {"address": "10.200.1.7:8007"},
-    "aFieldOfTomorrow": 1,
-}
-
 
 @when("the example of a catalog is decoded")
 def decode_catalog(context):
--- a/features/steps/platform_examples.py
+++ b/features/steps/platform_examples.py
@@ -90,6 +90,27 @@
     "tenants": [{"name": "acme", "apiKeys": ["key-one", "key-two"], "priority": 0}],
 }
 
+SETTINGS = {
+    "nodeName": "front-a-1",
+    "ip": "10.1.0.40",
+    "zone": "a",
+    "region": "r",
+    "zones": {"a": "r"},
+    "listen": {"front": "10.1.0.40:8005", "ready": "10.1.0.40:8002"},
+    "internalPorts": [7700, 7715],
+    "seeds": ["10.1.0.40:8000", "10.2.0.37:8000"],
+    "limits": {"linkMbps": 4.7},
+    "bounds": {
+        "graceS": 8,
+        "retryBudgetRatio": 0.2,
+        "budgetSlack": 102,
+        "budgetWindowS": 10,
+        "version_ms": 8000,
+    },
+    "platformStore": {"address": "10.200.1.7:8007"},
+    "aFieldOfTomorrow": 1,
+}
+
 
 def item(name, value):
     body = value if isinstance(value, bytes) else json.dumps(value).encode()
--- a/tools/check_platform.py
+++ b/tools/check_platform.py
@@ -17,6 +17,7 @@
     "features/steps/platform_examples.py",
     "features/steps/platform_report_steps.py",
     "features/steps/platform_runner_entries_steps.py",
+    "features/steps/platform_settings_steps.py",
     "tools/check_platform.py",
 )
 
