A stream withdrawn before its first byte goes on after a refusal, also at a runner that refused it before

Cause: a stream that may have run cannot get a true 503, yet it was placed like one that can: tried runners are excluded for good, and one moment without a usable runner ends it. Requests that certainly have not run keep their true 503, plain requests their 502 at once, as their callers repeat them.

--- a/features/continued_streams.feature
+++ b/features/continued_streams.feature
@@ -98,3 +98,39 @@
     Given runners that in turn send two events and fall silent, then wait without an answer
     When a caller leaves while its stream is handed over
     Then no connection to a runner with its request is open 0.2 s later
+
+  Scenario Outline: A stream that waits at a runner whose version goes out of date
+    # Guards against a withdrawn request that ends as unknown because the next runner refused it.
+    Given runners that in turn wait without an answer, <next>
+    When the version of the first runner goes out of date while a stream waits there
+    Then the caller gets <answer>
+
+    Examples:
+      | next                                | answer                      |
+      | then answer                         | all events once             |
+      | refuse as full, then answer         | all events once             |
+      | refuse as another runner, then answer | all events once           |
+      | refuse as full, then refuse as full | status 502, outcome unknown |
+
+  Scenario Outline: A stream that may not be resumed
+    # Guards against a second run of a stream that may run once, and against a false "not run".
+    Given runners that in turn <behaviours>
+    When a caller sends a request on the fixed stream route
+    Then the caller gets <answer>
+    And the runners received <runs> requests that may have run
+
+    Examples:
+      | behaviours                          | answer                      | runs |
+      | reset after two events, then answer | a broken stream             | 1    |
+      | reset without an answer, then answer | status 502, outcome unknown | 1   |
+      | refuse as full, then answer         | all events once             | 1    |
+      | refuse as full, then refuse as full | status 503, outcome not-run | 0    |
+      | refuse as another runner, refuse as too many, then answer | status 503, outcome not-run | 0 |
+
+  Scenario: A stream that may not be resumed stays at a runner that loads
+    # Guards against a move that ends a stream which nobody may go on with.
+    Given runners that in turn answer slowly, then answer
+    When the first runner begins an order while a stream of the fixed stream route is under way there
+    Then the caller gets all events once
+    And the runners received 1 requests that may have run
+    And the runners received at most 1 requests
--- a/features/steps/direct_forwarding_steps.py
+++ b/features/steps/direct_forwarding_steps.py
@@ -252,9 +252,9 @@
 
 
 @when("the first runner begins an order while a stream is under way there{but}")
-def step_order_begins(context, but):
+def step_order_begins(context, but, kind="stream"):
     async def load(harness):
-        asking = asyncio.ensure_future(fetch(harness, raw_request(PATHS["stream"])))
+        asking = asyncio.ensure_future(fetch(harness, raw_request(PATHS[kind])))
         await asyncio.sleep(0.3)
         fleet = harness.fleet
         first = next(n for n, scripted in enumerate(harness.runners) if scripted.requests)
@@ -281,6 +281,13 @@
 )
 
 
+@when(
+    "the first runner begins an order while a stream of the fixed stream route is under way there"
+)
+def step_order_fixed(context):
+    step_order_begins(context, "", kind="fixed stream")
+
+
 @then("the first runner sees the end of the connection within {seconds:g} s of the order")
 def step_sees_end_of_order(context, seconds):
     assert context.first.closed_at - context.ordered_at <= seconds, (
--- a/features/steps/forwarding_harness.py
+++ b/features/steps/forwarding_harness.py
@@ -41,7 +41,12 @@
 SALT = b"salt" * 8
 KEY = "k" * 20
 LIMITS = FleetLimits(retry_ratio=0.2, retry_slack=100, retry_window_s=10.0, version_s=8.0)
-PATHS = {"idempotent": "/safe/x", "at-most-once": "/once/x", "stream": "/stream/x"}
+PATHS = {
+    "idempotent": "/safe/x",
+    "at-most-once": "/once/x",
+    "stream": "/stream/x",
+    "fixed stream": "/stream/fixed/x",
+}
 
 
 class RecordingLog(EventLog):
@@ -116,6 +121,7 @@
             route("safe", RequestKind.IDEMPOTENT, max_attempts=2),
             route("once", RequestKind.NON_IDEMPOTENT, max_attempts=2),
             route("stream", RequestKind.STREAM, max_attempts=2, is_resumable=True),
+            route("stream/fixed", RequestKind.STREAM, max_attempts=2),
         ),
         services={"s": Service(name="s")},
         accounts=(account,),
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -149,7 +149,7 @@
         "request runner end status duration_ms load load_age_ms events answer parts left_ms detail",
     ),
     "stream_waiting": _spec(
-        "An answer that has begun waits until a runner can go on with it.",
+        "A stream that may have run waits until a runner can go on with it.",
         "request cause detail last_end left_ms",
     ),
     "request_refused": _spec(
--- a/packages/wasabilb-entry/src/wasabilb_entry/placer.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/placer.py
@@ -50,9 +50,9 @@
     is_first : bool
         Whether it has not been sent to any runner yet.
     tried : frozenset of str
-        Runners to exclude; used again for a begun answer if there is no other one.
-    has_begun : bool
-        Whether the caller has received a part of the answer.
+        Runners to exclude.
+    may_return : bool
+        Whether these may be used again if there is no other one.
     """
 
     service: str
@@ -63,7 +63,7 @@
     is_resubmitted: bool
     is_first: bool
     tried: frozenset[str]
-    has_begun: bool = False
+    may_return: bool = False
 
 
 @frozen(kw_only=True)
@@ -112,7 +112,7 @@
                 if not is_sent and not req.is_caller_gone:
                     return self._overloaded(needs.service, len(views), "no slot became free")
                 chosen = self.fleet.choose(request, views)
-        if chosen is None and needs.has_begun and needs.tried:
+        if chosen is None and needs.may_return and needs.tried:
             # A runner that refused it or loaded a version may accept it by now.
             return await self.place(evolve(needs, tried=frozenset()), req)
         placement = self.fleet.placement(needs.service, chosen) if chosen is not None else None
--- a/packages/wasabilb-entry/src/wasabilb_entry/resender.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/resender.py
@@ -11,7 +11,9 @@
     resume_pause_s,
     stop_reason,
 )
+from wasabilb_core.catalog import RequestKind
 from wasabilb_core.errors import Error, ErrorKind
+from wasabilb_core.overload import HOLD_S
 from wasabilb_node.clock import now
 from wasabilb_node.logs import EventLog
 
@@ -33,8 +35,9 @@
 class Resender:
     """Finds the next runner for a request.
 
-    A request whose answer has not begun is refused when it cannot be sent. An answer that has begun
-    can only be cut off, so it waits until a runner can go on with it or its time is up.
+    A request that has certainly not run is refused when it cannot be sent. An answer that has begun
+    can only be cut off, so it waits until a runner can go on with it or its time is up. A stream
+    that may have run cannot be refused either, and waits as long as held requests do.
 
     Parameters
     ----------
@@ -82,14 +85,16 @@
         """Return where to send a request, or the error if it cannot be sent."""
         started_at = now()
         try:
-            if not ctx.relay.has_begun_answer:
-                return await self._place(ctx)
-            return await self._place_begun(ctx)
+            if ctx.relay.has_begun_answer:
+                return await self._place_or_wait(ctx, ctx.deadline)
+            if ctx.history.may_have_run and ctx.route.kind is RequestKind.STREAM:
+                return await self._place_or_wait(ctx, min(ctx.deadline, started_at + HOLD_S))
+            return await self._place(ctx)
         finally:
             ctx.held_s += now() - started_at
 
-    async def _place_begun(self, ctx: RequestContext) -> Placement | Error:
-        """Wait until a begun answer can go on; the error tells why it could not."""
+    async def _place_or_wait(self, ctx: RequestContext, until: float) -> Placement | Error:
+        """Wait until a request can go on, at most until a time; the error tells why it cannot."""
         await self._sleep(ctx, resume_pause_s(ctx.history, spread=self.rng.random()))
         while True:
             placement = await self._place(ctx)
@@ -101,7 +106,7 @@
             if not ctx.waiting_for:
                 self._log_waiting(ctx, placement)
             ctx.waiting_for = _cause(placement)
-            is_over = ctx.req.is_caller_gone or ctx.left_s < MIN_ATTEMPT_S
+            is_over = ctx.req.is_caller_gone or until - now() < MIN_ATTEMPT_S
             if is_over or placement.kind is ErrorKind.PROMPT_BLOCKED:
                 return placement
             await self._sleep(ctx, WAIT_CHECK_S)
@@ -115,6 +120,7 @@
     def _needs(self, ctx: RequestContext) -> PlacementNeeds:
         route, timeout_s = ctx.route, ctx.metadata.timeout_s
         has_begun = ctx.relay.has_begun_answer
+        may_have_run = ctx.history.may_have_run
         return PlacementNeeds(
             service=ctx.service,
             prompt_tokens=ctx.metadata.prompt_tokens,
@@ -125,7 +131,7 @@
             and timeout_s < route.timeout_s - RESUBMITTED_MARGIN_S,
             is_first=ctx.history.sent == 0 and not has_begun,
             tried=frozenset(ctx.tried),
-            has_begun=has_begun,
+            may_return=has_begun or may_have_run,
         )
 
     def _is_paid(self, ctx: RequestContext) -> bool:
