A stop assumes twice the expected length of a stream, not the longest one

Cause: callers name a maximum of 260 tokens for answers of 100; the time for it in a full batch is 5 s.

Change: for requests that may be repeated, the assumed length is twice what the caller expects, as for the choice of a runner, at most the named maximum. What may not be repeated must have time for the maximum.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -88,3 +88,18 @@
     When a stream, a lookup and a booking are in progress as it is stopped and another booking comes
     Then the stream ends with an error event, and the other two with status 502, outcome unknown
     And the other booking gets status 503, outcome not-run, and its connection ends
+
+  Scenario Outline: The length of an answer that a stop assumes
+    # Guards against refusals of streams that would have ended, as their callers name a limit far
+    # above what they expect.
+    When a request that <may be> repeated names at most <most> tokens and expects <expected>
+    Then a stop assumes that its answer has <assumed> tokens
+
+    Examples:
+      | may be     | most | expected | assumed |
+      | may be     | 260  | 60       | 120     |
+      | may be     | 260  | 200      | 260     |
+      | may be     | 260  | none     | 260     |
+      | may be     | 0    | 60       | 120     |
+      | may not be | 260  | 60       | 260     |
+      | may not be | 0    | none     | 0       |
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -13,7 +13,7 @@
 from behave import given, then, when
 from direct_forwarding_steps import fetch, read_answer, run_in_harness
 from forwarding_harness import PATHS, raw_request
-from wasabilb_core.drain_schedule import DrainSchedule
+from wasabilb_core.drain_schedule import DrainSchedule, assumed_answer_tokens
 from wasabilb_entry import drain as drain_module
 from wasabilb_entry.drain import Drain
 from wasabilb_entry.held_request_dispatcher import HeldRequestDispatcher
@@ -277,3 +277,17 @@
     answer = context.answers[-1]
     assert answer.startswith("HTTP/1.1 503 ") and "Wasabilb-Outcome: not-run" in answer, answer
     assert "Connection: close" in answer and "Retry-After: 1" in answer, answer
+
+
+@when("a request that {may_be} repeated names at most {most:d} tokens and expects {expected}")
+def step_tokens(context, may_be, most, expected):
+    context.result = assumed_answer_tokens(
+        max_tokens=most,
+        hinted_tokens=None if expected == "none" else float(expected),
+        is_repeatable=may_be == "may be",
+    )
+
+
+@then("a stop assumes that its answer has {tokens:g} tokens")
+def step_assumed(context, tokens):
+    assert context.result == tokens, context.result
--- a/packages/wasabilb-core/src/wasabilb_core/drain_schedule.py
+++ b/packages/wasabilb-core/src/wasabilb_core/drain_schedule.py
@@ -5,6 +5,8 @@
 
 from attrs import define, field, frozen
 
+from wasabilb_core._batch_backlog import ANSWER_LENGTH_FACTOR
+
 # Share of the grace period that may pass before the process stops accepting connections, for grace
 # periods that are short beside the balancer's interval.
 MAX_REMOVAL_SHARE = 0.5
@@ -21,6 +23,20 @@
 MAX_RUN_TIMES = 64
 
 
+def assumed_answer_tokens(
+    *, max_tokens: int, hinted_tokens: float | None, is_repeatable: bool
+) -> float:
+    """Return the tokens for which a request that comes during a stop must have time, 0 if unknown.
+
+    Few answers are longer than twice what their callers expect; such a stream goes on elsewhere if
+    it may be repeated. What may not be repeated must have time for the longest answer.
+    """
+    if hinted_tokens is None or not is_repeatable:
+        return max_tokens
+    hinted = ANSWER_LENGTH_FACTOR * hinted_tokens
+    return min(max_tokens, hinted) if max_tokens else hinted
+
+
 @frozen(kw_only=True)
 class DrainSchedule:
     """Times of the planned stop of one process.
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -12,7 +12,7 @@
     final_error,
 )
 from wasabilb_core.catalog import Catalog, ClientAccount, RequestKind, key_digest
-from wasabilb_core.drain_schedule import DrainSchedule, RunTimes
+from wasabilb_core.drain_schedule import DrainSchedule, RunTimes, assumed_answer_tokens
 from wasabilb_core.errors import Error, ErrorKind, Outcome
 from wasabilb_core.forwarding_metadata import RequestMetadata
 from wasabilb_core.retry_after import RETRY_SPREAD, spread_retry_s
@@ -183,7 +183,12 @@
     def _drain_refusal(self, ctx: RequestContext, drain: DrainSchedule) -> Error | None:
         """Bound a request that arrives during a drain, or return the error that refuses it."""
         moment, metadata = now(), ctx.metadata
-        run_s = self._placer.run_s(ctx.service, metadata.prompt_tokens, metadata.max_answer_tokens)
+        answer_tokens = assumed_answer_tokens(
+            max_tokens=metadata.max_answer_tokens,
+            hinted_tokens=metadata.hinted_answer_tokens,
+            is_repeatable=ctx.route.is_repeatable,
+        )
+        run_s = self._placer.run_s(ctx.service, metadata.prompt_tokens, answer_tokens)
         if run_s is None:
             run_s = self._run_times.longest_s((ctx.service, ctx.route.kind))
         if drain.admits(now=moment, deadline=ctx.deadline, run_s=run_s):
--- a/packages/wasabilb-entry/src/wasabilb_entry/placer.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/placer.py
@@ -138,8 +138,8 @@
         for dispatcher in self._dispatchers.values():
             dispatcher.refuse_all()
 
-    def run_s(self, service: str, prompt_tokens: int, answer_tokens: int) -> float | None:
-        """Return the predicted time of an answer of at most some tokens, None if unknown."""
+    def run_s(self, service: str, prompt_tokens: int, answer_tokens: float) -> float | None:
+        """Return the predicted time of an answer of some tokens, None if unknown."""
         engine = self.fleet.engine(service)
         if engine is None or not answer_tokens:
             return None
