--- a/packages/wasabilb-node/src/wasabilb_node/host_list_exchange.py
+++ b/packages/wasabilb-node/src/wasabilb_node/host_list_exchange.py
@@ -5,7 +5,7 @@
 from wasabilb_wire.messages import HostList
 
 from wasabilb_node.links import LinkManager, Peer
-from wasabilb_node.platform_client import ListedHosts
+from wasabilb_node.platform_answers import ListedHosts
 
 
 class HostListExchange:
--- a/packages/wasabilb-node/src/wasabilb_node/platform_reader.py
+++ b/packages/wasabilb-node/src/wasabilb_node/platform_reader.py
@@ -14,7 +14,8 @@
 from wasabilb_node.host_list_exchange import HostListExchange
 from wasabilb_node.links import LinkManager
 from wasabilb_node.logs import EventLog
-from wasabilb_node.platform_client import PlatformClient, TicketIndex
+from wasabilb_node.platform_answers import TicketIndex
+from wasabilb_node.platform_client import PlatformClient
 from wasabilb_node.ticket_exchange import TicketExchange
 
 ROLE_CHECK_S = 0.5
@@ -111,6 +112,7 @@
                 continue
             self._log_recovery("host list")
             hosts = listed.unwrap()
+            self._log_unusable("host list", hosts.unusable)
             self._log_era("host list", hosts.era)
             self._host_lists.on_read(hosts)
 
@@ -127,6 +129,7 @@
             return False
         self._log_recovery("configuration service")
         index = read.unwrap()
+        self._log_unusable("configuration service", index.unusable)
         self._log_era("configuration service", index.era)
         is_complete = await self._read_tickets(index)
         self._position = index if is_complete else None
@@ -165,13 +168,21 @@
 
     def _log_error(self, service: str, detail: str) -> None:
         # The service can be down for hours; one line per interval is enough.
-        if (
-            now() - self._error_logged_at.get(service, -ERROR_LOG_INTERVAL_S)
-            >= ERROR_LOG_INTERVAL_S
-        ):
-            self._error_logged_at[service] = now()
+        if self._is_line_due(service):
             self._log.event("platform_down", service=service, detail=detail)
 
+    def _log_unusable(self, service: str, entries: int) -> None:
+        # They remain in each answer.
+        if entries and self._is_line_due(f"{service} entries"):
+            self._log.event("entries_unusable", service=service, entries=entries)
+
+    def _is_line_due(self, name: str) -> bool:
+        moment = now()
+        is_due = moment - self._error_logged_at.get(name, float("-inf")) >= ERROR_LOG_INTERVAL_S
+        if is_due:
+            self._error_logged_at[name] = moment
+        return is_due
+
     def _log_recovery(self, service: str) -> None:
         if self._error_logged_at.pop(service, None) is not None:
             self._log.event("platform_up", service=service)
