The soak has a host list, by which runners leave and which comes back from a copy

LocalFleet had no host list, so that neither the soak nor a scenario with real processes read one. Only a fault of the list excuses late work on a runner that leaves by it (features/soak.feature).

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -49,6 +49,9 @@
       | a second execution while all hosts are paused            | 4        |
       | late work on a leaving runner that is paused             | 5        |
       | late work on a runner that leaves by ticket              | 5        |
+      | late work on a runner that leaves by the host list       | 5        |
+      | the same while the host list comes back from a copy      | nothing  |
+      | the same while the configuration service does            | 5        |
       | late work on a runner that has returned                  | nothing  |
       | a cut while its entry host shuts down                    | 6        |
       | a refused connection while its entry host shuts down     | nothing  |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -70,6 +70,7 @@
 
 LEAVES = {"leaving": [LeavingPeriod(host="runner-1", begin=9.0, cause="signal")]}
 BY_TICKET = {"leaving": [LeavingPeriod(host="runner-1", begin=9.0, cause="ticket")]}
+BY_LIST = {"leaving": [LeavingPeriod(host="runner-1", begin=9.0, cause="host list")]}
 RETURNED = {"leaving": [LeavingPeriod(host="runner-1", begin=9.0, end=13.0, cause="ticket")]}
 WORKED = {"engine_runs": (ENGINE_RUN,)}
 TWICE = {"executions": (RUN, evolve(RUN, at=11.5))}
@@ -97,6 +98,13 @@
         ("pause", "runner-1"), record=WORKED, **LEAVES
     ),
     "late work on a runner that leaves by ticket": changed(record=WORKED, **BY_TICKET),
+    "late work on a runner that leaves by the host list": changed(record=WORKED, **BY_LIST),
+    "the same while the host list comes back from a copy": changed(
+        ("host-list-restored", ""), record=WORKED, **BY_LIST
+    ),
+    "the same while the configuration service does": changed(
+        ("config-restored", ""), record=WORKED, **BY_LIST
+    ),
     "late work on a runner that has returned": changed(record=WORKED, **RETURNED),
     "a cut while its entry host shuts down": changed(
         ("terminate", "entry-1"), call=CUT, shutdowns=[SHUTDOWN]
--- a/packages/wasabilb-standins/src/wasabilb_standins/fleet.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/fleet.py
@@ -24,6 +24,7 @@
 
 from wasabilb_standins.config_service import ConfigService
 from wasabilb_standins.engine import Engine
+from wasabilb_standins.host_list import HostList
 from wasabilb_standins.link import Link
 from wasabilb_standins.service import Service
 from wasabilb_standins.store import Store
@@ -145,6 +146,7 @@
         self.shape = shape
         self.folder = folder
         self.config_service = ConfigService()
+        self.host_list = HostList()
         self.store = Store(**shape.store)
         self.link = Link()
         self.hosts: dict[str, LocalHost] = {}
@@ -170,6 +172,7 @@
         """Start the stand-ins and all processes of the system."""
         self.folder.mkdir(parents=True, exist_ok=True)
         await self.config_service.start()
+        await self.host_list.start()
         await self.store.start()
         await self._start_relays()
         for host in self.hosts.values():
@@ -194,6 +197,7 @@
                 await host.service.stop()
         await self.link.stop()
         await self.store.stop()
+        await self.host_list.stop()
         await self.config_service.stop()
         self._http.close()
 
@@ -391,6 +395,7 @@
             ][:3],
             "platform": {
                 "config_service": self.config_service.url,
+                "host_list": self.host_list.url,
                 "store": self._store_url(host),
                 "store_region": self.shape.regions[0],
             },
--- a/packages/wasabilb-standins/src/wasabilb_standins/local.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/local.py
@@ -39,7 +39,12 @@
 
 def to_env(fleet: LocalFleet) -> str:
     """Return the addresses as shell assignments, one per line."""
-    platform = {"config": fleet.config_service, "store": fleet.store, "link": fleet.link}
+    platform = {
+        "config": fleet.config_service,
+        "hosts": fleet.host_list,
+        "store": fleet.store,
+        "link": fleet.link,
+    }
     names = {f"{name}_url": standin.url for name, standin in platform.items()}
     names["account_key"] = next(iter(fleet.account_keys.values()))
     names["folder"] = str(fleet.folder)
--- a/packages/wasabilb-standins/src/wasabilb_standins/soak/_changes.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_changes.py
@@ -54,6 +54,25 @@
         testbed.publish_tables(hosts=[host.to_spec()])
 
 
+@fault("listed-leaving")
+class ListedLeaving(Change):
+    """The host list shows a runner as leaving, and then as live again."""
+
+    roles = (RUNNER,)
+    # Longer than the bound of 3 s, so that late work would be detected.
+    duration_range_s = (4.0, 8.0)
+
+    async def begin(self, testbed: "Testbed", host: "LocalHost") -> None:
+        """Show the runner as leaving."""
+        testbed.fleet.host_list.set_hosts({host.name: "leaving"})
+        testbed.record_leaving(host, time.monotonic(), cause="host list")
+
+    async def end(self, testbed: "Testbed", host: "LocalHost") -> None:
+        """Show it as live."""
+        testbed.record_return(host, time.monotonic(), cause="host list")
+        testbed.fleet.host_list.set_hosts({host.name: "live"})
+
+
 @fault("withdraw-key")
 class WithdrawKey(Change):
     """Withdrawal of an account's key, and its return."""
--- a/packages/wasabilb-standins/src/wasabilb_standins/soak/_checks.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_checks.py
@@ -21,7 +21,7 @@
     Violation,
     violations,
 )
-from wasabilb_standins.soak._faults import CALLS, TICKETS
+from wasabilb_standins.soak._faults import CALLS, HOST_LISTS, TICKETS
 from wasabilb_standins.soak._history import InjectedFault, LeavingPeriod, RunningProcess
 from wasabilb_standins.soak._keep_alive_callers import NOT_CONNECTED
 
@@ -100,13 +100,19 @@
         )
 
     def bound_start(
-        self, at: float, host: str, bound_s: float, *, ignored: frozenset[str] = frozenset()
+        self,
+        at: float,
+        host: str,
+        bound_s: float,
+        *,
+        excuse: str = TICKETS,
+        ignored: frozenset[str] = frozenset(),
     ) -> float:
         """Return the start of a time bound, delayed by faults of a host or of the platform.
 
-        Faults of the kinds in `ignored` do not delay it.
+        Only faults with the excuse delay it, and none of the kinds in `ignored`.
         """
-        faults = [f for f in self.injected_faults if TICKETS in f.excuses and f.kind not in ignored]
+        faults = [f for f in self.injected_faults if excuse in f.excuses and f.kind not in ignored]
         for fault in sorted(faults, key=lambda fault: fault.begin):
             if fault.host in ("", host) and fault.overlaps(at, at + bound_s):
                 at = max(at, fault.end + fault.after_s)
@@ -170,8 +176,10 @@
     for period in evidence.leaving:
         at = period.begin
         # An agent that received a signal needs no ticket to leave.
-        if period.cause != "signal":
+        if period.cause == "ticket":
             at = evidence.bound_start(at, period.host, LEAVE_BOUND_S)
+        elif period.cause == "host list":
+            at = evidence.bound_start(at, period.host, LEAVE_BOUND_S, excuse=HOST_LISTS)
         evidence.checked[5] += 1
         yield from violations(
             FleetRecord(
--- a/packages/wasabilb-standins/src/wasabilb_standins/soak/_faults.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_faults.py
@@ -10,7 +10,7 @@
 
 ENTRY, RUNNER, SERVICE = "entry", "runner", "service"
 ALL_ROLES = (ENTRY, RUNNER, SERVICE)
-CALLS, TICKETS = "calls", "tickets"
+CALLS, TICKETS, HOST_LISTS = "calls", "tickets", "host lists"
 
 
 class Fault:
@@ -25,7 +25,8 @@
     weight : float
         Relative frequency in plans.
     excuses : frozenset of str
-        Failures that it excuses while it lasts: `CALLS` may break, `TICKETS` may be late.
+        Failures that it excuses while it lasts: `CALLS` may break, `TICKETS` and
+        `HOST_LISTS` may be late.
     after_s : float
         Duration of its consequences after its end, in seconds.
     """
--- a/packages/wasabilb-standins/src/wasabilb_standins/soak/_platform_faults.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/soak/_platform_faults.py
@@ -3,8 +3,8 @@
 import time
 from typing import TYPE_CHECKING, Any, ClassVar
 
-from wasabilb_standins.restorable import Restore
-from wasabilb_standins.soak._faults import CALLS, RUNNER, SERVICE, TICKETS, Fault, fault
+from wasabilb_standins.restorable import Restore, play_restore
+from wasabilb_standins.soak._faults import CALLS, HOST_LISTS, RUNNER, SERVICE, TICKETS, Fault, fault
 
 if TYPE_CHECKING:
     from wasabilb_standins.fleet import LocalHost
@@ -97,6 +97,33 @@
         await testbed.republish(lost, restore.rewrite_delays_s(len(lost)))
 
 
+@fault("host-list-restored")
+class HostListRestored(StandinFault):
+    """The host list is away, and comes back from a copy; hosts register again within a time."""
+
+    component = "host_list"
+    on, off = {"down": "drop"}, {"down": ""}
+    excuses = frozenset({HOST_LISTS})
+    duration_range_s = (0.5, 3.0)
+    # The list is read once a second.
+    after_s = 2.0
+
+    async def begin(self, testbed: "Testbed", host: "LocalHost | None") -> None:
+        """Take the list away."""
+        self._copied_at = time.monotonic() - COPY_AGE_S
+        await super().begin(testbed, host)
+
+    async def end(self, testbed: "Testbed", host: "LocalHost | None") -> None:
+        """Bring the copy back; each host registers again."""
+        hosts = testbed.fleet.host_list
+        await play_restore(
+            hosts,
+            Restore(rewrite_s=REWRITE_S, seed=hosts.era),
+            restore_copy=lambda: hosts.restore(self._copied_at),
+            write=lambda lost: hosts.set_hosts(dict([lost])),
+        )
+
+
 class StoreFault(StandinFault):
     """Fault of the store, which only prolongs a rollout."""
 
