The status shows the era of a ticket after the first

After a restore the newest ticket of a process may have a lower number than before. wasabilb status, the status page and the drill said 'ticket 3' after 'ticket 4', which reads as a reversal. They say '3 of era 1' now; in the first era nothing changes. Test: features/restored_config.feature, on the code before: '3'.

--- a/features/restored_config.feature
+++ b/features/restored_config.feature
@@ -59,6 +59,11 @@
     When processes merge the lists of three eras from each other in random orders
     Then those with the newest list agree, and no host that left is back before it was written live
 
+  Scenario: The status tells the era of a ticket
+    Guards against an operator who takes ticket 3 of a new era for a reversal from ticket 4.
+    When the status of processes at ticket 4 of era 0 and ticket 3 of era 1 is shown
+    Then the tickets are "4" and "3 of era 1"
+
   Scenario: The whole fleet does not read the service when it is back
     Guards against readers that repeat a watch from a position that was lost, without a pause.
     Given two readers, a further entry process and an agent with the tickets 1 to 4
--- a/features/steps/restored_config_steps.py
+++ b/features/steps/restored_config_steps.py
@@ -1,16 +1,22 @@
 """Steps about processes whose configuration service comes back from a copy."""
 
 import asyncio
+import io
 import time
+from contextlib import redirect_stdout
+from unittest.mock import patch
 
 from behave import given, then, when
 from matrix_state_steps import TicketHolder
 from memory_fleet import LOG, METRICS, ticket_text
 from memory_links import Network
+from returns.result import Success
 from standin_steps import begin, run
 from wasabilb_core.membership import Membership
+from wasabilb_core.status import Status
 from wasabilb_core.ticket_order import ticket_era
 from wasabilb_core.ticket_spread import TicketSpread
+from wasabilb_entry import status
 from wasabilb_node.host_list_exchange import HostListExchange
 from wasabilb_node.platform_client import PlatformClient
 from wasabilb_node.platform_reader import PlatformReader
@@ -309,3 +315,24 @@
     assert sum(calls.values()) <= 2 * READERS_PER_DOMAIN * context.lasted_s, calls
     # A restore costs each reader the watch that broke, an index and the next watch.
     assert sum(calls.values()) <= 2 * 3 * READERS_PER_DOMAIN, calls
+
+
+@when("the status of processes at ticket 4 of era 0 and ticket 3 of era 1 is shown")
+def step_status(context):
+    replies = [
+        status.StatusReply(
+            address=f"127.0.0.1:{number}",
+            result=Success(Status(host="e1", newest_ticket=number, newest_era=era)),
+        )
+        for number, era in ((4, 0), (3, 1))
+    ]
+    shown = io.StringIO()
+    with patch.object(status, "read_statuses", return_value=replies), redirect_stdout(shown):
+        assert status.show_status([]) == 0
+    context.shown = shown.getvalue()
+
+
+@then('the tickets are "4" and "3 of era 1"')
+def step_shown(context):
+    first, second = context.shown.splitlines()[-2:]
+    assert "  4  " in first and "  3 of era 1  " in second, context.shown
--- a/packages/wasabilb-core/src/wasabilb_core/status.py
+++ b/packages/wasabilb-core/src/wasabilb_core/status.py
@@ -93,6 +93,12 @@
     hosts: list[HostStatus] = field(factory=list)
     links: list[LinkStatus] = field(factory=list)
 
+    @property
+    def ticket_text(self) -> str:
+        """Return the newest ticket as operators read it."""
+        era = f" of era {self.newest_era}" if self.newest_era else ""
+        return f"{self.newest_ticket}{era}"
+
 
 def to_status_json(status: Status) -> str:
     """Return the document as JSON text."""
--- a/packages/wasabilb-entry/src/wasabilb_entry/operator_pages.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/operator_pages.py
@@ -15,7 +15,7 @@
 <style>body{font-family:sans-serif;margin:2em}td,th{padding:.2em .8em;text-align:left}
 tr:nth-child(even){background:#eee}</style></head><body>
 <h1>{{ status.host }}: {{ status.state }}</h1>
-<p>{{ status.region }}, {{ status.failure_domain }}; newest ticket {{ status.newest_ticket }};
+<p>{{ status.region }}, {{ status.failure_domain }}; newest ticket {{ status.ticket_text }};
 {{ status.in_flight }} requests in progress; up for {{ "%.0f"|format(status.uptime_s) }} s</p>
 {% for title, rows in tables %}<h2>{{ title }}</h2><table>
 {% for row in rows %}{% if loop.first %}<tr>{% for name in row %}<th>{{ name }}</th>
--- a/packages/wasabilb-entry/src/wasabilb_entry/status.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/status.py
@@ -97,7 +97,7 @@
             status.role,
             status.failure_domain,
             status.state,
-            str(status.newest_ticket),
+            status.ticket_text,
             status.state_digest[:8] or "-",
             str(status.in_flight),
             f"{up}/{len(status.links)}",
