A runner that did not answer its agent in time does not count as crashed

What callers saw: if a sound runner was silent for a second, its agent reported it as not reachable, and entry processes took that for its end: a request whose connection had broken up to 2 s before, for any reason, then counted as crashed under the parts of its prompt, which can get a good prompt refused (400); other crashes needed more evidence for 10 s.

Cause: one field for "ended" and "silent".

Change: a report tells whether the runner only did not answer in time (is_silent, a new last field with the default false, so that an older build means what it meant). Such a runner gets no new requests, as before, and no crash is concluded. A runner that ended closes or refuses the agent's connection at once.

Evidence: "An agent gets no report from its runner" in features/silent_runners.feature. The code before reports both rows alike, as ended; the scenario needs the new field to run.

--- a/features/silent_runners.feature
+++ b/features/silent_runners.feature
@@ -48,3 +48,15 @@
     # Guards against a sound runner that gets no requests for seconds after one silence.
     When 16 streams at one runner are found silent at the same time
     Then the runner gets requests again after 0.4 s
+
+  Scenario Outline: An agent gets no report from its runner
+    # Guards against a sound runner that counts as crashed, under the prompts of requests whose
+    # connections broke for another reason.
+    Given an agent whose runner <does this> when it is asked for its state
+    When the agent reports to an entry process
+    Then the runner gets no requests, and it counts as <what>
+
+    Examples:
+      | does this              | what    |
+      | sends nothing          | running |
+      | closes its connections | ended   |
--- a/features/steps/silent_runner_steps.py
+++ b/features/steps/silent_runner_steps.py
@@ -1,14 +1,24 @@
 """Steps about sound runners that fall silent."""
 
+import asyncio
+from types import SimpleNamespace
+
 from attrs import evolve
 from behave import given, then, when
 from direct_forwarding_steps import fetch, run_in_harness
 from fleet_view_factory import make_fleet_view
 from forwarding_harness import LIMITS, PATHS, raw_request, route
+from wasabilb_agent._runner_reports import RunnerReports
 from wasabilb_core.catalog import RequestKind
+from wasabilb_core.crashing_parts import CrashingParts
 from wasabilb_core.runner_directory import Runner
 from wasabilb_core.runner_pauses import RunnerPauses
+from wasabilb_entry.prompt_guard import PromptGuard
 from wasabilb_node.clock import now
+from wasabilb_node.http_client import ConnectionPool
+from wasabilb_node.http_client import fetch as fetch_whole
+from wasabilb_wire.codec import decode
+from wire_steps import frame_of
 
 
 @given("a stream route that {may_be} resumed, and {count:d} runners of which {other}")
@@ -79,3 +89,52 @@
 def step_again(context, pause):
     assert not context.pauses.may_send(context.runner, 100.0)
     assert context.pauses.may_send(context.runner, 100.0 + pause)
+
+
+@given("an agent whose runner {does} when it is asked for its state")
+def step_asked(context, does):
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        if does == "sends nothing":
+            await reader.read()
+        writer.close()
+
+    async def ask():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        result = await fetch_whole(ConnectionPool(max_idle=1), address, "/v1/report", timeout_s=0.1)
+        server.close()
+        await asyncio.sleep(0.02)
+        return result.failure()
+
+    context.error = asyncio.run(ask())
+
+
+@when("the agent reports to an entry process")
+def step_report(context):
+    sent = []
+    links = SimpleNamespace(
+        peers=lambda role="": [], multicast=lambda report, peers: sent.append(report)
+    )
+    runner = Runner(id="r", born_ms=1, service="s", address="x:1", failure_domain="a", slots=16)
+    RunnerReports(links=links).send(
+        runner, None, is_easing=False, is_silent=context.error.is_silence
+    )
+    ended = []
+    guard = PromptGuard(
+        parts=CrashingParts(),
+        exchange=None,
+        detector=SimpleNamespace(on_runner_ended=ended.append),
+        log=None,
+    )
+    context.report = decode(frame_of(sent[0])).unwrap()
+    guard.on_report(runner, context.report)
+    context.ended = ended
+    context.fleet = make_fleet_view([runner])
+    context.fleet.on_report(context.report)
+
+
+@then("the runner gets no requests, and it counts as {what}")
+def step_counts_as(context, what):
+    assert not context.fleet.stats.is_usable(context.fleet.directory.get("r"), now())
+    assert bool(context.ended) is (what == "ended"), context.ended
--- a/packages/wasabilb-agent/src/wasabilb_agent/_runner_reports.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_runner_reports.py
@@ -42,9 +42,22 @@
         entries = self._links.peers(role="entry")
         return REPORT_INTERVAL_S if len(entries) <= MAX_FAST_PEERS else LONG_REPORT_INTERVAL_S
 
-    def send(self, runner: Runner, state: RunnerState | None, *, is_easing: bool) -> None:
-        """Report a runner's state, None for one that does not answer."""
-        report = _to_report(runner, state, is_easing=is_easing)
+    def send(
+        self,
+        runner: Runner,
+        state: RunnerState | None,
+        *,
+        is_easing: bool,
+        is_silent: bool = False,
+    ) -> None:
+        """Report a runner's state, None for one that does not answer.
+
+        Parameters
+        ----------
+        is_silent : bool
+            Whether it only did not answer in time.
+        """
+        report = _to_report(runner, state, is_easing=is_easing, is_silent=is_silent)
         if report == self._last_sent and now() - self._last_sent_at < UNCHANGED_REPORT_INTERVAL_S:
             return
         entries = self._links.peers(role="entry")
@@ -61,13 +74,25 @@
     """Return whether a report changes which requests a runner may get, and not only how many."""
     return last_sent is None or any(
         getattr(report, name) != getattr(last_sent, name)
-        for name in ("born_ms", "is_reachable", "is_busy", "version", "layer_to", "is_easing")
+        for name in (
+            "born_ms",
+            "is_reachable",
+            "is_silent",
+            "is_busy",
+            "version",
+            "layer_to",
+            "is_easing",
+        )
     )
 
 
-def _to_report(runner: Runner, state: RunnerState | None, *, is_easing: bool) -> RunnerReport:
+def _to_report(
+    runner: Runner, state: RunnerState | None, *, is_easing: bool, is_silent: bool
+) -> RunnerReport:
     if state is None:
-        return RunnerReport(runner=runner.id, born_ms=runner.born_ms, is_reachable=False)
+        return RunnerReport(
+            runner=runner.id, born_ms=runner.born_ms, is_reachable=False, is_silent=is_silent
+        )
     return RunnerReport(
         runner=runner.id,
         born_ms=state.born_ms,
--- a/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
@@ -216,8 +216,9 @@
         self._version_loader.select_transfers(self._transfers)
         result = await self._runner.state()
         if isinstance(result, Failure):
-            self._set_reachable(False, result.failure().detail)
-            self._send_report(None)
+            error = result.failure()
+            self._set_reachable(False, error.detail)
+            self._send_report(None, is_silent=error.is_silence)
             return
         state = result.unwrap()
         self._set_reachable(True)
@@ -240,8 +241,8 @@
         else:
             self.log.event("platform_down", service="runner", detail=detail)
 
-    def _send_report(self, state: RunnerState | None) -> None:
+    def _send_report(self, state: RunnerState | None, *, is_silent: bool = False) -> None:
         own_runner = self._fleet.own_runner()
         if own_runner is not None:
             is_easing = state is not None and self._version_loader.is_easing(state)
-            self._runner_reports.send(own_runner, state, is_easing=is_easing)
+            self._runner_reports.send(own_runner, state, is_easing=is_easing, is_silent=is_silent)
--- a/packages/wasabilb-core/src/wasabilb_core/errors.py
+++ b/packages/wasabilb-core/src/wasabilb_core/errors.py
@@ -140,6 +140,8 @@
         Whether no earlier retry can succeed.
     outcome : Outcome or None
         Replaces the outcome of the table if the reporter has a more precise one.
+    is_silence : bool
+        Whether nothing came in time, which a sound server may do as well.
     """
 
     kind: ErrorKind
@@ -147,6 +149,7 @@
     retry_after_s: float | None = None
     is_earliest: bool = False
     outcome: Outcome | None = None
+    is_silence: bool = False
 
     @property
     def answer(self) -> ErrorAnswer:
@@ -159,6 +162,6 @@
         return self.outcome if self.outcome is not None else self.answer.outcome
 
 
-def unavailable(detail: str) -> Failure[Error]:
+def unavailable(detail: str, *, is_silence: bool = False) -> Failure[Error]:
     """Return the failure of a call to a platform service without a usable answer."""
-    return Failure(Error(kind=ErrorKind.PLATFORM_UNAVAILABLE, detail=detail))
+    return Failure(Error(kind=ErrorKind.PLATFORM_UNAVAILABLE, detail=detail, is_silence=is_silence))
--- a/packages/wasabilb-entry/src/wasabilb_entry/prompt_guard.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/prompt_guard.py
@@ -177,7 +177,8 @@
 
     def on_report(self, runner: Runner, report: RunnerReport) -> None:
         """Process a report of the agent beside a runner that is in service."""
-        if not report.is_reachable or report.born_ms > runner.born_ms:
+        has_ended = not report.is_reachable and not report.is_silent
+        if has_ended or report.born_ms > runner.born_ms:
             self.parts.on_runner_ended(runner.id, runner.born_ms, now())
             if self.detector is not None:
                 self.detector.on_runner_ended(runner)
--- a/packages/wasabilb-node/src/wasabilb_node/http_client.py
+++ b/packages/wasabilb-node/src/wasabilb_node/http_client.py
@@ -101,7 +101,8 @@
             timeout_s,
         )
     except TimeoutError:
-        return unavailable(f"{method} {target.partition('?')[0]}: no answer in {timeout_s} s")
+        detail = f"{method} {target.partition('?')[0]}: no answer in {timeout_s} s"
+        return unavailable(detail, is_silence=True)
     except (ConnectError, StreamClosedError) as exc:
         return unavailable(f"{method} {target.partition('?')[0]}: {exc or type(exc).__name__}")
 
--- a/packages/wasabilb-wire/src/wasabilb_wire/messages.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/messages.py
@@ -388,7 +388,8 @@
     Layers of `version` are loaded from `layer_from` up to but not including `layer_to`; `is_busy`
     means that an order is in progress. Memory is in the engine's own units, `pace` is 1.0 at the
     usual speed and higher on a slowed host. `is_easing` requests fewer requests, as the runner will
-    load a version soon.
+    load a version soon. `is_silent` means that the runner only did not answer in time, so that it
+    may not have ended.
     """
 
     runner: str
@@ -405,6 +406,7 @@
     memory_total: int = 0
     pace: float = 1.0
     is_easing: bool = False
+    is_silent: bool = False
 
 
 @frozen(kw_only=True, slots=True)
--- a/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
+++ b/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
@@ -282,6 +282,7 @@
   memoryTotal @11 :UInt64;
   pace @12 :Float64;
   isEasing @13 :Bool;
+  isSilent @14 :Bool;
 }
 
 struct SendNotice {
