--- a/features/steps/direct_forwarding_steps.py
+++ b/features/steps/direct_forwarding_steps.py
@@ -7,6 +7,7 @@
 from attrs import evolve
 from behave import given, then, when
 from forwarding_harness import KEY, LIMITS, PATHS, ForwardingHarness, raw_request
+from memory_links import VirtualSocketLoop, run_virtual
 from scripted_runner import BODY, EVENTS
 from wasabilb_core.catalog import CallerLimits
 from wasabilb_core.runner_stats import LoadReport
@@ -36,13 +37,22 @@
         body += data[:-2]
 
 
-def run_in_harness(context, make_coroutine, **changes):
-    async def run():
+def run_in_harness(context, make_coroutine, *, run=asyncio.run, **changes):
+    async def main():
         async with ForwardingHarness(context.behaviours, **changes) as harness:
             context.harness = harness
             return await asyncio.wait_for(make_coroutine(harness), 10)
 
-    context.result = asyncio.run(run())
+    context.result = run(main())
+
+
+def run_in_virtual_harness(context, make_coroutine, **changes):
+    """Run on sockets under a virtual clock."""
+
+    def run(main):
+        return run_virtual(lambda: main, VirtualSocketLoop)
+
+    run_in_harness(context, make_coroutine, run=run, **changes)
 
 
 async def fetch(harness, data):
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -11,7 +11,7 @@
 from unittest.mock import patch
 
 from behave import given, then, when
-from direct_forwarding_steps import fetch, read_answer, run_in_harness
+from direct_forwarding_steps import fetch, read_answer, run_in_virtual_harness
 from forwarding_harness import PATHS, raw_request
 from wasabilb_core.drain_schedule import DrainSchedule, assumed_answer_tokens
 from wasabilb_entry import drain as drain_module
@@ -69,7 +69,7 @@
         await stop(harness, grace)
         return await caller
 
-    run_in_harness(context, play)
+    run_in_virtual_harness(context, play)
 
 
 @when("the process gets two signals while a request on the {kind} route is in progress")
@@ -84,7 +84,7 @@
         await asyncio.gather(stopping, return_exceptions=True)
         return await caller
 
-    run_in_harness(context, play)
+    run_in_virtual_harness(context, play)
 
 
 @then("the answer ends between {earliest:g} s and {latest:g} s after the signal")
@@ -115,7 +115,7 @@
         await stopping
         return answer
 
-    run_in_harness(context, play)
+    run_in_virtual_harness(context, play)
 
 
 @when("the last byte of a request comes {late:g} s into a stop with a grace of 1 s")
@@ -126,7 +126,7 @@
         await stop(harness, 1.0)
         return await caller
 
-    run_in_harness(context, play)
+    run_in_virtual_harness(context, play)
 
 
 @then("the runners received {count:d} requests in all")
--- a/features/steps/silent_runner_steps.py
+++ b/features/steps/silent_runner_steps.py
@@ -5,7 +5,7 @@
 
 from attrs import evolve
 from behave import given, then, when
-from direct_forwarding_steps import fetch, run_in_harness
+from direct_forwarding_steps import fetch, run_in_virtual_harness
 from fleet_view_factory import make_fleet_view
 from forwarding_harness import LIMITS, PATHS, raw_request, route
 from wasabilb_agent._runner_reports import RunnerReports
@@ -48,7 +48,7 @@
         prepare(context, harness)
         return await fetch(harness, raw_request(PATHS["stream"]))
 
-    run_in_harness(context, send)
+    run_in_virtual_harness(context, send)
 
 
 @when("a plain request is sent whose runner is silent for 1.6 s")
@@ -59,7 +59,7 @@
         prepare(context, harness)
         return await fetch(harness, raw_request(PATHS["idempotent"]))
 
-    run_in_harness(context, send)
+    run_in_virtual_harness(context, send)
 
 
 @when("a stream route has a latency objective of {objective:g} s and a gap objective of {gap:g} s")
