A property test of handovers in any order of what two runners send

Checked: the caller has the events in order, each once, and nothing of a runner that was taken over.

--- a/features/continued_streams.feature
+++ b/features/continued_streams.feature
@@ -93,6 +93,11 @@
     Then the caller gets all events once
     And the runners received 2 requests that may have run
 
+  Scenario: Handovers in any order
+    # Guards against events that are lost, doubled or joined from two runs when a stream is handed over.
+    When streams are handed over in any order of what their runners send
+    Then each caller has received the events in order, each once, and no part of another
+
   Scenario: The caller leaves while a runner is asked to take over its stream
     # Guards against runners that go on working for a caller that has left.
     Given runners that in turn send two events and fall silent, then wait without an answer
