--- a/features/restored_config.feature
+++ b/features/restored_config.feature
@@ -16,6 +16,15 @@
     And the operator writes ticket 3 with other content
     Then all processes have the new ticket 3 in force within 7 s, in equal states
 
+  Scenario: A delayed answer of the earlier era changes nothing
+    Guards against a process that takes the index from before a restore for the newest one.
+    Given two readers, a further entry process and an agent with the tickets 1 to 4
+    When the service comes back from a copy with the tickets 1 and 2
+    And the operator writes ticket 3 with other content
+    Then all processes have the new ticket 3 in force within 7 s, in equal states
+    When a reader gets the index of the earlier era
+    Then no process has another ticket, and the reader follows the new era again within 7 s
+
   Scenario: Lost tickets that are published again one after another bring no older state back
     Guards against a fleet that goes through the states of lost tickets a second time.
     Given two readers, a further entry process and an agent with the tickets 1 to 4
--- a/features/steps/restored_config_steps.py
+++ b/features/steps/restored_config_steps.py
@@ -126,6 +126,7 @@
 
 @when("the service comes back from a copy with the tickets 1 and 2")
 def step_restore(context):
+    context.earlier_index = run(context, context.processes["e1"].client.index()).unwrap()
     lost = context.service.restore(context.copied_at)
     assert [publication.number for publication in lost] == [3, 4]
 
@@ -181,6 +182,30 @@
     run(context, scene())
 
 
+@when("a reader gets the index of the earlier era")
+def step_delayed(context):
+    async def scene():
+        reader = next(
+            process.reader for process in context.processes.values() if process.reader._was_reader
+        )
+        with patch.object(reader._client, "watch", return_value=Success(context.earlier_index)):
+            publish(context, 5, "v5")
+            await until(lambda: reader._position is context.earlier_index, lambda: reader._position)
+            context.after_delayed = versions(context)
+
+    run(context, scene())
+
+
+@then("no process has another ticket, and the reader follows the new era again within 7 s")
+def step_follows(context):
+    async def scene():
+        await until(lambda: context.service.pending_watches == 2, lambda: "two watches wait")
+        await until(lambda: set(versions(context).values()) == {"v5"}, lambda: versions(context))
+
+    assert set(context.after_delayed.values()) <= {"v9", "v5"}, context.after_delayed
+    run(context, scene())
+
+
 @when("the operator publishes ticket 3 again, and 1.5 s later ticket 4")
 def step_again(context):
     async def scene():
