A request that runs when its entry process ends is not answered with an empty 200

Callers: an entry process that gets a second SIGTERM ends at once; each request in it then got status 200 with an empty body and no outcome. A caller takes a booking for confirmed whose outcome nobody knows.

Cause: CallerHandler.serve took each cancellation for a caller that had gone, and swallowed it; tornado then finishes the request with the status that it has by default. With asyncio.run all tasks are cancelled at the end.

The new scenario of features/processes.feature failed with 8 of 8 bookings answered 200; they are answered 500 with outcome unknown now, and their repeats through another entry host find that they ran. Ruled out: a restore of the configuration service, which the plan does not have, and the callers, which record status and body as received.

Change: if the caller's connection is open, the cancelled request is answered as 'internal', outcome unknown, and a begun event stream ends with an error event.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -25,6 +25,13 @@
     And the traffic had answers from other hosts meanwhile
     And no promise is broken
 
+  Scenario: A second signal ends an entry process while requests run
+    Guards against an empty answer with status 200 for a booking whose outcome is unknown.
+    When 8 bookings with issued keys run and their entry process gets SIGTERM twice
+    Then none of them is told by it that it succeeded
+    And every caller learns through another entry host that its booking ran
+    And no promise is broken
+
   Scenario: A prompt crashes the engines that begin an answer on it
     Guards against a request, its retries and the repeats of callers that end one engine after the
     other, at all entry processes.
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -53,6 +53,26 @@
 
 @when("{count:d} bookings with issued keys run and their entry process is killed")
 def step_kill_entry(context, count):
+    run_bookings(context, count, signals=(signal.SIGKILL,))
+
+
+@when("{count:d} bookings with issued keys run and their entry process gets SIGTERM twice")
+def step_terminate_twice(context, count):
+    run_bookings(context, count, signals=(signal.SIGTERM, signal.SIGTERM))
+
+
+@then("none of them is told by it that it succeeded")
+def step_none_succeeded(context):
+    harness = context.harness
+    ended = harness.fleet.entry_hosts[0].callers
+    told = [rec for rec in harness.callers.records if rec.entry == ended and rec.attempt == 0]
+    told = [rec for rec in told if rec.kind == "issued"]
+    assert told and not [rec for rec in told if rec.status == 200], told
+
+
+def run_bookings(context, count, *, signals):
+    """Send bookings through an entry process that gets the signals while they run."""
+
     async def scene():
         harness = context.harness
         host = harness.fleet.entry_hosts[0]
@@ -62,7 +82,10 @@
         await harness.until(
             lambda: sum(service.total for service in services) >= before + count, "bookings run"
         )
-        harness.interrupt(host, signal.SIGKILL)
+        for number in signals:
+            harness.interrupt(host, number)
+            # A signal that is pending is not delivered twice.
+            await asyncio.sleep(0.05)
         context.records = await harness.answers()
 
     context.harness.run(scene())
--- a/packages/wasabilb-entry/src/wasabilb_entry/caller_handler.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/caller_handler.py
@@ -80,9 +80,13 @@
         except RequestFailedError as exc:
             self._on_failed(exc.error)
         except (asyncio.CancelledError, StreamClosedError):
-            self.record.error = Error(
-                kind=ErrorKind.CANCELLED, detail="the caller closed the connection"
-            )
+            if self._is_caller_gone():
+                self.record.error = Error(
+                    kind=ErrorKind.CANCELLED, detail="the caller closed the connection"
+                )
+            else:
+                # Without an answer of its own, tornado would end the request with an empty 200.
+                self._on_failed(Error(kind=ErrorKind.INTERNAL, detail="the entry host ends"))
         except Exception as exc:
             detail = f"{type(exc).__name__}: {exc}"
             self.entry.log.event("internal_error", where=self.kind, detail=detail)
@@ -134,6 +138,9 @@
             kind = ErrorKind.INTERNAL
         self.refuse(Error(kind=kind, detail=self._reason))
 
+    def _is_caller_gone(self) -> bool:
+        return cast(HTTP1Connection, self.request.connection).stream.closed()
+
     def _on_failed(self, error: Error) -> None:
         self.record.error = error
         if not self._headers_written:
