A stream that was handed over is not taken back by its first runner

Where both runners of a handover begin to answer in one turn of the event loop, the caller gets the events of the second runner, then those of the first (ORDER), and what the second one sends from then on is dropped.

Cause: the head of the first runner's answer made its relay the writer again, as a relay became the writer with any head of a usable stream. The end of the first attempt then forwards what was kept back.

Change: a relay takes over at most once, from the one that it succeeds.

Evidence: features/continued_streams.feature "Both runners of a handover begin to answer at the same moment"; before, the caller got events 1, 2, 1.

--- a/features/continued_streams.feature
+++ b/features/continued_streams.feature
@@ -98,3 +98,9 @@
     Given runners that in turn send two events and fall silent, then wait without an answer
     When a caller leaves while its stream is handed over
     Then no connection to a runner with its request is open 0.2 s later
+
+  Scenario: Both runners of a handover begin to answer at the same moment
+    # Guards against a stream that joins the events of two runs.
+    Given a stream without an answer yet that is handed over
+    When the first runner begins to answer just after the second one has taken over
+    Then the caller gets the events of the second runner only
--- a/packages/wasabilb-entry/src/wasabilb_entry/relay.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/relay.py
@@ -114,11 +114,11 @@
         return self._answer.writer is self
 
     def take_over(self) -> bool:
-        """Become the writer; False if the answer is whole already."""
-        if not self.is_writer and not self._answer.is_whole:
+        """Become the writer once; False if another one is, or if the answer is whole already."""
+        on_taken_over, self._on_taken_over = self._on_taken_over, None
+        if on_taken_over is not None and not self._answer.is_whole:
             self._answer.writer = self
-            if self._on_taken_over is not None:
-                self._on_taken_over()
+            on_taken_over()
         return self.is_writer
 
     @property
