A caller that reads slowly is no silent runner, and its request ends

What callers saw: found in review. While a caller did not read its stream, its sound runner counted as silent: it and the runner that took over got no requests for up to 3 s at a time, again and again, and the stream ran twice. After that handover, or at the time limit, the request never ended: it stayed in progress, counted as load of its runner for good, also after its caller had left, and a stop waited for it until its end.

Cause: progress was counted when events arrived, and reading stops while the caller takes nothing. A relay waited for the library's future of its write; the library completes only the newest future of a connection, so the first relay's was lost when the second one wrote. The end of an attempt waited for that reading.

Change: a relay waits for a future of its own that the end of its attempt completes too. While it waits, the runner is not silent and the stream does not move, as no other runner can help.

--- a/features/silent_runners.feature
+++ b/features/silent_runners.feature
@@ -48,3 +48,17 @@
     # Guards against a sound runner that gets no requests for seconds after one silence.
     When 16 streams at one runner are found silent at the same time
     Then the runner gets requests again after 0.4 s
+
+  Scenario: A caller does not read its stream for a while
+    # Guards against sound runners that get no requests, and streams that move, as a caller is slow.
+    Given runners whose streams have more events than connections buffer
+    When a caller does not read its stream for 1.9 s and then goes on
+    Then it gets all its large events once
+    And one runner ran the stream, and both could get requests all the time
+
+  Scenario: A caller never reads its stream
+    # Guards against requests that never end, and count as load of their runner for good.
+    Given runners whose streams have more events than connections buffer
+    When a caller does not read its stream until 0.5 s after its timeout, and a runner loads
+    Then its stream is no longer in progress
+    And one runner ran the stream, and both could get requests all the time
--- a/packages/wasabilb-entry/src/wasabilb_entry/relay.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/relay.py
@@ -76,6 +76,9 @@
     _answer: _CallerAnswer = field(factory=_CallerAnswer)
     _on_taken_over: Callable[[], None] | None = None
     _resumed: "asyncio.Future[None] | None" = None
+    # Completes when the caller has taken the newest events, None if it has.
+    _taken: "asyncio.Future[None] | None" = None
+    _is_released: bool = False
     _on_metadata: Callable[[AnswerMetadata], None] | None = None
     _on_going_on: Callable[[], None] | None = None
     _head_at: float = 0.0
@@ -122,9 +125,9 @@
         return self.is_writer
 
     @property
-    def is_paused(self) -> bool:
-        """Return whether the rest of the answer is kept back."""
-        return self._resumed is not None
+    def is_waiting(self) -> bool:
+        """Return whether the rest of the answer waits for `resume` or until the caller reads."""
+        return self._resumed is not None or self._taken is not None
 
     def pause(self) -> None:
         """Keep back the rest of the answer until `resume`."""
@@ -138,6 +141,13 @@
         if resumed is not None and not resumed.done():
             resumed.set_result(None)
 
+    def release(self) -> None:
+        """Let reading go on whether the caller reads or not, as the attempt ends."""
+        self._is_released = True
+        self.resume()
+        if self._taken is not None:
+            self._on_taken(self._taken)
+
     def begin(
         self,
         *,
@@ -158,6 +168,7 @@
         """
         self._on_going_on = on_going_on
         self._resumed = None
+        self._is_released = False
         self.head = None
         self._on_metadata = on_metadata
         self._is_fresh = is_fresh
@@ -267,8 +278,21 @@
         self.req.finish()
         return True
 
-    def _forward(self, whole: bytes) -> "asyncio.Future[None]":
-        return self.req.write(whole) if self.req.has_started else self._start(whole)
+    def _forward(self, whole: bytes) -> "asyncio.Future[None] | None":
+        written = self.req.write(whole) if self.req.has_started else self._start(whole)
+        if written.done() or self._is_released:
+            return None
+        # The library completes only the newest of several futures of a connection.
+        taken = self._taken = asyncio.get_running_loop().create_future()
+        written.add_done_callback(lambda _: self._on_taken(taken))
+        return taken
+
+    def _on_taken(self, taken: "asyncio.Future[None]") -> None:
+        if taken is self._taken:
+            self._taken = None
+            self.progress_at = now()
+        if not taken.done():
+            taken.set_result(None)
 
     def _start(self, data: bytes) -> "asyncio.Future[None]":
         assert self.head is not None
--- a/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
@@ -112,7 +112,7 @@
     @property
     def can_move(self) -> bool:
         """Return whether another runner may be asked to take over."""
-        return self._is_sent and not self.is_moving and not self.relay.is_paused
+        return self._is_sent and not self.is_moving and not self.relay.is_waiting
 
     def move(self) -> None:
         """End the attempt, as another runner has taken over the request."""
@@ -203,7 +203,7 @@
     def _drop(self, conn: Connection) -> None:
         """Close the connection, and read what was kept back so that reading ends."""
         conn.close()
-        self.relay.resume()
+        self.relay.release()
 
     async def _wait_for_end(self, read_task: "asyncio.Future[ReadOutcome]") -> AttemptEnd | None:
         """Wait for the answer and return how it was cut off, None when it was not."""
@@ -216,7 +216,7 @@
             has_begun = self.relay.head is not None
             silence_s = self.limits.gap_s if has_begun else self.limits.first_byte_s
             silent_at = max(self.relay.progress_at + silence_s, checked_at + SILENT_CHECK_S)
-            if self.relay.is_paused:
+            if self.relay.is_waiting:
                 silent_at = math.inf
             if moment >= silent_at:
                 if self.gives_up_silent(self):
