--- a/features/continued_streams.feature
+++ b/features/continued_streams.feature
@@ -139,3 +139,9 @@
     Then the caller gets all events once
     And the runners received 1 requests that may have run
     And the runners received at most 1 requests
+
+  Scenario: Both runners of a handover begin to answer at the same moment
+    # Guards against a stream that joins the events of two runs.
+    Given a stream without an answer yet that is handed over
+    When the first runner begins to answer just after the second one has taken over
+    Then the caller gets the events of the second runner only
