A list of a later era tells what exists in it and nothing more

Cause: the peer's list of the later era also holds what it retains of earlier ones, removals among them. They counted as existing, and were then not merged because they are of an earlier era. In the same way a list that arrives after the process has read the later era itself raised the known revision without removing what the list lacks.

A process that asks for changes from before the start of a peer's state gets a list instead of changes that lack removals, so that it need not read the store itself after GAP_WAIT_S; builds that send no era get what they got.

--- a/features/steps/published_fleet.py
+++ b/features/steps/published_fleet.py
@@ -32,15 +32,13 @@
 
 
 class Decoder:
-    """Decoder of the items that the fleet publishes: `KIND [NUMBER]`."""
+    """Decoder of items like `catalog 3`, and `runner r 1` with the start of the runner."""
 
     def decode(self, item):
         kind, _, rest = item.body.decode(errors="replace").partition(" ")
-        if kind == "runner":
+        if kind in ("runner", "draining"):
             name, _, born = (rest or "r 1").partition(" ")
-            return evolve(RUNNER, id=name, born_ms=int(born))
-        if kind == "draining":
-            return evolve(RUNNER, id=rest, is_draining=True)
+            return evolve(RUNNER, id=name, born_ms=int(born), is_draining=kind == "draining")
         if kind == "catalog":
             return Catalog(version=int(rest), routes=(), services={})
         return WeightTarget(model="m", version=int(rest)) if kind == "weights" else None
@@ -59,7 +57,7 @@
         self.items, self.revision, self.era = {}, 1, None
         self.is_down, self.refused_hosts = False, set()
         self.watch_counts, self.calls = Counter(), Counter()
-        self.copies = []
+        self.copies, self.calls_before_return = [], Counter()
 
     def publish(self, name, body):
         self.revision += 1
@@ -73,6 +71,7 @@
         """Come back from the last copy, in a later era."""
         self.items, self.revision = dict(self.copies[-1][0]), self.copies[-1][1]
         self.era = (self.era or 0) + 1
+        self.calls_before_return = Counter(self.calls)
 
     def source(self, host):
         async def snapshot():
--- a/features/steps/published_state_steps.py
+++ b/features/steps/published_state_steps.py
@@ -73,7 +73,9 @@
 @then("both hold the same items at their newest revisions")
 def hold_newest(context):
     for state in context.states:
-        assert {item.name: item for item in state.changes_after(StatePosition())} == context.newest
+        assert {
+            item.name: item for item in state.changes_after(StatePosition())[0]
+        } == context.newest
         assert state.revision == 59
 
 
--- a/packages/wasabilb-core/src/wasabilb_core/published.py
+++ b/packages/wasabilb-core/src/wasabilb_core/published.py
@@ -45,7 +45,7 @@
 
 @define(kw_only=True)
 class _PartialList:
-    """Batches of a peer's list of a later era, up to a position."""
+    """Batches of a peer's list of all that exists in an era, up to a position."""
 
     era: int
     upto: StatePosition
@@ -85,9 +85,7 @@
 
     def is_copied(self, position: StatePosition) -> bool:
         """Return whether a publication may be older than the era in which it was read."""
-        return position.era > self._position.era or (
-            position.era == self._position.era and position <= self._era_began
-        )
+        return position <= self._era_began
 
     def retained(self) -> list[StateItem]:
         """Return the items whose content is newer than what the store shows in this era."""
@@ -111,14 +109,16 @@
         if position.era < self._position.era:
             return []
         listed = list(items)
-        names = {item.name for item in listed}
+        # A peer also sends what it retains of earlier eras, which does not exist in this one.
+        names = {item.name for item in listed if item.era == position.era}
         removed = [
             StateItem(name=name, revision=position.revision, era=position.era, body=None)
             for name, item in self._items.items()
             if name not in names and item.body is not None and item.position <= position
         ]
+        self._partial_list = None
         if position.era > self._position.era:
-            self._era_began, self._partial_list = position, None
+            self._era_began = position
         self._position = max(self._position, position)
         self._removals_known_from = max(self._removals_known_from, position)
         return self._merge([*listed, *removed])
@@ -133,16 +133,17 @@
     ) -> list[StateItem]:
         """Merge all changes after one position up to another and return the changed items.
 
-        The known position advances only when no change in between can be missing. Changes that
-        lead to a later era are merged when the last of them has arrived.
+        The known position advances only when no change in between can be missing. Changes after a
+        position of an earlier era are a list of all that exists in the later one, and are merged
+        when the last of them has arrived.
 
         Parameters
         ----------
         is_last : bool
             Whether the changes are all that the sender knows, and not one of several batches.
         """
-        if position.era > self._position.era:
-            return self._on_later_era(items, after, position, is_last=is_last)
+        if after.era < position.era or self._continues_list(after, position):
+            return self._on_list(items, after, position, is_last=is_last)
         is_first = self._position.is_start
         if after <= self._position:
             self._position = max(self._position, position)
@@ -150,22 +151,34 @@
             self._removals_known_from = self._position
         return self._merge(items)
 
-    def changes_after(self, position: StatePosition) -> list[StateItem]:
-        """Return the items whose last change is later than a position."""
-        return [item for item in self._items.values() if item.position > position]
-
-    def complete_after(self, position: StatePosition) -> StatePosition:
-        """Return the position after which `changes_after` includes all relevant removals.
-
-        A reader without items has nothing to remove, and one of an earlier era removes all items
-        that it is not sent. One with items from before the start of this state may miss their
-        removal.
+    def changes_after(self, position: StatePosition) -> tuple[list[StateItem], StatePosition]:
+        """Return the changes for a peer that knows all items up to a position.
+
+        Returns
+        -------
+        list of StateItem
+            The items whose last change is later, in order.
+        StatePosition
+            Position after which they include all relevant removals. If it is of an earlier era
+            than that of this state, they are a list: an item that it lacks was removed. It is later
+            than the requested one if removals from before the start of this state may be missing.
         """
-        if position.is_start or position.era < self._position.era:
-            return position
-        return max(position, self._removals_known_from)
+        begin = position
+        if not position.is_start and position.era == self._position.era:
+            is_known = position >= self._removals_known_from
+            # A build that knows eras receives a list instead of changes that lack removals.
+            if not is_known and position.era:
+                begin = position = START
+            elif not is_known:
+                begin = self._removals_known_from
+        items = [item for item in self._items.values() if item.position > position]
+        return sorted(items, key=lambda item: item.position), begin
+
+    def _continues_list(self, after: StatePosition, position: StatePosition) -> bool:
+        partial = self._partial_list
+        return partial is not None and partial.era == position.era and after == partial.upto
 
-    def _on_later_era(
+    def _on_list(
         self,
         items: Iterable[StateItem],
         after: StatePosition,
@@ -173,15 +186,16 @@
         *,
         is_last: bool,
     ) -> list[StateItem]:
-        """Collect the batches of a later era, and merge them when all have arrived."""
+        """Collect the batches of a list, and merge it as a snapshot when all have arrived."""
+        if position.era < self._position.era:
+            return self._merge(items)
+        if after.era < position.era:
+            self._partial_list = _PartialList(era=position.era, upto=after)
         partial = self._partial_list
-        if partial is None or partial.era < position.era:
-            partial = _PartialList(era=position.era, upto=self._position)
-        if partial.era > position.era or after > partial.upto:
+        if partial is None:
             return []
         partial.items += items
         partial.upto = max(partial.upto, position)
-        self._partial_list = partial
         return self.on_snapshot(partial.items, position) if is_last else []
 
     def _merge(self, items: Iterable[StateItem]) -> list[StateItem]:
--- a/packages/wasabilb-node/src/wasabilb_node/published_batches.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_batches.py
@@ -11,7 +11,12 @@
 
 
 def to_batches(
-    state: PublishedState, after: StatePosition, *, packer: ItemPacker, distrust_ms: int
+    state: PublishedState,
+    after: StatePosition,
+    *,
+    packer: ItemPacker,
+    distrust_ms: int,
+    max_bytes: int = MAX_BATCH_BYTES,
 ) -> list[Published]:
     """Return the messages with all changes after a position.
 
@@ -25,9 +30,12 @@
         Compresses items.
     distrust_ms : int
         Time for which removed entries may only have expired, milliseconds.
+    max_bytes : int
+        Maximum size of the items of one message, unless it has only one.
     """
     era_start = StatePosition(era=state.position.era)
-    begin, batch, size = state.complete_after(after), list[PublishedItem](), 0
+    changes, begin = state.changes_after(after)
+    batch, size = list[PublishedItem](), 0
     end = era_start
     messages: list[Published] = []
 
@@ -44,9 +52,9 @@
             )
         )
 
-    for item in sorted(state.changes_after(after), key=lambda item: item.position):
+    for item in changes:
         packed = packer.pack(item)
-        if batch and size + len(packed.body) > MAX_BATCH_BYTES:
+        if batch and size + len(packed.body) > max_bytes:
             add_message(end, is_last=False)
             begin, batch, size = max(begin, end), [], 0
         # Retained items of earlier eras come first.
--- a/packages/wasabilb-node/src/wasabilb_node/published_reader.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_reader.py
@@ -46,16 +46,21 @@
         self._state = state
         self._source = source
         self._rng = rng
-        self._needs_snapshot = False
+        self._is_history_lost = False
         # Calls for changes in a row that the platform could not answer with changes.
         self._lost_histories = 0
 
+    @property
+    def needs_snapshot(self) -> bool:
+        """Return whether the next call reads a snapshot."""
+        return self._state.position.is_start or self._is_history_lost
+
     async def read(self) -> Result[Reading, Error]:
         """Read a snapshot or wait for changes, and return what changed.
 
         Fails when there is no answer, or one that is older than the known state.
         """
-        if self._state.position.is_start or self._needs_snapshot:
+        if self.needs_snapshot:
             return await self._read_snapshot()
         return await self._read_changes()
 
@@ -87,13 +92,13 @@
         era = self._check_era(snapshot.era)
         if isinstance(era, Failure):
             return Failure(era.failure())
-        self._needs_snapshot = False
+        self._is_history_lost = False
         position = StatePosition(era=era.unwrap(), revision=snapshot.revision)
         return Success(Reading(changed=self._state.on_snapshot(snapshot.items, position)))
 
     def _on_history_lost(self) -> Reading:
         """Read a snapshot next, after a pause if the last one did not help."""
-        self._needs_snapshot = True
+        self._is_history_lost = True
         self._lost_histories += 1
         if self._lost_histories == 1:
             return Reading()
