--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -149,6 +149,13 @@
     And a lost history is reported as such
     And a store that answers with status 503 or nothing is reported as unavailable
 
+  Scenario: The era of the store
+    # Guards against changes of two eras that are merged as if they were of one.
+    Given a stand-in of the store that names its era
+    When a snapshot is read twice and changes are awaited three times
+    Then a snapshot with pages of two eras is reported as unavailable
+    And each other answer has its era, and none where the header is absent or malformed
+
   Scenario: Settings of a process
     # Guards against settings that are read with another meaning or unit.
     When the example of a settings file is read
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -380,13 +380,15 @@
 
     def on_request(self, req):
         self.targets.append(req.uri)
-        status, value = self.answers.pop(0)
+        status, value, *era = self.answers.pop(0)
         if status == 0:
             return
         body = json.dumps(value).encode()
         req.connection.write_headers(
             ResponseStartLine("HTTP/1.1", status, "x"),
-            HTTPHeaders({"Content-Length": str(len(body))}),
+            HTTPHeaders(
+                {"Content-Length": str(len(body)), **dict(zip(["Store-Era"], era, strict=False))}
+            ),
             body,
         )
         req.connection.finish()
@@ -452,6 +454,48 @@
     assert all(isinstance(found, Failure) for found in context.changes[2:])
 
 
+@given("a stand-in of the store that names its era")
+def step_store_with_eras(context):
+    page = {"items": [entry("a", 2, b"1")], "currentRev": 5}
+    events = {"events": [entry("a", 6, b"2")], "currentRev": 6}
+    context.script = [
+        (200, {**page, "morePages": True}, "1"),
+        (200, {**page, "morePages": False}, "2"),
+        (200, {**page, "morePages": False}, "2"),
+        (410, {}, "3"),
+        (200, events),
+        (200, events, "-1"),
+    ]
+
+
+@when("a snapshot is read twice and changes are awaited three times")
+def step_read_eras(context):
+    async def run():
+        stand_in = ScriptedStore()
+        stand_in.answers = list(context.script)
+        pool = ConnectionPool(max_idle=2)
+        source = store_source(pool, stand_in.address)
+        context.snapshots = [await source.snapshot() for _ in range(2)]
+        context.changes = [(await source.changes(5)).unwrap() for _ in range(3)]
+        pool.close()
+        stand_in.server.stop()
+
+    asyncio.run(run())
+
+
+@then("a snapshot with pages of two eras is reported as unavailable")
+def step_two_eras(context):
+    assert isinstance(context.snapshots[0], Failure)
+
+
+@then("each other answer has its era, and none where the header is absent or malformed")
+def step_eras(context):
+    found = context.snapshots[1].unwrap()
+    assert found.era == 2 and [item.era for item in found.items] == [2]
+    assert [changes.era for changes in context.changes] == [3, None, None]
+    assert context.changes[0].is_history_lost
+
+
 @when("the example of a settings file is read")
 def read_settings_file(context):
     context.settings = to_settings(SETTINGS)
