--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -21,6 +21,13 @@
     links and restarts.
     Then in any history nothing that a process has served by goes back, and all agree in the end
 
+  Scenario: A peer that still reads the earlier era
+    Guards against runners of the earlier era that come back with its higher revisions, and against
+    losing a newer catalog that only such a peer has.
+    Given a process that has read era 2 up to revision 62
+    When a peer sends a runner and catalog 7 of era 1 at revision 130
+    Then it takes over the catalog and not the runner, and still knows era 2 up to revision 62
+
   Scenario: A runner that left before the fall and is listed by the copy
     Guards against requests to a runner that has left, whose address another service may have.
     Given 7 entry processes and 9 agents in 2 failure domains
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -2,11 +2,15 @@
 
 import asyncio
 
-from behave import then, when
+from behave import given, then, when
 from hypothesis import Phase, settings
 from hypothesis import given as property_given
 from hypothesis import strategies as st
+from published_fleet import Decoder
 from restored_store_model import EVENTS, History
+from wasabilb_core.published import PublishedState, StateItem
+from wasabilb_core.state_position import StatePosition
+from wasabilb_node.decoded_items import DecodedItems
 
 CHECK_INTERVAL_S = 0.02
 HISTORIES, EVENTS_EACH = 300, 40
@@ -182,3 +186,28 @@
 
     context.actions.append(action)
     context.run_fleet()
+
+
+@given("a process that has read era {era:d} up to revision {revision:d}")
+def step_has_read(context, era, revision):
+    content_version = DecodedItems(decoder=Decoder()).content_version
+    context.state = PublishedState(content_version=content_version)
+    item = StateItem(name="routes", revision=revision, body=b"catalog 6", era=era)
+    context.position = item.position
+    context.state.on_snapshot([item], item.position)
+
+
+@when("a peer sends a runner and catalog {version:d} of era {era:d} at revision {revision:d}")
+def step_earlier_peer(context, version, era, revision):
+    items = [
+        StateItem(name="runner/x", revision=revision - 1, body=b"runner x 1", era=era),
+        StateItem(name="routes", revision=revision, body=b"catalog %d" % version, era=era),
+    ]
+    after = StatePosition(era=era, revision=1)
+    context.changed = context.state.on_changes(items, after=after, position=items[1].position)
+
+
+@then("it takes over the catalog and not the runner, and still knows era 2 up to revision 62")
+def step_taken_over(context):
+    assert [item.name for item in context.changed] == ["routes"], context.changed
+    assert context.state.position == context.position
