--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -51,6 +51,12 @@
     And the store is away for 2 s and comes back from the copy
     Then every process uses runner x within 6.5 s
 
+  Scenario: A runner that restarted since the copy
+    Guards against requests to the incarnation before a restart, and against none to the later one.
+    Given a process that knows a runner only since its restart
+    When the copy lists its incarnation before that
+    Then the later incarnation is used until the grace is over
+
   Scenario: A runner that came since the copy
     Guards against requests that find no runner, although one lives that the copy lacks.
     Given 7 entry processes and 9 agents in 2 failure domains
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -2,13 +2,15 @@
 
 import asyncio
 
+from attrs import evolve
 from behave import given, then, when
 from hypothesis import Phase, settings
 from hypothesis import given as property_given
 from hypothesis import strategies as st
-from published_fleet import Decoder
+from published_fleet import RUNNER, Decoder
 from restored_store_model import EVENTS, History
 from wasabilb_core.published import PublishedState, StateItem
+from wasabilb_core.runner_directory import EXPIRY_GRACE_S, RunnerDirectory
 from wasabilb_core.state_position import StatePosition
 from wasabilb_node.decoded_items import DecodedItems
 
@@ -211,3 +213,26 @@
 def step_taken_over(context):
     assert [item.name for item in context.changed] == ["routes"], context.changed
     assert context.state.position == context.position
+
+
+@given("a process that knows a runner only since its restart")
+def step_restarted(context):
+    context.directory = RunnerDirectory()
+    context.later = evolve(RUNNER, born_ms=9, address="127.0.0.1:99")
+    context.directory.on_listed(context.later, StatePosition(era=1, revision=100))
+
+
+@when("the copy lists its incarnation before that")
+def step_copy_lists_earlier(context):
+    context.directory.on_removal_distrust(EXPIRY_GRACE_S, 0.0)
+    earlier = evolve(RUNNER, born_ms=5)
+    position = StatePosition(era=2, revision=60)
+    assert not context.directory.on_listed(earlier, position, is_copied=True)
+    assert not context.directory.may_receive(earlier)
+
+
+@then("the later incarnation is used until the grace is over")
+def step_later_used(context):
+    assert context.directory.routable("s") == [context.later]
+    assert context.directory.remove_expired(EXPIRY_GRACE_S - 0.1) == []
+    assert context.directory.remove_expired(EXPIRY_GRACE_S) == ["r"]
