--- a/features/steps/platform_examples.py
+++ b/features/steps/platform_examples.py
@@ -129,13 +129,15 @@
 
     def on_request(self, req):
         self.targets.append(req.uri)
-        status, value = self.answers.pop(0)
+        status, value, *era = self.answers.pop(0)
         if status == 0:
             return
         body = value if isinstance(value, bytes) else json.dumps(value).encode()
         req.connection.write_headers(
             ResponseStartLine("HTTP/1.1", status, "x"),
-            HTTPHeaders({"Content-Length": str(len(body))}),
+            HTTPHeaders(
+                {"Content-Length": str(len(body)), **dict(zip(["Store-Era"], era, strict=False))}
+            ),
             body,
         )
         req.connection.finish()
