--- a/features/platform_store.feature
+++ b/features/platform_store.feature
@@ -25,3 +25,20 @@
     Given a store over HTTP with 5 items in pages of 2
     When the store is away without an era
     Then the client reports both calls as unavailable
+
+  Scenario: Each answer tells the era, and pages of two eras are no snapshot
+    Guards against items of two histories in one snapshot.
+    Given a store over HTTP with 5 items in pages of 2
+    When the client reads all items before a restore, during it and after it
+    Then the first has era 1 and the last era 2, and the one between is unavailable
+
+  Scenario: A watch of an earlier revision after a restore
+    Guards against changes of the new era that are taken for those after a revision of the old one.
+    Given a store over HTTP with 5 items in pages of 2
+    When a copy with 3 items comes back, 4 items are written, and the client watches from revision 5
+    Then the changes are of era 2, and the reader reads a snapshot instead of merging them
+
+  Scenario: Restores, outages, writes and answers without an era in any order
+    Guards against an item that goes back, or that is in force nowhere after it was written again.
+    When a reader follows a store through 40 random histories
+    Then no item goes back, and each item that is written in the last era is in force
