A silent runner that goes on is not kept back for one that has not begun

What callers saw: found in review. A stream whose runner was silent for 1.35 s had a gap of 2.21 s: its events were kept back for as long as another runner was asked to take over, up to 1 s after a silence of 1.2 s or more, while callers leave 2 s after the last event (and an event is late 120 ms after its runner made it).

Cause: a handover keeps the first runner's events back whatever its reason; a loading runner goes on all the time, a silent one goes on because it is sound.

Change: an event of the silent runner withdraws the request from the other one unless that has begun; it counts as late, as it may have run, and cannot take over any more. Parts of an event withdraw nothing, so a runner that trickles is left as before.

--- a/features/silent_runners.feature
+++ b/features/silent_runners.feature
@@ -62,3 +62,9 @@
     When a caller does not read its stream until 0.5 s after its timeout, and a runner loads
     Then its stream is no longer in progress
     And one runner ran the stream, and both could get requests all the time
+
+  Scenario: A silent runner goes on while another one is asked to take over
+    # Guards against events that are kept back until callers have left, 2 s after the last one.
+    Given runners of which one is silent for 1.35 s and the other one never begins
+    When a caller measures the pauses of its stream
+    Then its longest pause is below 1.47 s
--- a/features/steps/scripted_runner.py
+++ b/features/steps/scripted_runner.py
@@ -60,7 +60,11 @@
 
 
 # Pauses after the second event of a stream.
-STREAM_PAUSES_S = {"answer with a pause": 0.3, "answer after a silence": 1.6}
+STREAM_PAUSES_S = {
+    "answer with a pause": 0.3,
+    "answer after a silence": 1.6,
+    "answer after a short silence": 1.35,
+}
 
 
 class ChunkWriter:
--- a/features/steps/silent_runner_steps.py
+++ b/features/steps/silent_runner_steps.py
@@ -41,6 +41,32 @@
     run_in_harness(context, send)
 
 
+@given("runners of which one is silent for 1.35 s and the other one never begins")
+def step_late_other(context):
+    context.behaviours = ["answer after a short silence", "wait without an answer"]
+
+
+@when("a caller measures the pauses of its stream")
+def step_measure(context):
+    async def measure(harness):
+        reader, writer = await harness.connect()
+        writer.write(raw_request(PATHS["stream"]))
+        await reader.readuntil(b"id: 2\n")
+        started = now()
+        await reader.readuntil(b"id: 3\n")
+        pause_s = now() - started
+        await reader.readuntil(b"\r\n0\r\n\r\n")
+        writer.close()
+        return pause_s
+
+    run_in_harness(context, measure)
+
+
+@then("its longest pause is below {seconds:g} s")
+def step_pause(context, seconds):
+    assert context.result < seconds, context.result
+
+
 @when("a plain request is sent whose runner is silent for 1.6 s")
 def step_plain(context):
     context.behaviours = ["answer late", "answer late"]
--- a/packages/wasabilb-core/src/wasabilb_core/event_stream.py
+++ b/packages/wasabilb-core/src/wasabilb_core/event_stream.py
@@ -32,6 +32,10 @@
         buffer.last_id, buffer.count = self.last_id, self.count
         return buffer
 
+    def would_complete(self, data: bytes) -> bool:
+        """Return whether received bytes complete an event."""
+        return _BOUNDARY.search(bytes(self._buffer) + data) is not None
+
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the events that are now complete.
 
--- a/packages/wasabilb-entry/src/wasabilb_entry/relay.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/relay.py
@@ -76,6 +76,7 @@
     _answer: _CallerAnswer = field(factory=_CallerAnswer)
     _on_taken_over: Callable[[], None] | None = None
     _resumed: "asyncio.Future[None] | None" = None
+    _on_kept_back: Callable[[], None] | None = None
     # Completes when the caller has taken the newest events, None if it has.
     _taken: "asyncio.Future[None] | None" = None
     _is_released: bool = False
@@ -129,8 +130,19 @@
         """Return whether the rest of the answer waits for `resume` or until the caller reads."""
         return self._resumed is not None or self._taken is not None
 
-    def pause(self) -> None:
-        """Keep back the rest of the answer until `resume`."""
+    def withdraw(self) -> None:
+        """Never take over."""
+        self._on_taken_over = None
+
+    def pause(self, on_kept_back: Callable[[], None] | None = None) -> None:
+        """Keep back the rest of the answer until `resume`.
+
+        Parameters
+        ----------
+        on_kept_back : callable or None
+            Called if the next part that arrives completes an event.
+        """
+        self._on_kept_back = on_kept_back
         if self._resumed is None:
             self._resumed = asyncio.get_running_loop().create_future()
 
@@ -224,6 +236,9 @@
         server may send a byte now and then.
         """
         if self._resumed is not None:
+            on_kept_back, self._on_kept_back = self._on_kept_back, None
+            if on_kept_back is not None and self.events.would_complete(data):
+                on_kept_back()
             return self._accept_later(data, self._resumed)
         return self._accept(data)
 
--- a/packages/wasabilb-entry/src/wasabilb_entry/request_attempts.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/request_attempts.py
@@ -163,23 +163,30 @@
             return False
         self.fleet.on_silent(attempt.runner)
         if ctx.route.kind is RequestKind.STREAM:
-            self._start_handover(ctx, attempt)
+            self._start_handover(ctx, attempt, is_silent=True)
             return False
         return self.resender.can_resend(ctx, attempt.runner.id)
 
-    def _start_handover(self, ctx: RequestContext, first: RunnerAttempt) -> bool:
-        """Ask another runner to take over a stream; the first goes on with it if none does."""
+    def _start_handover(
+        self, ctx: RequestContext, first: RunnerAttempt, *, is_silent: bool = False
+    ) -> bool:
+        """Ask another runner to take over a stream; the first goes on with it if none does.
+
+        A silent runner goes on as soon as it sends another event.
+        """
         if ctx.handover is not None or not first.can_move:
             return False
         placement = self.resender.place_move(ctx, first.runner.id)
         if placement is None:
             return False
         first.relay.pause()
-        ctx.handover = asyncio.ensure_future(self._hand_over(ctx, first, placement))
+        ctx.handover = asyncio.ensure_future(
+            self._hand_over(ctx, first, placement, is_silent=is_silent)
+        )
         return True
 
     async def _hand_over(
-        self, ctx: RequestContext, first: RunnerAttempt, placement: Placement
+        self, ctx: RequestContext, first: RunnerAttempt, placement: Placement, *, is_silent: bool
     ) -> AttemptEnd:
         def on_taken_over() -> None:
             ctx.relay = second.relay
@@ -187,6 +194,8 @@
 
         relay = first.relay.successor(on_taken_over)
         second = self._new_attempt(ctx, placement, relay, take_over_by=now() + TAKE_OVER_S)
+        if is_silent:
+            first.relay.pause(on_kept_back=second.withdraw)
         try:
             end = await self._run(ctx, second, placement)
             if end is AttemptEnd.ANSWERED:
--- a/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
@@ -118,6 +118,12 @@
         """End the attempt, as another runner has taken over the request."""
         self._end_early(AttemptEnd.MOVED)
 
+    def withdraw(self) -> None:
+        """End the attempt unless it has taken over, as the runner that was silent goes on."""
+        if not self.relay.is_writer:
+            self.relay.withdraw()
+            self._end_early(AttemptEnd.LATE)
+
     def cut_off(self) -> None:
         """End the attempt, as the process ends."""
         self._end_early(AttemptEnd.CUT_OFF)
@@ -147,7 +153,7 @@
             self.pool.release(conn)
             return AttemptEnd.NOT_SENT
         # The runner may have begun to leave, or requested a pause, while the connection was opened.
-        if not self.may_send(self):
+        if self._ends_as(AttemptEnd.LATE) or not self.may_send(self):
             self.pool.release(conn)
             return AttemptEnd.WITHHELD
         self.relay.begin(
