--- a/features/restored_config.feature
+++ b/features/restored_config.feature
@@ -16,6 +16,15 @@
     And the operator writes ticket 3 with other content
     Then all processes have the new ticket 3 in force within 7 s, in equal states
 
+  Scenario: A delayed answer of the earlier era changes nothing
+    Guards against a process that takes the index from before a restore for the newest one.
+    Given two readers, a further entry process and an agent with the tickets 1 to 4
+    When the service comes back from a copy with the tickets 1 and 2
+    And the operator writes ticket 3 with other content
+    Then all processes have the new ticket 3 in force within 7 s, in equal states
+    When a reader gets the index of the earlier era
+    Then no process has another ticket, and the reader follows the new era again within 7 s
+
   Scenario: Lost tickets that are published again one after another bring no older state back
     Guards against a fleet that goes through the states of lost tickets a second time.
     Given two readers, a further entry process and an agent with the tickets 1 to 4
@@ -59,6 +68,11 @@
     When processes merge the lists of three eras from each other in random orders
     Then those with the newest list agree, and no host that left is back before it was written live
 
+  Scenario: The status tells the era of a ticket
+    Guards against an operator who takes ticket 3 of a new era for a reversal from ticket 4.
+    When the status of processes at ticket 4 of era 0 and ticket 3 of era 1 is shown
+    Then the tickets are "4" and "3 of era 1"
+
   Scenario: The whole fleet does not read the service when it is back
     Guards against readers that repeat a watch from a position that was lost, without a pause.
     Given two readers, a further entry process and an agent with the tickets 1 to 4
--- a/features/steps/direct_forwarding_steps.py
+++ b/features/steps/direct_forwarding_steps.py
@@ -7,6 +7,7 @@
 from attrs import evolve
 from behave import given, then, when
 from forwarding_harness import KEY, LIMITS, PATHS, ForwardingHarness, raw_request
+from memory_links import VirtualSocketLoop, run_virtual
 from scripted_runner import BODY, EVENTS
 from wasabilb_core.catalog import CallerLimits
 from wasabilb_core.runner_stats import LoadReport
@@ -36,13 +37,22 @@
         body += data[:-2]
 
 
-def run_in_harness(context, make_coroutine, **changes):
-    async def run():
+def run_in_harness(context, make_coroutine, *, run=asyncio.run, **changes):
+    async def main():
         async with ForwardingHarness(context.behaviours, **changes) as harness:
             context.harness = harness
             return await asyncio.wait_for(make_coroutine(harness), 10)
 
-    context.result = asyncio.run(run())
+    context.result = run(main())
+
+
+def run_in_virtual_harness(context, make_coroutine, **changes):
+    """Run on sockets under a virtual clock."""
+
+    def run(main):
+        return run_virtual(lambda: main, VirtualSocketLoop)
+
+    run_in_harness(context, make_coroutine, run=run, **changes)
 
 
 async def fetch(harness, data):
@@ -252,9 +262,9 @@
 
 
 @when("the first runner begins an order while a stream is under way there{but}")
-def step_order_begins(context, but):
+def step_order_begins(context, but, kind="stream"):
     async def load(harness):
-        asking = asyncio.ensure_future(fetch(harness, raw_request(PATHS["stream"])))
+        asking = asyncio.ensure_future(fetch(harness, raw_request(PATHS[kind])))
         await asyncio.sleep(0.3)
         fleet = harness.fleet
         first = next(n for n, scripted in enumerate(harness.runners) if scripted.requests)
@@ -281,6 +291,13 @@
 )
 
 
+@when(
+    "the first runner begins an order while a stream of the fixed stream route is under way there"
+)
+def step_order_fixed(context):
+    step_order_begins(context, "", kind="fixed stream")
+
+
 @then("the first runner sees the end of the connection within {seconds:g} s of the order")
 def step_sees_end_of_order(context, seconds):
     assert context.first.closed_at - context.ordered_at <= seconds, (
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -11,9 +11,9 @@
 from unittest.mock import patch
 
 from behave import given, then, when
-from direct_forwarding_steps import fetch, read_answer, run_in_harness
+from direct_forwarding_steps import fetch, read_answer, run_in_virtual_harness
 from forwarding_harness import PATHS, raw_request
-from wasabilb_core.drain_schedule import DrainSchedule
+from wasabilb_core.drain_schedule import DrainSchedule, assumed_answer_tokens
 from wasabilb_entry import drain as drain_module
 from wasabilb_entry.drain import Drain
 from wasabilb_entry.held_request_dispatcher import HeldRequestDispatcher
@@ -69,7 +69,7 @@
         await stop(harness, grace)
         return await caller
 
-    run_in_harness(context, play)
+    run_in_virtual_harness(context, play)
 
 
 @when("the process gets two signals while a request on the {kind} route is in progress")
@@ -84,7 +84,7 @@
         await asyncio.gather(stopping, return_exceptions=True)
         return await caller
 
-    run_in_harness(context, play)
+    run_in_virtual_harness(context, play)
 
 
 @then("the answer ends between {earliest:g} s and {latest:g} s after the signal")
@@ -115,7 +115,7 @@
         await stopping
         return answer
 
-    run_in_harness(context, play)
+    run_in_virtual_harness(context, play)
 
 
 @when("the last byte of a request comes {late:g} s into a stop with a grace of 1 s")
@@ -126,7 +126,7 @@
         await stop(harness, 1.0)
         return await caller
 
-    run_in_harness(context, play)
+    run_in_virtual_harness(context, play)
 
 
 @then("the runners received {count:d} requests in all")
@@ -277,3 +277,17 @@
     answer = context.answers[-1]
     assert answer.startswith("HTTP/1.1 503 ") and "Wasabilb-Outcome: not-run" in answer, answer
     assert "Connection: close" in answer and "Retry-After: 1" in answer, answer
+
+
+@when("a request that {may_be} repeated names at most {most:d} tokens and expects {expected}")
+def step_tokens(context, may_be, most, expected):
+    context.result = assumed_answer_tokens(
+        max_tokens=most,
+        hinted_tokens=None if expected == "none" else float(expected),
+        is_repeatable=may_be == "may be",
+    )
+
+
+@then("a stop assumes that its answer has {tokens:g} tokens")
+def step_assumed(context, tokens):
+    assert context.result == tokens, context.result
--- a/features/steps/restored_config_steps.py
+++ b/features/steps/restored_config_steps.py
@@ -1,16 +1,22 @@
 """Steps about processes whose configuration service comes back from a copy."""
 
 import asyncio
+import io
 import time
+from contextlib import redirect_stdout
+from unittest.mock import patch
 
 from behave import given, then, when
 from matrix_state_steps import TicketHolder
 from memory_fleet import LOG, METRICS, ticket_text
 from memory_links import Network
+from returns.result import Success
 from standin_steps import begin, run
 from wasabilb_core.membership import Membership
+from wasabilb_core.status import Status
 from wasabilb_core.ticket_order import ticket_era
 from wasabilb_core.ticket_spread import TicketSpread
+from wasabilb_entry import status
 from wasabilb_node.host_list_exchange import HostListExchange
 from wasabilb_node.platform_client import PlatformClient
 from wasabilb_node.platform_reader import PlatformReader
@@ -120,6 +126,7 @@
 
 @when("the service comes back from a copy with the tickets 1 and 2")
 def step_restore(context):
+    context.earlier_index = run(context, context.processes["e1"].client.index()).unwrap()
     lost = context.service.restore(context.copied_at)
     assert [publication.number for publication in lost] == [3, 4]
 
@@ -175,6 +182,30 @@
     run(context, scene())
 
 
+@when("a reader gets the index of the earlier era")
+def step_delayed(context):
+    async def scene():
+        reader = next(
+            process.reader for process in context.processes.values() if process.reader._was_reader
+        )
+        with patch.object(reader._client, "watch", return_value=Success(context.earlier_index)):
+            publish(context, 5, "v5")
+            await until(lambda: reader._position is context.earlier_index, lambda: reader._position)
+            context.after_delayed = versions(context)
+
+    run(context, scene())
+
+
+@then("no process has another ticket, and the reader follows the new era again within 7 s")
+def step_follows(context):
+    async def scene():
+        await until(lambda: context.service.pending_watches == 2, lambda: "two watches wait")
+        await until(lambda: set(versions(context).values()) == {"v5"}, lambda: versions(context))
+
+    assert set(context.after_delayed.values()) <= {"v9", "v5"}, context.after_delayed
+    run(context, scene())
+
+
 @when("the operator publishes ticket 3 again, and 1.5 s later ticket 4")
 def step_again(context):
     async def scene():
@@ -309,3 +340,24 @@
     assert sum(calls.values()) <= 2 * READERS_PER_DOMAIN * context.lasted_s, calls
     # A restore costs each reader the watch that broke, an index and the next watch.
     assert sum(calls.values()) <= 2 * 3 * READERS_PER_DOMAIN, calls
+
+
+@when("the status of processes at ticket 4 of era 0 and ticket 3 of era 1 is shown")
+def step_status(context):
+    replies = [
+        status.StatusReply(
+            address=f"127.0.0.1:{number}",
+            result=Success(Status(host="e1", newest_ticket=number, newest_era=era)),
+        )
+        for number, era in ((4, 0), (3, 1))
+    ]
+    shown = io.StringIO()
+    with patch.object(status, "read_statuses", return_value=replies), redirect_stdout(shown):
+        assert status.show_status([]) == 0
+    context.shown = shown.getvalue()
+
+
+@then('the tickets are "4" and "3 of era 1"')
+def step_shown(context):
+    first, second = context.shown.splitlines()[-2:]
+    assert "  4  " in first and "  3 of era 1  " in second, context.shown
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -77,6 +77,9 @@
     "ticket_refused": _spec("A ticket is invalid or conflicts.", "ticket source detail"),
     "platform_up": _spec("A service of the platform answers again.", "service"),
     "platform_down": _spec("A service of the platform does not answer.", "service detail"),
+    "entries_unusable": _spec(
+        "Entries in an answer of a service of the platform cannot be used.", "service entries"
+    ),
     "platform_restored": _spec("A service of the platform came back from a copy.", "service era"),
     "reader_changed": _spec("The host starts or stops reading tickets.", "is_reader"),
     "host_changed": _spec("The state of a host changes in this process.", "host state reason"),
@@ -161,7 +164,7 @@
         "request runner end status duration_ms load load_age_ms events answer parts left_ms detail",
     ),
     "stream_waiting": _spec(
-        "An answer that has begun waits until a runner can go on with it.",
+        "A stream that may have run waits until a runner can go on with it.",
         "request cause detail last_end left_ms",
     ),
     "request_refused": _spec(
