--- a/features/continued_streams.feature
+++ b/features/continued_streams.feature
@@ -109,6 +109,7 @@
     Given a stream without an answer yet that is handed over
     When the first runner begins to answer just after the second one has taken over
     Then the caller gets the events of the second runner only
+
   Scenario Outline: A stream that waits at a runner whose version goes out of date
     # Guards against a withdrawn request that ends as unknown because the next runner refused it.
     Given runners that in turn wait without an answer, <next>
--- a/features/silent_runners.feature
+++ b/features/silent_runners.feature
@@ -68,6 +68,7 @@
     Given runners of which one is silent for 1.35 s and the other one never begins
     When a caller measures the pauses of its stream
     Then its longest pause is below 1.47 s
+
   Scenario Outline: An agent gets no report from its runner
     # Guards against a sound runner that counts as crashed, under the prompts of requests whose
     # connections broke for another reason.
--- a/features/steps/handover_property_steps.py
+++ b/features/steps/handover_property_steps.py
@@ -34,7 +34,7 @@
     def write(self, data):
         assert not self.is_whole
         self.received += data
-        return asyncio.sleep(0)
+        return asyncio.ensure_future(asyncio.sleep(0))
 
     def finish(self):
         assert not self.is_whole
--- a/features/steps/silent_runner_steps.py
+++ b/features/steps/silent_runner_steps.py
@@ -69,7 +69,7 @@
         writer.close()
         return pause_s
 
-    run_in_harness(context, measure)
+    run_in_virtual_harness(context, measure)
 
 
 @then("its longest pause is below {seconds:g} s")
