Batches of a later era that are sent again are held once

Cause: an answer of a peer in a later era that breaks off is sent again, and each batch was appended to those held, so that memory grew until one answer arrived whole.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -14,3 +14,8 @@
     Then no process uses an older catalog for 2 s
     When catalog 6 is published
     Then every process uses catalog 6 within 1 s
+
+  Scenario: Answers of a peer that break off
+    # Guards against memory that grows while a large answer is sent again over a narrow link.
+    When the first of two batches of a later era arrives 50 times, and the last one once
+    Then at most 99 items were held, and all 100 are known
--- a/packages/wasabilb-core/src/wasabilb_core/published.py
+++ b/packages/wasabilb-core/src/wasabilb_core/published.py
@@ -49,7 +49,8 @@
 
     era: int
     upto: StatePosition
-    items: list[StateItem] = field(factory=list)
+    # A broken answer is sent again, and peers may retain different publications of an item.
+    items: dict[tuple[str, StatePosition], StateItem] = field(factory=dict)
 
 
 class PublishedState:
@@ -179,10 +180,10 @@
             partial = _PartialList(era=position.era, upto=self._position)
         if partial.era > position.era or after > partial.upto:
             return []
-        partial.items += items
+        partial.items |= {(item.name, item.position): item for item in items}
         partial.upto = max(partial.upto, position)
         self._partial_list = partial
-        return self.on_snapshot(partial.items, position) if is_last else []
+        return self.on_snapshot(partial.items.values(), position) if is_last else []
 
     def _merge(self, items: Iterable[StateItem]) -> list[StateItem]:
         changed = []
