One answer with a wrong era does not end the reading of the store

Cause: a later era began with any answer that named one. Test: features/restored_store.feature, 'One answer with a wrong era': 2 of 4 examples fail before. Not changed: the first answer that a process gets at all, and the era in a message of a peer.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -104,3 +104,16 @@
     # Guards against memory that grows while a large answer is sent again over a narrow link.
     When the first of two batches of a later era arrives 50 times, and the last one once
     Then at most 99 items were held, and all 100 are known
+
+  Scenario Outline: One answer with a wrong era
+    # Guards against a reader that takes all later answers for those of an earlier era.
+    Given a reader that knows era 1 of a store up to revision 5
+    When the answers to it are <answers>
+    Then it knows era <era>, and item <item> is the newest
+
+    Examples:
+      | answers                                                       | era | item |
+      | no history, all of era 999999999 at 9, all of era 1 at 7      | 1   | 7    |
+      | no history of era 2, all of era 2 at 4                        | 2   | 4    |
+      | no history of era 999999999, all of era 1 at 7                | 1   | 7    |
+      | no history of era 2, all of era 3 at 4, all of era 3 at 6     | 3   | 6    |
--- a/packages/wasabilb-node/src/wasabilb_node/published_reader.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_reader.py
@@ -47,6 +47,8 @@
         self._source = source
         self._rng = rng
         self._is_history_lost = False
+        # Era that the newest answer named.
+        self._named_era: int | None = None
         # Calls for changes in a row that the platform could not answer with changes.
         self._lost_histories = 0
 
@@ -70,6 +72,7 @@
         if isinstance(result, Failure):
             return Failure(result.failure())
         changes = result.unwrap()
+        self._named_era = changes.era
         if changes.is_history_lost and changes.era is None:
             return Success(self._on_history_lost())
         era = self._check_era(changes.era)
@@ -92,10 +95,21 @@
         era = self._check_era(snapshot.era)
         if isinstance(era, Failure):
             return Failure(era.failure())
+        if not self._may_begin(era.unwrap()):
+            return Success(self._on_history_lost())
         self._is_history_lost = False
         position = StatePosition(era=era.unwrap(), revision=snapshot.revision)
         return Success(Reading(changed=self._state.on_snapshot(snapshot.items, position)))
 
+    def _may_begin(self, era: int) -> bool:
+        """Return whether a snapshot of an era may be merged.
+
+        Answers of earlier eras count as none, so that one answer with a wrong era must not end the
+        reading for good: two answers in a row name a later era before it begins.
+        """
+        known, named, self._named_era = self._state.position, self._named_era, era
+        return known.is_start or era in (known.era, named)
+
     def _on_history_lost(self) -> Reading:
         """Read a snapshot next, after a pause if the last one did not help."""
         self._is_history_lost = True
