A catalog under a version number that is given out again is in force in every process

What callers would have seen: after a restore the operator publishes other content under a version number that the store had lost. A process that had read the lost catalog kept it for good, and one that started later served the new one. Cause: the view ordered catalogs by their version alone, beside the order of PublishedState (version, era, revision), which took the later one. A second, coarser copy of the order. Change: the view refuses only lower versions; what it is given has already passed the one order. Test: features/restored_store.feature, 'A version number of a lost catalog is used again', fails on the code before.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -117,3 +117,9 @@
       | no history of era 2, all of era 2 at 4                        | 2   | 4    |
       | no history of era 999999999, all of era 1 at 7                | 1   | 7    |
       | no history of era 2, all of era 3 at 4, all of era 3 at 6     | 3   | 6    |
+
+  Scenario: A version number of a lost catalog is used again
+    # Guards against a catalog in force only in processes that never read the lost one.
+    Given a process that uses catalog 5 of era 1
+    When another catalog 5 is published in era 2
+    Then it uses the one of era 2
--- a/packages/wasabilb-node/src/wasabilb_node/published_view.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_view.py
@@ -147,7 +147,7 @@
             self._log.event("runner_back", runner=runner_id, was=PresenceState.UNCONFIRMED.value)
 
     def _on_catalog(self, catalog: Catalog, revision: int) -> None:
-        if self.catalog is not None and catalog.version <= self.catalog.version:
+        if self.catalog is not None and catalog.version < self.catalog.version:
             return
         self.catalog = catalog
         self._log.event(
