--- a/features/steps/fleet_view_factory.py
+++ b/features/steps/fleet_view_factory.py
@@ -12,13 +12,14 @@
 from wasabilb_node.published_view import PublishedView
 
 
-def make_fleet_view(runners, *, processes=1):
+def make_fleet_view(runners, *, processes=1, published=None):
     """Return the view that an entry process has of a service with these runners."""
-    log = EventLog(process="t", role="entry", host="t", failure_domain="a", incarnation="1")
-    published = PublishedView(items=PublishedState(), decoder=LookupDecoder({}), log=log)
-    published.catalog = Catalog(
-        version=1, routes=(), services={"s": Service(name="s", engine=ENGINE)}
-    )
+    if published is None:
+        log = EventLog(process="t", role="entry", host="t", failure_domain="a", incarnation="1")
+        published = PublishedView(items=PublishedState(), decoder=LookupDecoder({}), log=log)
+        published.catalog = Catalog(
+            version=1, routes=(), services={"s": Service(name="s", engine=ENGINE)}
+        )
     for runner in runners:
         published.directory.on_listed(runner)
     return FleetView(
--- a/features/steps/published_fleet.py
+++ b/features/steps/published_fleet.py
@@ -6,8 +6,9 @@
 from collections import Counter
 
 from attrs import evolve
+from overload_model import ENGINE
 from returns.result import Failure, Success
-from wasabilb_core.catalog import Catalog, WeightTarget
+from wasabilb_core.catalog import Catalog, Service, WeightTarget
 from wasabilb_core.entry_roster import EntryPlace, EntryRoster
 from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.peering import entry_peers, followed_runners
@@ -40,7 +41,8 @@
             name, _, born = (rest or "r 1").partition(" ")
             return evolve(RUNNER, id=name, born_ms=int(born), is_draining=kind == "draining")
         if kind == "catalog":
-            return Catalog(version=int(rest), routes=(), services={})
+            services = {"s": Service(name="s", engine=ENGINE)}
+            return Catalog(version=int(rest), routes=(), services=services)
         return WeightTarget(model="m", version=int(rest)) if kind == "weights" else None
 
     def runner_id(self, name):
@@ -56,6 +58,8 @@
     def __init__(self):
         self.items, self.revision, self.era = {}, 1, None
         self.is_down, self.refused_hosts = False, set()
+        # Times until which the answers to hosts are under way.
+        self.answers_held_until = {}
         self.watch_counts, self.calls = Counter(), Counter()
         self.copies, self.calls_before_return = [], Counter()
 
@@ -80,9 +84,9 @@
             if self.is_refused(host):
                 return UNAVAILABLE
             listed = [item for item in self.items.values() if item.body is not None]
-            return Success(
-                Snapshot(items=self.in_era(listed), revision=self.revision, era=self.era)
-            )
+            answer = Snapshot(items=self.in_era(listed), revision=self.revision, era=self.era)
+            await self.wait_for_delivery(host)
+            return Success(answer)
 
         async def changes(after):
             self.calls[host] += 1
@@ -102,10 +106,16 @@
                     Changes(items=(), revision=after, is_history_lost=True, era=self.era)
                 )
             new = [item for item in self.items.values() if item.revision > after]
-            return Success(Changes(items=self.in_era(new), revision=self.revision, era=self.era))
+            answer = Changes(items=self.in_era(new), revision=self.revision, era=self.era)
+            await self.wait_for_delivery(host)
+            return Success(answer)
 
         return PublishedSource(snapshot=snapshot, changes=changes)
 
+    async def wait_for_delivery(self, host):
+        """Wait while the answer to a host is under way."""
+        await asyncio.sleep(max(0.0, self.answers_held_until.get(host, 0.0) - clock.now()))
+
     def in_era(self, items):
         """Return items as they are read now."""
         return tuple(evolve(item, era=self.era or 0) for item in items)
