--- a/features/steps/published_fleet.py
+++ b/features/steps/published_fleet.py
@@ -25,7 +25,7 @@
 
 HEARTBEAT_S = 0.8
 # The platform answers a call that waits for changes after at most this time.
-MAX_WATCH_S = 5.0
+MAX_WATCH_S = 0.5
 POLL_INTERVAL_S = 0.02
 SEEDS = 3
 RUNNER = Runner(id="r", born_ms=1, service="s", address="127.0.0.1:9", failure_domain="a")
@@ -147,6 +147,7 @@
             roster=roster,
             log=log,
             rng=random.Random(host),
+            version_ages=self.published_view.version_ages,
             on_change=self.on_change,
             on_era_began=self.published_view.on_era_began,
             on_platform_state=self.on_platform_state,
