Version bound of requests in a module of its own

The checks whether a request begins in time at a runner with an outdated version move from FleetView to VersionBound, unchanged, so that they can be tested and asked without a FleetView. FleetView.begin_by is now FleetView.version_bound.begin_by.

--- a/features/steps/direct_forwarding_steps.py
+++ b/features/steps/direct_forwarding_steps.py
@@ -253,7 +253,7 @@
         loop = asyncio.get_running_loop()
         due = loop.time() + 0.3
         times = [now() + 0.3]
-        harness.fleet.begin_by = lambda runner: times.pop() if times else math.inf
+        harness.fleet.version_bound.begin_by = lambda runner: times.pop() if times else math.inf
         answer = await fetch(harness, raw_request(PATHS["stream"]))
         context.closed_early = due - min(s.closed_at for s in harness.runners if s.closed_at)
         return answer
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -23,13 +23,13 @@
 from wasabilb_core.runner_limits import LimitChange, RunnerLimits
 from wasabilb_core.runner_stats import LoadReport, RunnerStats, completion_interval_s
 from wasabilb_core.unreported_load import assume_load
-from wasabilb_core.version_steps import VERSION_MARGIN_S
 from wasabilb_node.clock import now
 from wasabilb_node.http_client import ConnectionPool
 from wasabilb_node.published_view import PublishedView
 from wasabilb_wire.messages import RunnerReport
 
 from wasabilb_entry.stream_mover import StreamMover
+from wasabilb_entry.version_bound import VersionBound
 
 # Silence of a stream's runner after which another one is asked to take over, seconds. Sound runners
 # fall silent for a second or so. Callers leave after the longest of 2 s, 4 latency objectives and 8
@@ -147,6 +147,9 @@
         self._failure_domain = failure_domain
         self._regions = regions
         self._limits = limits
+        self.version_bound = VersionBound(
+            published=published, version_s=limits.version_s, begin_margin_s=BEGIN_MARGIN_S
+        )
         self._rng = rng
         self._processes = processes
         self._announce_send = announce_send
@@ -173,6 +176,7 @@
         """Apply new limits; a change restarts the retry budgets."""
         if limits != self._limits:
             self._limits = limits
+            self.version_bound.version_s = limits.version_s
             self._retry_windows.clear()
 
     def on_report(self, report: RunnerReport) -> None:
@@ -276,7 +280,7 @@
             followed = self._followed.get(service)
             runners = [
                 r
-                for r in self._capable(service, moment)
+                for r in self._capable(service)
                 if r.id not in excluded and (followed is None or r.id in followed)
             ]
             self.runner_limits.on_demand(runners, moment)
@@ -346,7 +350,7 @@
         self.published.expire_runners()
         moment = now()
         engine = self.engine(service)
-        capable = [r for r in self._capable(service, moment) if r.id not in request.excluded]
+        capable = [r for r in self._capable(service) if r.id not in request.excluded]
         usable = [r for r in capable if self.stats.is_usable(r, moment)]
         followed = self._followed.get(service)
         if followed is not None:
@@ -361,7 +365,8 @@
             (r, self._view(r, engine, moment, is_preferred_for_long=r.id in long_ids))
             for r in usable
         ]
-        return [v for r, v in views if self._begins_in_time(r, v, engine)]
+        begins_in_time = self.version_bound.begins_in_time
+        return [v for r, v in views if begins_in_time(r, expected_wait_s(v))]
 
     def requested_pause_s(self, service: str) -> float | None:
         """Return the seconds until the first requested pause of a service's runners ends.
@@ -369,17 +374,17 @@
         None unless all runners that could serve have requested one.
         """
         moment = now()
-        return self.stats.pauses.requested_pause_s(self._capable(service, moment), moment)
+        return self.stats.pauses.requested_pause_s(self._capable(service), moment)
 
     def ramping_count(self, service: str) -> int:
         """Return how many runners of a service receive requests again soon, but not now."""
         moment = now()
-        return self.stats.pauses.ramping_count(self._capable(service, moment), moment)
+        return self.stats.pauses.ramping_count(self._capable(service), moment)
 
-    def _capable(self, service: str, moment: float) -> list[Runner]:
+    def _capable(self, service: str) -> list[Runner]:
         """Return the runners that hold the weights that a service needs."""
         engine = self.engine(service)
-        version = self._required_version(engine, moment)
+        version = self.version_bound.required_version(service)
         routable = self.directory.routable(service)
         return [runner for runner in routable if self._can_serve(runner, engine, version)]
 
@@ -400,7 +405,7 @@
         if runner is None:
             return None
         is_known = chosen.report_age_s < math.inf
-        is_version_required = self._required_version(self.engine(service), now()) is not None
+        is_version_required = self.version_bound.required_version(service) is not None
         return Placement(
             runner=runner,
             # A runner refuses any other version than its own, also an older one.
@@ -440,7 +445,7 @@
             / RETRY_SPREAD[0]
             for r in routable
         ]
-        if self._capable(service, moment):
+        if self._capable(service):
             # A capable runner is excluded by its report or its connections while a fault lasts.
             ends.append(NO_RUNNER_RETRY_S)
         return min(NO_VERSION_RETRY_S, *ends)
@@ -494,31 +499,6 @@
         followed_share = len(self._followed.get(service, ())) / total if total else 1.0
         return max(1.0, self._processes() * min(1.0, followed_share or 1.0))
 
-    def _begins_in_time(self, runner: Runner, view: RunnerView, engine: EngineSpec | None) -> bool:
-        """Return whether a request would begin before its runner's version is outdated."""
-        outdated_s = self._outdated_s(runner, engine)
-        return outdated_s + expected_wait_s(view) < self._limits.version_s - VERSION_MARGIN_S
-
-    def begin_by(self, runner: Runner) -> float:
-        """Return when a request must have begun at a runner, infinite for one that is up to date.
-
-        A request that still waits then is withdrawn, as it would begin on an outdated version.
-        """
-        outdated_s = self._outdated_s(runner, self.engine(runner.service))
-        return now() + self._limits.version_s - BEGIN_MARGIN_S - outdated_s
-
-    def _outdated_s(self, runner: Runner, engine: EngineSpec | None) -> float:
-        if engine is None:
-            return -math.inf
-        return self.published.outdated_s(engine.model, runner.version)
-
-    def _required_version(self, engine: EngineSpec | None, moment: float) -> int | None:
-        """Return the version that must answer, from shortly before it is due."""
-        named_versions = self.published.named_versions(engine.model) if engine is not None else None
-        if named_versions is None:
-            return None
-        return named_versions.newest_due(moment, self._limits.version_s - VERSION_MARGIN_S)
-
     def _access_cost_s(self, failure_domain: str) -> float:
         if failure_domain == self._failure_domain:
             return 0.0
--- a/packages/wasabilb-entry/src/wasabilb_entry/request_attempts.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/request_attempts.py
@@ -106,7 +106,7 @@
                 deadline=ctx.deadline,
                 first_byte_s=first_byte_s,
                 gap_s=gap_s,
-                begin_by=self.fleet.begin_by(runner),
+                begin_by=self.fleet.version_bound.begin_by(runner),
                 take_over_by=take_over_by,
             ),
             may_send=partial(self._may_send, ctx),
--- /dev/null
+++ b/packages/wasabilb-entry/src/wasabilb_entry/version_bound.py
@@ -0,0 +1,62 @@
+"""The time within which requests may begin on an outdated version of the weights."""
+
+import math
+
+from wasabilb_core.runner_directory import Runner
+from wasabilb_core.version_steps import VERSION_MARGIN_S
+from wasabilb_node.clock import now
+from wasabilb_node.published_view import PublishedView
+
+
+class VersionBound:
+    """Decides by when requests must begin at a runner whose version is outdated.
+
+    Parameters
+    ----------
+    published : PublishedView
+        Catalog and versions of weights.
+    version_s : float
+        Time within which a named version must be in force.
+    begin_margin_s : float
+        Time before that limit at which requests that have not begun are withdrawn.
+    """
+
+    def __init__(
+        self, *, published: PublishedView, version_s: float, begin_margin_s: float
+    ) -> None:
+        self.version_s = version_s
+        self._published = published
+        self._begin_margin_s = begin_margin_s
+
+    def begins_in_time(self, runner: Runner, wait_s: float) -> bool:
+        """Return whether a request would begin before its runner's version is outdated.
+
+        Parameters
+        ----------
+        wait_s : float
+            Expected wait at the runner.
+        """
+        return self._outdated_s(runner) + wait_s < self.version_s - VERSION_MARGIN_S
+
+    def begin_by(self, runner: Runner) -> float:
+        """Return when a request must have begun at a runner, infinite for one that is up to date.
+
+        A request that still waits then is withdrawn, as it would begin on an outdated version.
+        """
+        return now() + self.version_s - self._begin_margin_s - self._outdated_s(runner)
+
+    def required_version(self, service: str) -> int | None:
+        """Return the version that must answer, from shortly before it is due."""
+        engine = self._published.engine(service)
+        if engine is None:
+            return None
+        named_versions = self._published.named_versions(engine.model)
+        if named_versions is None:
+            return None
+        return named_versions.newest_due(now(), self.version_s - VERSION_MARGIN_S)
+
+    def _outdated_s(self, runner: Runner) -> float:
+        engine = self._published.engine(runner.service)
+        if engine is None:
+            return -math.inf
+        return self._published.outdated_s(engine.model, runner.version)
