A request that waits at a runner is withdrawn when its version is outdated meanwhile

What callers saw: a request that had been sent to a runner that stopped began there on the old version when the runner went on, after the time within which the new one must be in force.

Cause: the time by which a request must begin was computed once, when its attempt was built. A version that was named afterwards, or proved to be older than assumed, changed nothing for requests that were under way. They stayed until the silence of the runner was noticed, and streams during a handover until the other runner had begun.

Change: the attempt asks VersionBound for the time whenever it checks its limits, and it is woken when a version is named or the limit changes. The version that counts is the newest one that the same incarnation of the runner is known to hold, so a request that will begin on the loaded version is not withdrawn and run a second time.

Evidence: features/version_bound.feature, with a bound of 1.6 s and a silent runner with version 1. Latest time after the naming at which the request could still begin there, before and after: stream 1.9 and 1.0 s, plain request 2.3 and 1.0 s; with a version that was named long before 1.9, 2.3 and 0.0 s; with one that proves to be 1.3 s older 1.7 and 0.0 s; in a handover 1.35 and 1.0 s. The withdrawal is due 0.6 s before the bound. A request at a runner that loads the version was sent to two runners, and is now sent to one. Seven of the eight scenarios fail before. The eighth, about held requests, passes before as well: they are placed anew from the state of the moment at which a slot frees up.

The step about a version that goes out of date gave the time to the first question and infinity to all later ones. It now gives it to all questions about the first attempt, as the time is asked more than once; what it checks is unchanged.

--- a/features/steps/direct_forwarding_steps.py
+++ b/features/steps/direct_forwarding_steps.py
@@ -252,8 +252,14 @@
     async def wait(harness):
         loop = asyncio.get_running_loop()
         due = loop.time() + 0.3
-        times = [now() + 0.3]
-        harness.fleet.version_bound.begin_by = lambda runner: times.pop() if times else math.inf
+        outdated_at = {}
+
+        def begin_by(runner):
+            # The runner that is asked first is out of date until another one has been asked.
+            outdated_at.setdefault(runner.id, math.inf if outdated_at else now() + 0.3)
+            return outdated_at[runner.id] if len(harness.request_heads) <= 1 else math.inf
+
+        harness.fleet.version_bound.begin_by = begin_by
         answer = await fetch(harness, raw_request(PATHS["stream"]))
         context.closed_early = due - min(s.closed_at for s in harness.runners if s.closed_at)
         return answer
--- a/features/steps/scripted_runner.py
+++ b/features/steps/scripted_runner.py
@@ -45,7 +45,12 @@
 
 
 # Behaviours that begin after a delay, seconds, and how they go on.
-LATE_ACTIONS = {"answer late": (1.6, "answer"), "refuse late": (0.4, "refuse as full")}
+LATE_ACTIONS = {
+    "answer late": (1.6, "answer"),
+    "answer after 0.8 s": (0.8, "answer"),
+    "answer after 1.1 s": (1.1, "answer"),
+    "refuse late": (0.4, "refuse as full"),
+}
 # Time after its second event at which a runner breaks off, seconds.
 BREAK_DELAYS_S = {"reset 1.2 s after two events": 1.2}
 # What a runner sends before it closes the connection, without a whole head.
--- /dev/null
+++ b/features/steps/version_bound_steps.py
@@ -0,0 +1,202 @@
+"""Steps about requests that wait while a version of the weights is named."""
+
+import asyncio
+import contextlib
+
+from attrs import evolve
+from behave import given, then, when
+from direct_forwarding_steps import fetch, run_in_virtual_harness
+from forwarding_harness import LIMITS, PATHS, raw_request
+from overload_model import ENGINE
+from wasabilb_core.catalog import Service, WeightTarget
+from wasabilb_core.published import StateItem
+from wasabilb_core.runner_stats import LoadReport
+from wasabilb_node.clock import now
+
+BOUND_S = 1.6
+REPORT_INTERVAL_S = 0.1
+TIMEOUT_S = 6.0
+
+
+class NamedFleet:
+    """A harness whose first runner holds version 1, and its second one version 2."""
+
+    def __init__(self, context, harness):
+        self.context, self.harness, self.fleet = context, harness, harness.fleet
+        self.published = harness.fleet.published
+        self.named_at = None
+        # Running and waiting requests that the agents report.
+        self.load = {"r-0": (0, 0), "r-1": (0, 0)}
+        old, new = harness.runners
+        old.behaviours, new.behaviours = [context.behaviours[0]], [context.behaviours[1]]
+        self.old = old
+        catalog = self.published.catalog
+        self.published.catalog = evolve(
+            catalog,
+            services={"s": Service(name="s", engine=ENGINE)},
+            routes=tuple(evolve(route, timeout_s=TIMEOUT_S) for route in catalog.routes),
+        )
+        self.fleet.on_limits(evolve(LIMITS, version_s=BOUND_S))
+        for runner_id, version, domain in (("r-0", 1, "a"), ("r-1", 2, "0")):
+            runner = self.fleet.directory.get(runner_id)
+            self.fleet.directory.on_removed(runner_id, now())
+            self.fleet.directory.on_listed(
+                evolve(
+                    runner,
+                    born_ms=2,
+                    version=version,
+                    layer_from=0,
+                    layer_to=ENGINE.layers,
+                    failure_domain=domain,
+                    slots=ENGINE.slots,
+                )
+            )
+        if context.is_only:
+            self.fleet.directory.on_removed("r-1", now())
+
+    def name_version(self, *, is_old=False):
+        """Name version 2, as one that was named long before if `is_old`."""
+        self.named_at = now()
+        target = WeightTarget(model=ENGINE.model, version=2)
+        self.harness.values[b"2"] = target
+        catalog = self.published.catalog
+        if is_old:
+            # What a process finds before its first catalog may have been named long ago.
+            self.published.catalog = None
+        self.published.apply_items([StateItem(name="weights", revision=2, body=b"2")])
+        self.published.catalog = catalog
+
+    def age_version(self, seconds):
+        """Let the version be known to be older than assumed."""
+        outdated_s = self.published.outdated_s
+        self.published.outdated_s = lambda *held: outdated_s(*held) + seconds
+        self.named_at = now()
+        for callback in self.published.on_weights_named:
+            callback(ENGINE.model)
+
+    async def report(self):
+        """Report the load of the runners as their agents do."""
+        while True:
+            for runner_id, (running, waiting) in self.load.items():
+                runner = self.fleet.directory.get(runner_id)
+                if runner is not None:
+                    load = LoadReport(running=running, waiting=waiting, at=now())
+                    self.fleet.stats.on_report(runner, load)
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+
+def run_named(context, play):
+    """Run a coroutine function with the fleet."""
+
+    async def main(harness):
+        context.named = NamedFleet(context, harness)
+        reporting = asyncio.ensure_future(context.named.report())
+        await asyncio.sleep(0)
+        try:
+            return await play(context.named)
+        finally:
+            reporting.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await reporting
+            await harness.settle()
+
+    run_in_virtual_harness(context, main)
+
+
+def start(named, kind):
+    data = raw_request(PATHS[kind], extra=f"Timeout: {TIMEOUT_S}\r\n")
+    return asyncio.ensure_future(fetch(named.harness, data))
+
+
+@given("a runner with version 1 that receives requests and is silent, and one with version 2")
+def step_silent(context):
+    context.behaviours, context.is_only = ["wait without an answer", "answer"], False
+
+
+@given("a runner with version 1 that receives requests and is silent, and one that begins late")
+def step_silent_and_late(context):
+    context.behaviours, context.is_only = ["wait without an answer", "answer after 0.8 s"], False
+
+
+@given("a runner with version 1 that answers late, and one with version 2")
+def step_answers_late(context):
+    context.behaviours, context.is_only = ["answer after 1.1 s", "answer"], False
+
+
+@given("a full runner with version 1 as the only one")
+def step_full(context):
+    context.behaviours, context.is_only = ["answer", "answer"], True
+
+
+@when("a request on the {kind} route waits there and version 2 {naming}")
+def step_waits(context, kind, naming):
+    async def play(named):
+        asking = start(named, kind)
+        await asyncio.sleep(0.1)
+        assert named.old.requests
+        named.name_version(is_old=naming == "was named long before")
+        if naming == "proves to be named 1.3 s earlier":
+            await asyncio.sleep(0.2)
+            named.age_version(1.3)
+        return await asking
+
+    run_named(context, play)
+
+
+@when("a request is sent there after version 2 was named and the runner loads that one")
+def step_loads(context):
+    async def play(named):
+        named.name_version()
+        await asyncio.sleep(0.3)
+        asking = start(named, "idempotent")
+        await asyncio.sleep(0.3)
+        runner = named.fleet.directory.get("r-0")
+        named.fleet.directory.on_weights("r-0", runner.born_ms, 2, 0, ENGINE.layers)
+        return await asking
+
+    run_named(context, play)
+
+
+@when("a stream is handed over at 2 s and version 2 was named at 1.45 s")
+def step_handed_over(context):
+    async def play(named):
+        asking = start(named, "stream")
+        await asyncio.sleep(1.45)
+        named.name_version()
+        return await asking
+
+    run_named(context, play)
+
+
+@when("a stream is sent {sent:g} s after the naming and a slot frees up {delay:g} s later")
+def step_slot(context, sent, delay):
+    async def play(named):
+        named.load["r-0"] = (ENGINE.slots, 3)
+        await asyncio.sleep(REPORT_INTERVAL_S)
+        named.name_version()
+        await asyncio.sleep(sent)
+        asking = start(named, "stream")
+        await asyncio.sleep(delay)
+        named.load["r-0"] = (0, 0)
+        return await asking
+
+    run_named(context, play)
+
+
+@then("no request can begin on version 1 later than {seconds:g} s after the naming")
+def step_latest(context, seconds):
+    named = context.named
+    assert named.old.open_connections == 0
+    latest = max([named.old.closed_at, *named.old.arrivals]) - named.named_at
+    assert latest <= seconds + 0.01, latest
+
+
+@then("the runner with version 1 received {count:d} requests")
+def step_received(context, count):
+    assert len(context.named.old.requests) == count, context.named.old.arrivals
+
+
+@then("only the first runner received the request")
+def step_only_first(context):
+    received = [len(scripted.requests) for scripted in context.harness.runners]
+    assert received == [1, 0], received
--- /dev/null
+++ b/features/version_bound.feature
@@ -0,0 +1,39 @@
+Feature: Waits of requests before they begin on outdated weights
+  Version 2 is named while one of two runners still holds version 1; the bound is 1.6 s.
+
+  Scenario Outline: A version is named while a request waits at a silent runner
+    # Guards against a time limit that is fixed when the request is sent: a version that is named
+    # later, or proves to be older than assumed, did not withdraw it.
+    Given a runner with version 1 that receives requests and is silent, and one with version 2
+    When a request on the <kind> route waits there and version 2 <naming>
+    Then the caller gets <answer>
+    And no request can begin on version 1 later than <latest> s after the naming
+
+    Examples:
+      | kind       | naming                              | answer           | latest |
+      | stream     | is named                            | all events once  | 1.0    |
+      | idempotent | is named                            | the whole answer | 1.0    |
+      | stream     | was named long before               | all events once  | 0.05   |
+      | idempotent | was named long before               | the whole answer | 0.05   |
+      | stream     | proves to be named 1.3 s earlier    | all events once  | 0.05   |
+
+  Scenario: A version is named while another runner is asked to take over
+    # Guards against the first request, left at its silent runner during the handover, that begins
+    # there when the runner goes on.
+    Given a runner with version 1 that receives requests and is silent, and one that begins late
+    When a stream is handed over at 2 s and version 2 was named at 1.45 s
+    Then the caller gets all events once
+    And no request can begin on version 1 later than 1.0 s after the naming
+
+  Scenario: Requests held for a slot
+    # Guards against held requests that are sent to a slot that frees up after the bound.
+    Given a full runner with version 1 as the only one
+    When a stream is sent 0.05 s after the naming and a slot frees up 0.75 s later
+    Then the runner with version 1 received 0 requests
+
+  Scenario: A runner that loads the version while a request waits there
+    # Guards against a second run of requests that begin on the new version.
+    Given a runner with version 1 that answers late, and one with version 2
+    When a request is sent there after version 2 was named and the runner loads that one
+    Then the caller gets the whole answer
+    And only the first runner received the request
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -176,7 +176,7 @@
         """Apply new limits; a change restarts the retry budgets."""
         if limits != self._limits:
             self._limits = limits
-            self.version_bound.version_s = limits.version_s
+            self.version_bound.on_limit(limits.version_s)
             self._retry_windows.clear()
 
     def on_report(self, report: RunnerReport) -> None:
--- a/packages/wasabilb-entry/src/wasabilb_entry/request_attempts.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/request_attempts.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from functools import partial
 
-from attrs import define
+from attrs import define, field
 from wasabilb_core.attempts import AttemptEnd
 from wasabilb_core.catalog import RequestKind
 from wasabilb_core.forwarding_metadata import AnswerMetadata, ForwardMetadata
@@ -65,6 +65,10 @@
     log: EventLog
     metrics: GatewayMetrics
     on_limit_changed: Callable[[], None]
+    _attempts: set[RunnerAttempt] = field(factory=set, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.fleet.version_bound.on_changed.append(self._on_version_bound)
 
     async def send(self, ctx: RequestContext, placement: Placement) -> AttemptEnd:
         """Send a request and return how the attempt ended, or the one that took over from it."""
@@ -106,9 +110,9 @@
                 deadline=ctx.deadline,
                 first_byte_s=first_byte_s,
                 gap_s=gap_s,
-                begin_by=self.fleet.version_bound.begin_by(runner),
                 take_over_by=take_over_by,
             ),
+            begin_by=partial(self.fleet.version_bound.begin_by, runner),
             may_send=partial(self._may_send, ctx),
             on_metadata=partial(self._on_answer_metadata, ctx, runner),
             on_going_on=partial(self.guard.on_answer_going_on, metadata.shared_parts),
@@ -128,10 +132,12 @@
         if ctx.route.kind is RequestKind.STREAM and ctx.route.is_repeatable:
             self.fleet.stream_mover.add(runner.id, move)
         ctx.attempts.add(attempt)
+        self._attempts.add(attempt)
         try:
             end = await attempt.run()
         finally:
             ctx.attempts.discard(attempt)
+            self._attempts.discard(attempt)
             self.fleet.on_ended(runner)
             self.fleet.stream_mover.remove(runner.id, move)
         ctx.history = ctx.history.with_attempt(end)
@@ -227,6 +233,10 @@
             detail=attempt.abort_reason or None,
         )
 
+    def _on_version_bound(self) -> None:
+        for attempt in self._attempts:
+            attempt.recheck()
+
     def _may_send(self, ctx: RequestContext, attempt: RunnerAttempt) -> bool:
         """Return whether a request may still be sent to the runner chosen for it."""
         if not self.fleet.may_send(attempt.runner, attempt.placed_at):
--- a/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
@@ -38,8 +38,6 @@
         Silence before the first part of the body after which the attempt may be given up.
     gap_s : float
         The same between two parts.
-    begin_by : float
-        Time by which the answer must begin, as the runner's version is outdated from then on.
     take_over_by : float
         Time by which the answer must begin to take over from a runner that could go on.
     """
@@ -47,7 +45,6 @@
     deadline: float
     first_byte_s: float
     gap_s: float
-    begin_by: float = math.inf
     take_over_by: float = math.inf
 
 
@@ -71,6 +68,9 @@
         Where the answer goes.
     limits : AttemptLimits
         Time limits.
+    begin_by : callable
+        Returns the time by which the answer must begin, as the runner's version is outdated from
+        then on. `recheck` tells that it may have changed.
     may_send : callable
         Returns whether the request may still be sent, once a connection is open; called with the
         attempt.
@@ -89,6 +89,7 @@
     headers: HTTPHeaders
     relay: Relay
     limits: AttemptLimits
+    begin_by: Callable[[], float]
     may_send: Callable[["RunnerAttempt"], bool]
     on_metadata: Callable[[AnswerMetadata], None]
     gives_up_silent: Callable[["RunnerAttempt"], bool]
@@ -100,6 +101,9 @@
     # Why this side aborted the answer, for the log.
     abort_reason: str = ""
     _is_sent: bool = False
+    _rechecked: "asyncio.Future[None]" = field(
+        factory=lambda: asyncio.get_running_loop().create_future()
+    )
     _early_end: "asyncio.Future[AttemptEnd]" = field(
         factory=lambda: asyncio.get_running_loop().create_future()
     )
@@ -124,6 +128,11 @@
             self.relay.withdraw()
             self._end_early(AttemptEnd.LATE)
 
+    def recheck(self) -> None:
+        """Check again by when the answer must begin."""
+        if not self._rechecked.done():
+            self._rechecked.set_result(None)
+
     def cut_off(self) -> None:
         """End the attempt, as the process ends."""
         self._end_early(AttemptEnd.CUT_OFF)
@@ -213,7 +222,6 @@
 
     async def _wait_for_end(self, read_task: "asyncio.Future[ReadOutcome]") -> AttemptEnd | None:
         """Wait for the answer and return how it was cut off, None when it was not."""
-        ends: set[asyncio.Future[Any]] = {read_task, self._early_end}
         checked_at = -math.inf
         while not read_task.done():
             moment = now()
@@ -231,7 +239,7 @@
                 continue
             begin_by = take_over_by = math.inf
             if not has_begun:
-                begin_by, take_over_by = self.limits.begin_by, self.limits.take_over_by
+                begin_by, take_over_by = self.begin_by(), self.limits.take_over_by
             if moment >= begin_by:
                 return AttemptEnd.OUTDATED
             if moment >= take_over_by:
@@ -239,11 +247,14 @@
             # The answer may begin meanwhile; from then on, a shorter silence ends it.
             end = min(silent_at, begin_by, take_over_by, self.limits.deadline)
             end = min(end, moment + self.limits.gap_s)
+            ends: set[asyncio.Future[Any]] = {read_task, self._early_end, self._rechecked}
             await asyncio.wait(ends, timeout=end - moment, return_when=asyncio.FIRST_COMPLETED)
             if self.is_moving:
                 return AttemptEnd.MOVED
             if self._early_end.done() and not read_task.done():
                 return self._early_end.result()
+            if self._rechecked.done():
+                self._rechecked = asyncio.get_running_loop().create_future()
         return AttemptEnd.MOVED if self.is_moving else None
 
     def _to_end(self, read: ReadOutcome) -> AttemptEnd:
--- a/packages/wasabilb-entry/src/wasabilb_entry/version_bound.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/version_bound.py
@@ -1,6 +1,7 @@
 """The time within which requests may begin on an outdated version of the weights."""
 
 import math
+from collections.abc import Callable
 
 from wasabilb_core.runner_directory import Runner
 from wasabilb_core.version_steps import VERSION_MARGIN_S
@@ -24,10 +25,18 @@
     def __init__(
         self, *, published: PublishedView, version_s: float, begin_margin_s: float
     ) -> None:
-        self.version_s = version_s
+        self._version_s = version_s
         self._published = published
+        # Called when the time of any runner may have become shorter.
+        self.on_changed: list[Callable[[], None]] = []
+        published.on_weights_named.append(lambda model: self._on_changed())
         self._begin_margin_s = begin_margin_s
 
+    def on_limit(self, version_s: float) -> None:
+        """Apply a new limit."""
+        self._version_s = version_s
+        self._on_changed()
+
     def begins_in_time(self, runner: Runner, wait_s: float) -> bool:
         """Return whether a request would begin before its runner's version is outdated.
 
@@ -36,14 +45,15 @@
         wait_s : float
             Expected wait at the runner.
         """
-        return self._outdated_s(runner) + wait_s < self.version_s - VERSION_MARGIN_S
+        return self._outdated_s(runner) + wait_s < self._version_s - VERSION_MARGIN_S
 
     def begin_by(self, runner: Runner) -> float:
         """Return when a request must have begun at a runner, infinite for one that is up to date.
 
-        A request that still waits then is withdrawn, as it would begin on an outdated version.
+        A request that still waits then is withdrawn, as it would begin on an outdated version. The
+        time changes when a version is named, proves to be older than assumed, or is loaded.
         """
-        return now() + self.version_s - self._begin_margin_s - self._outdated_s(runner)
+        return now() + self._version_s - self._begin_margin_s - self._outdated_s(runner)
 
     def required_version(self, service: str) -> int | None:
         """Return the version that must answer, from shortly before it is due."""
@@ -53,10 +63,21 @@
         named_versions = self._published.named_versions(engine.model)
         if named_versions is None:
             return None
-        return named_versions.newest_due(now(), self.version_s - VERSION_MARGIN_S)
+        return named_versions.newest_due(now(), self._version_s - VERSION_MARGIN_S)
 
     def _outdated_s(self, runner: Runner) -> float:
         engine = self._published.engine(runner.service)
         if engine is None:
             return -math.inf
-        return self._published.outdated_s(engine.model, runner.version)
+        return self._published.outdated_s(engine.model, self._held_version(runner))
+
+    def _held_version(self, runner: Runner) -> int:
+        """Return the newest version that this incarnation of a runner is known to hold."""
+        newest = self._published.directory.get(runner.id)
+        if newest is None or newest.incarnation != runner.incarnation:
+            return runner.version
+        return max(runner.version, newest.version)
+
+    def _on_changed(self) -> None:
+        for callback in self.on_changed:
+            callback()
