The version bound is checked again when the connection to the runner is open

What callers saw: nothing of their own; a request was sent to a runner at which it could no longer begin before its version was outdated.

Cause: whether a request begins in time was checked when its runner was chosen. Opening the connection takes up to 0.5 s, and longer if the process is paused meanwhile. The last check before the bytes are sent asked for leaving, pauses and limits of the runner, and not for its version. The attempt ended as outdated right after, with the bytes sent and one attempt used.

Change: FleetView.may_send asks the predicate with which the runner was chosen, for the wait that was expected then. A request that is withheld is placed again and uses no attempt.

Evidence: features/version_bound.feature, with a bound of 1.6 s and requests placed 0.6 s after the naming; the last one that begins in time is sent at 0.7 s. With a connection that opens 0.15, 0.45 and 1.2 s late, the runner with version 1 received the request 0.75, 1.05 and 1.8 s after the naming; now it receives none, and the request is answered by the other runner with its first attempt. All three examples fail before.

--- a/features/steps/version_bound_steps.py
+++ b/features/steps/version_bound_steps.py
@@ -168,6 +168,24 @@
     run_named(context, play)
 
 
+@when("a stream is sent {sent:g} s after the naming and its connection opens {delay:g} s later")
+def step_opens_late(context, sent, delay):
+    async def play(named):
+        acquire = named.fleet.pool.acquire
+        delays = [delay]
+
+        async def acquire_late(address, **kwargs):
+            await asyncio.sleep(delays.pop() if delays else 0.0)
+            return await acquire(address, **kwargs)
+
+        named.fleet.pool.acquire = acquire_late
+        named.name_version()
+        await asyncio.sleep(sent)
+        return await start(named, "stream")
+
+    run_named(context, play)
+
+
 @when("a stream is sent {sent:g} s after the naming and a slot frees up {delay:g} s later")
 def step_slot(context, sent, delay):
     async def play(named):
@@ -200,3 +218,9 @@
 def step_only_first(context):
     received = [len(scripted.requests) for scripted in context.harness.runners]
     assert received == [1, 0], received
+
+
+@then("the request counts {count:d} attempt")
+def step_attempts(context, count):
+    (done,) = [f for name, f in context.harness.log.lines if name == "request_done"]
+    assert done["attempts"] == count, done
--- a/features/version_bound.feature
+++ b/features/version_bound.feature
@@ -25,6 +25,21 @@
     Then the caller gets all events once
     And no request can begin on version 1 later than 1.0 s after the naming
 
+  Scenario Outline: A request whose connection opens late
+    # Guards against requests sent on a choice of runner that is no longer valid: after a lost
+    # packet of the handshake, or in a process that was paused in between.
+    Given a runner with version 1 that receives requests and is silent, and one with version 2
+    When a stream is sent 0.6 s after the naming and its connection opens <delay> s later
+    Then the caller gets all events once
+    And the runner with version 1 received 0 requests
+    And the request counts 1 attempt
+
+    Examples:
+      | delay |
+      | 0.15  |
+      | 0.45  |
+      | 1.2   |
+
   Scenario: Requests held for a slot
     # Guards against held requests that are sent to a slot that frees up after the bound.
     Given a full runner with version 1 as the only one
--- a/packages/wasabilb-core/src/wasabilb_core/attempts.py
+++ b/packages/wasabilb-core/src/wasabilb_core/attempts.py
@@ -18,7 +18,7 @@
 
     ANSWERED = "answered"
     NOT_SENT = "not-sent"
-    # The runner requested a pause just before this request was sent.
+    # The runner chosen for it could not be used any more when the connection was open.
     WITHHELD = "withheld"
     REFUSED = "refused"
     FAILED = "failed"
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -263,12 +263,20 @@
         """Take back a request that was counted as sent at a time and was not."""
         self.runner_limits.on_unsent(runner, placed_at)
 
-    def may_send(self, runner: Runner, placed_at: float) -> bool:
-        """Return whether a request may still be sent to the runner chosen for it at a time."""
+    def may_send(self, runner: Runner, placed_at: float, wait_s: float = 0.0) -> bool:
+        """Return whether a request may still be sent to the runner chosen for it at a time.
+
+        Parameters
+        ----------
+        wait_s : float
+            Wait at the runner that was expected when it was chosen.
+        """
         self.published.expire_runners()
         moment = now()
         if not self.directory.may_receive(runner):
             return False
+        if not self.version_bound.begins_in_time(runner, wait_s):
+            return False
         if self.stats.pauses.has_requested_pause(runner, moment):
             return False
         return self.runner_limits.confirm(runner, placed_at, moment)
--- a/packages/wasabilb-entry/src/wasabilb_entry/request_attempts.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/request_attempts.py
@@ -112,6 +112,7 @@
                 gap_s=gap_s,
                 take_over_by=take_over_by,
             ),
+            wait_s=placement.wait_s,
             begin_by=partial(self.fleet.version_bound.begin_by, runner),
             may_send=partial(self._may_send, ctx),
             on_metadata=partial(self._on_answer_metadata, ctx, runner),
@@ -239,7 +240,7 @@
 
     def _may_send(self, ctx: RequestContext, attempt: RunnerAttempt) -> bool:
         """Return whether a request may still be sent to the runner chosen for it."""
-        if not self.fleet.may_send(attempt.runner, attempt.placed_at):
+        if not self.fleet.may_send(attempt.runner, attempt.placed_at, attempt.wait_s):
             return False
         probed = self.guard.begin(ctx.metadata.shared_parts)
         attempt.probed = probed or frozenset()
--- a/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
@@ -68,6 +68,8 @@
         Where the answer goes.
     limits : AttemptLimits
         Time limits.
+    wait_s : float
+        Wait at the runner that is expected.
     begin_by : callable
         Returns the time by which the answer must begin, as the runner's version is outdated from
         then on. `recheck` tells that it may have changed.
@@ -89,6 +91,7 @@
     headers: HTTPHeaders
     relay: Relay
     limits: AttemptLimits
+    wait_s: float
     begin_by: Callable[[], float]
     may_send: Callable[["RunnerAttempt"], bool]
     on_metadata: Callable[[AnswerMetadata], None]
@@ -161,7 +164,8 @@
         if now() >= self.limits.deadline or self._ends_as(AttemptEnd.CUT_OFF):
             self.pool.release(conn)
             return AttemptEnd.NOT_SENT
-        # The runner may have begun to leave, or requested a pause, while the connection was opened.
+        # While the connection was opened, the runner may have begun to leave or requested a pause,
+        # or its version may have become too old for the request to begin in time.
         if self._ends_as(AttemptEnd.LATE) or not self.may_send(self):
             self.pool.release(conn)
             return AttemptEnd.WITHHELD
