Runners without a recent report receive no request shortly before their version is outdated

What callers saw: requests sent to a runner that had stopped waited there until they were withdrawn, and had to begin elsewhere late.

Cause: whether a request begins in time was judged from the load in the newest report, which may be 2 s old. A runner that has stopped looks as it did before, and a request at it is sent to another one after 2 s of silence, or withdrawn at the bound.

Change: in the last 2 s in which a request may be sent to a runner with an outdated version, only runners with a report of the last 0.5 s receive it (agents report every 0.1 s). Both the choice of a runner and the check before the send ask this. Runners whose version is up to date are not concerned, nor are all runners until 2 s before the limit.

Ruled out: a condition that travels with each request. The expected version, set to the known one, does not stop a runner with version 1 from running a request for version 1 later, and each runner that has loaded since its newest report refuses with 421, which costs an attempt, a repeat of the budget and a pause of the runner. With the newest version, near the bound, the runners with the old one refuse all, which is the same as not asking them.

Evidence: features/version_bound.feature, bound 8 s. Runner last heard 1.0 s before: a request 4.5 s after the naming is sent to it before and after; at 5.5 and 6.9 s it was sent before, and is not now; with the last report 2.5 s before likewise. With a report of the last 0.3 s it is sent at 5.5 s before and after. Three of the five examples fail before.

--- a/features/steps/version_bound_steps.py
+++ b/features/steps/version_bound_steps.py
@@ -36,7 +36,8 @@
             services={"s": Service(name="s", engine=ENGINE)},
             routes=tuple(evolve(route, timeout_s=TIMEOUT_S) for route in catalog.routes),
         )
-        self.fleet.on_limits(evolve(LIMITS, version_s=BOUND_S))
+        self.quiet = set()
+        self.fleet.on_limits(evolve(LIMITS, version_s=context.bound_s))
         for runner_id, version, domain in (("r-0", 1, "a"), ("r-1", 2, "0")):
             runner = self.fleet.directory.get(runner_id)
             self.fleet.directory.on_removed(runner_id, now())
@@ -79,7 +80,7 @@
         while True:
             for runner_id, (running, waiting) in self.load.items():
                 runner = self.fleet.directory.get(runner_id)
-                if runner is not None:
+                if runner is not None and runner_id not in self.quiet:
                     load = LoadReport(running=running, waiting=waiting, at=now())
                     self.fleet.stats.on_report(runner, load)
             await asyncio.sleep(REPORT_INTERVAL_S)
@@ -108,23 +109,32 @@
     return asyncio.ensure_future(fetch(named.harness, data))
 
 
+@given("a bound of {seconds:g} s for versions")
+def step_bound(context, seconds):
+    context.bound_s = seconds
+
+
 @given("a runner with version 1 that receives requests and is silent, and one with version 2")
 def step_silent(context):
+    context.bound_s = BOUND_S
     context.behaviours, context.is_only = ["wait without an answer", "answer"], False
 
 
 @given("a runner with version 1 that receives requests and is silent, and one that begins late")
 def step_silent_and_late(context):
+    context.bound_s = BOUND_S
     context.behaviours, context.is_only = ["wait without an answer", "answer after 0.8 s"], False
 
 
 @given("a runner with version 1 that answers late, and one with version 2")
 def step_answers_late(context):
+    context.bound_s = BOUND_S
     context.behaviours, context.is_only = ["answer after 1.1 s", "answer"], False
 
 
 @given("a full runner with version 1 as the only one")
 def step_full(context):
+    context.bound_s = BOUND_S
     context.behaviours, context.is_only = ["answer", "answer"], True
 
 
@@ -186,6 +196,34 @@
     run_named(context, play)
 
 
+@when(
+    "a stream is sent {sent:g} s after the naming and the runner was last heard {quiet:g} s before"
+)
+def step_quiet(context, sent, quiet):
+    async def play(named):
+        named.name_version()
+        await asyncio.sleep(sent - quiet)
+        named.quiet.add("r-0")
+        await asyncio.sleep(quiet)
+        return await start(named, "stream")
+
+    run_named(context, play)
+
+
+@when("a stream waits there and the process is paused from {start_s:g} s to {end_s:g} s")
+def step_paused(context, start_s, end_s):
+    async def play(named):
+        asking = start(named, "stream")
+        await asyncio.sleep(0.1)
+        named.name_version()
+        await asyncio.sleep(start_s)
+        # The clock goes on while nothing of the process runs.
+        asyncio.get_running_loop().now_s += end_s - start_s
+        return await asking
+
+    run_named(context, play)
+
+
 @when("a stream is sent {sent:g} s after the naming and a slot frees up {delay:g} s later")
 def step_slot(context, sent, delay):
     async def play(named):
--- a/features/version_bound.feature
+++ b/features/version_bound.feature
@@ -40,6 +40,29 @@
       | 0.45  |
       | 1.2   |
 
+  Scenario Outline: A runner that has reported nothing for a while
+    # Guards against requests that are lost at a runner that has stopped, or that begin there when
+    # it goes on, in the last part of the time for its version.
+    Given a runner with version 1 that receives requests and is silent, and one with version 2
+    And a bound of 8 s for versions
+    When a stream is sent <sent> s after the naming and the runner was last heard <quiet> s before
+    Then the runner with version 1 received <count> requests
+
+    Examples:
+      | sent | quiet | count |
+      | 4.5  | 1.0   | 1     |
+      | 5.5  | 0.3   | 1     |
+      | 5.5  | 1.0   | 0     |
+      | 5.5  | 2.5   | 0     |
+      | 6.9  | 1.0   | 0     |
+
+  Scenario: A process that is paused after it has sent a request
+    # Guards against a pause of the process that delays the withdrawal of what it sent before.
+    Given a runner with version 1 that receives requests and is silent, and one with version 2
+    When a stream waits there and the process is paused from 0.2 s to 1.4 s
+    Then the caller gets all events once
+    And no request can begin on version 1 later than 1.4 s after the naming
+
   Scenario: Requests held for a slot
     # Guards against held requests that are sent to a slot that frees up after the bound.
     Given a full runner with version 1 as the only one
--- a/packages/wasabilb-core/src/wasabilb_core/runner_stats.py
+++ b/packages/wasabilb-core/src/wasabilb_core/runner_stats.py
@@ -143,6 +143,11 @@
         """Return the runner's slowdown: recent duration of work relative to the usual one."""
         return self._state_of(runner).pace
 
+    def report_age_s(self, runner: Runner, now: float) -> float:
+        """Return the age of the newest report about a runner, infinite without one."""
+        report = self._state_of(runner).report
+        return now - report.at if report is not None else math.inf
+
     def forget(self, runner_id: str, now: float) -> None:
         """Drop a runner that is gone."""
         self._states.pop(runner_id, None)
--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -275,7 +275,8 @@
         moment = now()
         if not self.directory.may_receive(runner):
             return False
-        if not self.version_bound.begins_in_time(runner, wait_s):
+        report_age_s = self.stats.report_age_s(runner, moment)
+        if not self.version_bound.begins_in_time(runner, wait_s=wait_s, report_age_s=report_age_s):
             return False
         if self.stats.pauses.has_requested_pause(runner, moment):
             return False
@@ -374,7 +375,11 @@
             for r in usable
         ]
         begins_in_time = self.version_bound.begins_in_time
-        return [v for r, v in views if begins_in_time(r, expected_wait_s(v))]
+        return [
+            v
+            for r, v in views
+            if begins_in_time(r, wait_s=expected_wait_s(v), report_age_s=v.report_age_s)
+        ]
 
     def requested_pause_s(self, service: str) -> float | None:
         """Return the seconds until the first requested pause of a service's runners ends.
--- a/packages/wasabilb-entry/src/wasabilb_entry/version_bound.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/version_bound.py
@@ -8,6 +8,13 @@
 from wasabilb_node.clock import now
 from wasabilb_node.published_view import PublishedView
 
+# Age from which a report is no sign that its runner is running now, seconds. Agents report every
+# 0.1 s.
+RECENT_REPORT_S = 0.5
+# Time before a request must begin in which only runners with a recent report receive it, seconds.
+# Requests at a stopped runner are sent to another one after this silence.
+RECENT_ONLY_S = 2.0
+
 
 class VersionBound:
     """Decides by when requests must begin at a runner whose version is outdated.
@@ -37,15 +44,19 @@
         self._version_s = version_s
         self._on_changed()
 
-    def begins_in_time(self, runner: Runner, wait_s: float) -> bool:
+    def begins_in_time(self, runner: Runner, *, wait_s: float, report_age_s: float) -> bool:
         """Return whether a request would begin before its runner's version is outdated.
 
         Parameters
         ----------
         wait_s : float
             Expected wait at the runner.
+        report_age_s : float
+            Age of the newest report about it.
         """
-        return self._outdated_s(runner) + wait_s < self._version_s - VERSION_MARGIN_S
+        left_s = self._version_s - VERSION_MARGIN_S - self._outdated_s(runner) - wait_s
+        is_recent = report_age_s <= RECENT_REPORT_S
+        return left_s > (0.0 if is_recent else RECENT_ONLY_S)
 
     def begin_by(self, runner: Runner) -> float:
         """Return when a request must have begun at a runner, infinite for one that is up to date.
