Test the remaining waits between the choice of a runner and the beginning of a request

The second request of a handover at a runner that holds the old version, too, and a request whose body arrives after its head. A runner is chosen when the whole body has arrived, so that the second scenario passes before and after.

--- a/features/steps/version_bound_steps.py
+++ b/features/steps/version_bound_steps.py
@@ -5,7 +5,7 @@
 
 from attrs import evolve
 from behave import given, then, when
-from direct_forwarding_steps import fetch, run_in_virtual_harness
+from direct_forwarding_steps import fetch, read_answer, run_in_virtual_harness
 from forwarding_harness import LIMITS, PATHS, raw_request
 from overload_model import ENGINE
 from wasabilb_core.catalog import Service, WeightTarget
@@ -30,6 +30,7 @@
         old, new = harness.runners
         old.behaviours, new.behaviours = [context.behaviours[0]], [context.behaviours[1]]
         self.old = old
+        self.outdated = [old] if context.other == 2 else [old, new]
         catalog = self.published.catalog
         self.published.catalog = evolve(
             catalog,
@@ -38,7 +39,7 @@
         )
         self.quiet = set()
         self.fleet.on_limits(evolve(LIMITS, version_s=context.bound_s))
-        for runner_id, version, domain in (("r-0", 1, "a"), ("r-1", 2, "0")):
+        for runner_id, version, domain in (("r-0", 1, "a"), ("r-1", context.other, "0")):
             runner = self.fleet.directory.get(runner_id)
             self.fleet.directory.on_removed(runner_id, now())
             self.fleet.directory.on_listed(
@@ -109,6 +110,17 @@
     return asyncio.ensure_future(fetch(named.harness, data))
 
 
+def set_runners(context, *behaviours, other=2, is_only=False):
+    """Set what the runners do, and the version of the second one."""
+    context.behaviours, context.bound_s = behaviours, BOUND_S
+    context.other, context.is_only = other, is_only
+
+
+@given("two runners with version 1 that receive requests and are silent")
+def step_both_silent(context):
+    set_runners(context, "wait without an answer", "wait without an answer", other=1)
+
+
 @given("a bound of {seconds:g} s for versions")
 def step_bound(context, seconds):
     context.bound_s = seconds
@@ -116,26 +128,22 @@
 
 @given("a runner with version 1 that receives requests and is silent, and one with version 2")
 def step_silent(context):
-    context.bound_s = BOUND_S
-    context.behaviours, context.is_only = ["wait without an answer", "answer"], False
+    set_runners(context, "wait without an answer", "answer")
 
 
 @given("a runner with version 1 that receives requests and is silent, and one that begins late")
 def step_silent_and_late(context):
-    context.bound_s = BOUND_S
-    context.behaviours, context.is_only = ["wait without an answer", "answer after 0.8 s"], False
+    set_runners(context, "wait without an answer", "answer after 0.8 s")
 
 
 @given("a runner with version 1 that answers late, and one with version 2")
 def step_answers_late(context):
-    context.bound_s = BOUND_S
-    context.behaviours, context.is_only = ["answer after 1.1 s", "answer"], False
+    set_runners(context, "answer after 1.1 s", "answer")
 
 
 @given("a full runner with version 1 as the only one")
 def step_full(context):
-    context.bound_s = BOUND_S
-    context.behaviours, context.is_only = ["answer", "answer"], True
+    set_runners(context, "answer", "answer", is_only=True)
 
 
 @when("a request on the {kind} route waits there and version 2 {naming}")
@@ -224,6 +232,22 @@
     run_named(context, play)
 
 
+@when("the head of a request arrives at the naming and its body {delay:g} s later")
+def step_late_body(context, delay):
+    async def play(named):
+        data = raw_request(PATHS["idempotent"])
+        named.name_version()
+        reader, writer = await named.harness.connect()
+        writer.write(data[:-2])
+        await asyncio.sleep(delay)
+        writer.write(data[-2:])
+        answer = await read_answer(reader)
+        writer.close()
+        return (*answer, 0.0)
+
+    run_named(context, play)
+
+
 @when("a stream is sent {sent:g} s after the naming and a slot frees up {delay:g} s later")
 def step_slot(context, sent, delay):
     async def play(named):
@@ -242,9 +266,16 @@
 @then("no request can begin on version 1 later than {seconds:g} s after the naming")
 def step_latest(context, seconds):
     named = context.named
-    assert named.old.open_connections == 0
-    latest = max([named.old.closed_at, *named.old.arrivals]) - named.named_at
-    assert latest <= seconds + 0.01, latest
+    for scripted in named.outdated:
+        assert scripted.connections_at_end == 0
+        latest = max([scripted.closed_at, *scripted.arrivals]) - named.named_at
+        assert latest <= seconds + 0.01, latest
+
+
+@then("both runners received the request")
+def step_both(context):
+    received = [len(scripted.requests) for scripted in context.harness.runners]
+    assert received == [1, 1], received
 
 
 @then("the runner with version 1 received {count:d} requests")
--- a/features/version_bound.feature
+++ b/features/version_bound.feature
@@ -25,6 +25,14 @@
     Then the caller gets all events once
     And no request can begin on version 1 later than 1.0 s after the naming
 
+  Scenario: A version is named before the runner that is to take over holds it
+    # Guards against the second request of a handover that stays at its runner when the first one
+    # is withdrawn.
+    Given two runners with version 1 that receive requests and are silent
+    When a stream is handed over at 2 s and version 2 was named at 1.45 s
+    Then both runners received the request
+    And no request can begin on version 1 later than 1.0 s after the naming
+
   Scenario Outline: A request whose connection opens late
     # Guards against requests sent on a choice of runner that is no longer valid: after a lost
     # packet of the handshake, or in a process that was paused in between.
@@ -63,6 +71,13 @@
     Then the caller gets all events once
     And no request can begin on version 1 later than 1.4 s after the naming
 
+  Scenario: A request whose body arrives late
+    # Guards against a runner that is chosen before the body of the request has arrived.
+    Given a runner with version 1 that receives requests and is silent, and one with version 2
+    When the head of a request arrives at the naming and its body 0.8 s later
+    Then the caller gets the whole answer
+    And the runner with version 1 received 0 requests
+
   Scenario: Requests held for a slot
     # Guards against held requests that are sent to a slot that frees up after the bound.
     Given a full runner with version 1 as the only one
