Steps of version ages ask VersionBound for the time of a beginning

FleetView.begin_by has moved to VersionBound, so that 13 scenarios of features/version_ages.feature ended with an AttributeError on the merged state: 8 passed, 13 errors. After: 21 passed.

--- a/features/steps/version_age_steps.py
+++ b/features/steps/version_age_steps.py
@@ -38,7 +38,7 @@
         named = view.named_versions("m")
         if view.catalog is None or named is None or 2 not in named.newer_than(1):
             return
-        begin_by = make_fleet_view([OLD_RUNNER], published=view).begin_by(OLD_RUNNER)
+        begin_by = make_fleet_view([OLD_RUNNER], published=view).version_bound.begin_by(OLD_RUNNER)
         if begin_by >= moment:
             self.latest_begin_s = max(self.latest_begin_s, begin_by - named_at)
         excess_s = view.outdated_s("m", 1) - (moment - named_at)
