Steps of the version bound tell the age of the version that they name

The steps took a version that is heard after the first catalog for one named just now, which no process does since the age is proven by answers and peers.

--- a/features/steps/version_bound_steps.py
+++ b/features/steps/version_bound_steps.py
@@ -12,6 +12,7 @@
 from wasabilb_core.published import StateItem
 from wasabilb_core.runner_stats import LoadReport
 from wasabilb_node.clock import now
+from wasabilb_wire.messages import VersionAge
 
 BOUND_S = 1.6
 REPORT_INTERVAL_S = 0.1
@@ -61,12 +62,10 @@
         self.named_at = now()
         target = WeightTarget(model=ENGINE.model, version=2)
         self.harness.values[b"2"] = target
-        catalog = self.published.catalog
-        if is_old:
-            # What a process finds before its first catalog may have been named long ago.
-            self.published.catalog = None
+        if not is_old:
+            told = VersionAge(model=ENGINE.model, version=2, revision=2, age_ms=0)
+            self.published.version_ages.on_told([told], now())
         self.published.apply_items([StateItem(name="weights", revision=2, body=b"2")])
-        self.published.catalog = catalog
 
     def age_version(self, seconds):
         """Let the version be known to be older than assumed."""
