A version counts as named although the next one has replaced its publication

What callers saw: a process that had missed a version, as it was cut off or not yet started, let requests begin on the version before it for up to 8 s from the naming of the next one: with versions named 5 s apart, 11.56 s after the first naming, where 8 s are allowed.

Peers told the ages of both, but the bound counted the versions whose publication had arrived, and the ages of others were not told on. A small age of the newest one then replaced the careful assumption.

Evidence: three scenarios (a reader or another process that is cut off, a process that starts) failed with 11.561 s each, and pass now. Ruled out: a reader that catches up by a watch that returns each change, which hears of both.

Change: the time for which a version has been outdated, the version that must answer and the ages that are told include all known namings. Which versions agents fetch still depends on publications.

--- a/features/steps/version_age_steps.py
+++ b/features/steps/version_age_steps.py
@@ -36,7 +36,7 @@
     def look_at(self, process, named_at):
         view, moment = process.published_view, clock.now()
         named = view.named_versions("m")
-        if view.catalog is None or named is None or 2 not in named.newer_than(1):
+        if view.catalog is None or named is None or not named.newer_than(1):
             return
         begin_by = make_fleet_view([OLD_RUNNER], published=view).version_bound.begin_by(OLD_RUNNER)
         if begin_by >= moment:
@@ -197,6 +197,40 @@
     context.actions.append(action)
 
 
+@when(
+    "version 2 and {later:g} s later version 3 are named while an entry process {fault} for "
+    "{seconds:g} s"
+)
+def step_named_twice(context, later, fault, seconds):
+    context.fault_s = seconds
+
+    async def action(platform, processes):
+        network = processes[0].links.network
+        readers, others = entry_processes(platform, processes)
+        if fault == "is not yet started":
+            one, rest = None, processes
+        else:
+            one = (readers if "that reads" in fault else others)[0]
+            rest = [process for process in processes if process is not one]
+            assert fault.endswith("is cut off"), fault
+            platform.refused_hosts = {one.host}
+            cut_off(one, rest)
+        platform.publish("weights", b"weights 2")
+        context.observation, named_at = Observation(), clock.now()
+        await context.observation.watch(rest, named_at, later)
+        platform.publish("weights", b"weights 3")
+        await context.observation.watch(rest, named_at, seconds - later)
+        platform.refused_hosts = set()
+        network.unblock_all()
+        if one is None:
+            one, context.started = start_process(platform, network)
+            for other in rest:
+                network.connect(one.host, other.host)
+        await context.observation.watch([*rest, one], named_at, OBSERVED_S)
+
+    context.actions.append(action)
+
+
 @when("version 2 is named and a peer of an earlier build tells it to an entry process")
 def step_earlier_build(context):
     async def action(platform, processes):
--- a/features/version_ages.feature
+++ b/features/version_ages.feature
@@ -58,6 +58,21 @@
     Then no process lets a request begin on version 1 later than 8 s after the naming
     And within 0.5 s of the end of the fault no process takes the version for 1.6 s older than it is
 
+  Scenario Outline: A process that missed a version hears of the one that replaced it
+    Guards against a bound that counts from the naming of the newest version alone.
+    Given 6 entry processes and 2 agents in 2 failure domains
+    And a catalog that they all know
+    When they have run for 20 s
+    And version 2 and 5 s later version 3 are named while an entry process <fault> for 6 s
+    Then no process lets a request begin on version 1 later than 8 s after the naming
+    And within 2 s of the end of the fault no process takes the version for 1.6 s older than it is
+
+    Examples:
+      | fault                                      |
+      | that reads the platform is cut off         |
+      | that does not read the platform is cut off |
+      | is not yet started                         |
+
   Scenario: All processes start after a version was named
     Guards against requests that begin on an outdated version when no process knows its age.
     Given 6 entry processes and 2 agents in 2 failure domains
--- a/packages/wasabilb-core/src/wasabilb_core/named_versions.py
+++ b/packages/wasabilb-core/src/wasabilb_core/named_versions.py
@@ -1,7 +1,8 @@
 """Named versions of a model's weights, with the time after which each was named.
 
 A version may be named before its predecessor is on every runner, so each has its own time. What
-counts for a runner is the oldest of the versions that are newer than its own.
+counts for a runner is the oldest of the versions that are newer than its own, also one whose
+publication this process has missed because the next one has replaced it.
 
 No process knows when a version was named. Each counts from the latest time at which it is proven
 that the version had not been named, so that it never takes a version for younger than it is.
@@ -45,7 +46,7 @@
 
     def __init__(self) -> None:
         self._versions: set[int] = set()
-        # May include versions whose publication has not arrived yet.
+        # Includes versions that are known from what was told alone.
         self._namings: dict[int, Naming] = {}
 
     def newer_than(self, held: int) -> list[int]:
@@ -62,6 +63,10 @@
         known = self._namings.get(version)
         self._namings[version] = naming if known is None else known.joined(naming)
 
+    def namings(self) -> dict[int, Naming]:
+        """Return the namings of all versions, also of those whose publication has not arrived."""
+        return dict(self._namings)
+
     def naming(self, version: int) -> Naming:
         """Return the naming of a named version."""
         return self._namings[version]
@@ -71,10 +76,10 @@
 
         Returns minus infinity when there is none.
         """
-        newer = [self._namings[version].after for version in self._versions if version > held]
+        newer = [naming.after for version, naming in self._namings.items() if version > held]
         return now - min(newer) if newer else -math.inf
 
     def newest_due(self, now: float, after_s: float) -> int | None:
         """Return the newest version that may have been named at least `after_s` seconds ago."""
-        due_versions = [v for v in self._versions if now - self._namings[v].after >= after_s]
+        due_versions = [v for v, naming in self._namings.items() if now - naming.after >= after_s]
         return max(due_versions, default=None)
--- a/packages/wasabilb-node/src/wasabilb_node/version_ages.py
+++ b/packages/wasabilb-node/src/wasabilb_node/version_ages.py
@@ -79,9 +79,8 @@
         found = [
             (naming, model, version)
             for model, named_versions in self._models.items()
-            for version in named_versions.newer_than(0)
-            if (naming := named_versions.naming(version)).position > after
-            and (moment - naming.after) * 1000 < MAX_AGE_MS
+            for version, naming in named_versions.namings().items()
+            if naming.position > after and (moment - naming.after) * 1000 < MAX_AGE_MS
         ]
         newest = sorted(found, key=lambda entry: entry[0].position)[-MAX_AGES:]
         return [
