Readers are asked for the age of a version once they announce it

What callers saw: nothing yet; found in review. A process that hears of a version first from a peer of an earlier build, or from one that itself was late, asks all peers for its age at once. A reader that hears of the version a moment later was not asked again, so that the process kept counting from its own last answer of the platform, and used no server with the older version.

Evidence: one of two readers of an earlier build: 5 entry processes and 2 agents took the version for 20 s older than it is, for as long as was observed.

Change: while a smaller age may be known, each heartbeat of a peer that reads the platform is answered with the question. Processes that know a small age ask nothing, as before.

Not covered: while no reader is of a build that knows ages, the version remains of any age for processes that do not read the platform.

--- a/features/steps/version_age_steps.py
+++ b/features/steps/version_age_steps.py
@@ -253,6 +253,26 @@
     context.actions.append(action)
 
 
+@when("version 2 is named while a reader is of an earlier build")
+def step_earlier_reader(context):
+    async def action(platform, processes):
+        reader = entry_processes(platform, processes)[0][0]
+        network = reader.links.network
+        transmit = network.transmit
+
+        def without_ages(link, message):
+            if link.local is reader.links and isinstance(message, Published):
+                message = evolve(message, ages=[], sent_ms=0)
+            transmit(link, message)
+
+        network.transmit = without_ages
+        platform.publish("weights", b"weights 2")
+        context.observation = Observation()
+        await context.observation.watch(processes, clock.now(), OBSERVED_S)
+
+    context.actions.append(action)
+
+
 @then(
     "no process lets a request begin on version {version:d} later than {bound:g} s after the naming"
 )
--- a/features/version_ages.feature
+++ b/features/version_ages.feature
@@ -58,6 +58,16 @@
     Then no process lets a request begin on version 1 later than 8 s after the naming
     And within 0.5 s of the end of the fault no process takes the version for 1.6 s older than it is
 
+  Scenario: A reader of an earlier build is the first to tell a version
+    Guards against processes that ask for the age of a version before any peer knows it, and then
+    stay without servers.
+    Given 6 entry processes and 2 agents in 2 failure domains
+    And a catalog that they all know
+    When they have run for 20 s
+    And version 2 is named while a reader is of an earlier build
+    Then no process lets a request begin on version 1 later than 8 s after the naming
+    And within 1.5 s of the end of the fault no process takes the version for 1.6 s older than it is
+
   Scenario Outline: A process that missed a version hears of the one that replaced it
     Guards against a bound that counts from the naming of the newest version alone.
     Given 6 entry processes and 2 agents in 2 failure domains
--- a/packages/wasabilb-node/src/wasabilb_node/published_sync.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_sync.py
@@ -307,6 +307,9 @@
             self._announce_later()
         if beat.reads_platform:
             self._reading_peers.add(peer)
+            # It may have heard of a version after it was asked for the age.
+            if self._version_ages.should_ask(now()):
+                peer.send(self._to_want(asks_ages=True))
         else:
             self._reading_peers.discard(peer)
         self._update_platform_state()
