--- a/features/version_ages.feature
+++ b/features/version_ages.feature
@@ -58,6 +58,31 @@
     Then no process lets a request begin on version 1 later than 8 s after the naming
     And within 0.5 s of the end of the fault no process takes the version for 1.6 s older than it is
 
+  Scenario: A reader of an earlier build is the first to tell a version
+    Guards against processes that ask for the age of a version before any peer knows it, and then
+    stay without servers.
+    Given 6 entry processes and 2 agents in 2 failure domains
+    And a catalog that they all know
+    When they have run for 20 s
+    And version 2 is named while a reader is of an earlier build
+    Then no process lets a request begin on version 1 later than 8 s after the naming
+    And within 1.5 s of the end of the fault no process takes the version for 1.6 s older than it is
+
+  Scenario Outline: A process that missed a version hears of the one that replaced it
+    Guards against a bound that counts from the naming of the newest version alone.
+    Given 6 entry processes and 2 agents in 2 failure domains
+    And a catalog that they all know
+    When they have run for 20 s
+    And version 2 and 5 s later version 3 are named while an entry process <fault> for 6 s
+    Then no process lets a request begin on version 1 later than 8 s after the naming
+    And within 2 s of the end of the fault no process takes the version for 1.6 s older than it is
+
+    Examples:
+      | fault                                      |
+      | that reads the platform is cut off         |
+      | that does not read the platform is cut off |
+      | is not yet started                         |
+
   Scenario: All processes start after a version was named
     Guards against requests that begin on an outdated version when no process knows its age.
     Given 6 entry processes and 2 agents in 2 failure domains
@@ -70,6 +95,12 @@
     When a starting process gets the catalog, a version, its publication in a later era and three ages of it in every order
     Then it has the same age in all of them, the smallest that is proven for the first publication
 
+  Scenario: A version of any age is told beside a newer one
+    Guards against a bound that counts from the naming of the newest version alone.
+    Given a process that found version 2 at its start and knows that version 3 is 1 s old
+    When it tells a starting process what is published
+    Then version 1 may have been outdated for any time
+
   Scenario: A version without any proof may be of any age
     Guards against a starting process that takes a version for new because the catalog came first.
     When a starting process gets the catalog, then a version, and no age of it
