Withdraw waiting requests 0.2 s before their runner's version is outdated

The margin of 0.6 s counted 0.4 s for the time until a process hears of a version. Since a version is counted from a proof that was requested before its publication, that time is part of its age, and counting it twice only takes usable time from servers. What remains is the time until a runner detects that the connection of a withdrawn request was closed, up to 0.1 s, and the delay of the link.

No change of the version margin of 0.9 s at the choice of a runner. Checked: features version_ages, published_state, forwarding, direct_forwarding, silent_runners (128 scenarios).

--- a/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/fleet_view.py
@@ -49,9 +49,9 @@
 OTHER_REGION_S = 0.030
 # Long answers avoid runners that take at least this many times longer than usual.
 SLOWED_PACE = 1.5
-# A process receives a version up to 0.4 s after the platform has confirmed it, and a runner detects
-# a closed connection after up to 0.1 s.
-BEGIN_MARGIN_S = 0.6
+# A request that is withdrawn may begin until its runner detects the closed connection: up to 0.1 s,
+# and the delay of the link.
+BEGIN_MARGIN_S = 0.2
 
 
 @frozen(kw_only=True)
