Ask peers again for the age of a version that they hear of at the same time

What would be seen: after the platform is away for 3 s and a version is named at its return, one of 6 entry processes takes the version for 23.0 s older than it is, the others for 3.6 s, and gives up all servers of the earlier version at once.

Cause: the process had not read the platform since its start, so its own proof was 20 s old. It asked its peers as soon as it heard of the version, some milliseconds before they did, and their answers named no age.

Change: a process asks up to three times, 0.7 s apart, while its proof is more than 1.5 s older than the news. In a fleet in touch no process asks.

Checked: feature version_ages, 22 scenarios, of which the new one failed before.

--- a/features/steps/version_age_steps.py
+++ b/features/steps/version_age_steps.py
@@ -219,6 +219,19 @@
     context.actions.append(action)
 
 
+@when("the platform is away for {seconds:g} s and version 2 is named at its return")
+def step_named_at_return(context, seconds):
+    async def action(platform, processes):
+        platform.is_down = True
+        await asyncio.sleep(seconds)
+        platform.is_down = False
+        platform.publish("weights", b"weights 2")
+        context.observation = Observation()
+        await context.observation.watch(processes, clock.now(), OBSERVED_S)
+
+    context.actions.append(action)
+
+
 @then(
     "no process lets a request begin on version {version:d} later than {bound:g} s after the naming"
 )
--- a/features/version_ages.feature
+++ b/features/version_ages.feature
@@ -58,6 +58,15 @@
     Then no process lets a request begin on version 1 later than 8 s after the naming
     And within 0.5 s of the end of the fault no process takes the version for 1.6 s older than it is
 
+  Scenario: A version is named when the platform is back
+    Guards against a process that asked its peers for the age before they had heard of the version.
+    Given 6 entry processes and 2 agents in 2 failure domains
+    And a catalog that they all know
+    When they have run for 20 s
+    And the platform is away for 3 s and version 2 is named at its return
+    Then no process lets a request begin on version 1 later than 8 s after the naming
+    And within 3 s of the end of the fault no process takes the version for 4.6 s older than it is
+
   Scenario: All processes start after a version was named
     Guards against requests that begin on an outdated version when no process knows its age.
     Given 6 entry processes and 2 agents in 2 failure domains
--- a/packages/wasabilb-node/src/wasabilb_node/published_sync.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_sync.py
@@ -165,6 +165,7 @@
         message = self._to_beat(self._roster.take_updates())
         self._links.multicast(message, self._recipients.heartbeat_recipients(message))
         self._recipients.on_heartbeats_sent()
+        self._ask_for_ages()
 
     def announce_change(self) -> None:
         """Announce a change to peers immediately; changes in quick succession are combined."""
@@ -200,15 +201,16 @@
         )
 
     def _to_want(self, *, asks_ages: bool = False) -> PublishedWant:
-        known = self._state.position
+        # Rounded down, so that no age is too small.
+        known, sent_ms = self._state.position, int(now() * 1000)
         return PublishedWant(
-            after=known.revision,
-            era=known.era,
-            # Rounded down, so that no age is too small.
-            sent_ms=int(now() * 1000),
-            asks_ages=asks_ages,
+            after=known.revision, era=known.era, sent_ms=sent_ms, asks_ages=asks_ages
         )
 
+    def _ask_for_ages(self) -> None:
+        if self._version_ages.take_question(now()):
+            self._links.multicast(self._to_want(asks_ages=True), self._links.peers(role="entry"))
+
     def _distrust_ms(self) -> int:
         return round(self._removal_distrust_s() * 1000)
 
@@ -299,8 +301,7 @@
         self._behind_since = None
         if changed:
             self._on_change(changed)
-        if self._version_ages.take_question(now()):
-            self._links.multicast(self._to_want(asks_ages=True), self._links.peers(role="entry"))
+        self._ask_for_ages()
 
     def _on_beat(self, peer: Peer, beat: NodeBeat) -> None:
         if self._roster.on_announcements(beat.entries, now()):
--- a/packages/wasabilb-node/src/wasabilb_node/version_ages.py
+++ b/packages/wasabilb-node/src/wasabilb_node/version_ages.py
@@ -20,6 +20,10 @@
 # New links are asked for this time after a version was heard of, seconds; a process that was cut
 # off from all is linked with its peers again within 2 s.
 ASK_FOR_S = 5.0
+# Peers may hear of a version after a process has asked them, so it asks this often, with this
+# interval in seconds, in which all processes in touch hear of it.
+ASK_TIMES = 3
+ASK_INTERVAL_S = 0.7
 # Ages in a message; more versions than are named within the time for which ages matter.
 MAX_AGES = 16
 # Messages hold ages as milliseconds in 32 bits.
@@ -33,13 +37,19 @@
     named_versions: NamedVersions
     version: int
     at: float
-    is_asked: bool = False
+    asked_at: float = -math.inf
+    times_asked: int = 0
 
     def is_open(self, moment: float) -> bool:
         """Return whether a peer may know a smaller age."""
         age_s = self.at - self.named_versions.naming(self.version).after
         return moment - self.at < ASK_FOR_S and age_s > ASK_ABOVE_S
 
+    def is_due(self, moment: float) -> bool:
+        """Return whether all peers are to be asked now."""
+        is_left = self.times_asked < ASK_TIMES and moment - self.asked_at >= ASK_INTERVAL_S
+        return is_left and self.is_open(moment)
+
 
 class VersionAges:
     """The named versions of all models, with the ages that peers know."""
@@ -68,11 +78,11 @@
         return any(heard.is_open(moment) for heard in self._heard)
 
     def take_question(self, moment: float) -> bool:
-        """Return whether to ask all peers now, which a process does once for each version."""
-        unasked = [h for h in self._heard if not h.is_asked and h.is_open(moment)]
-        for heard in unasked:
-            heard.is_asked = True
-        return bool(unasked)
+        """Return whether to ask all peers now, and count it as asked."""
+        due = [heard for heard in self._heard if heard.is_due(moment)]
+        for heard in due:
+            heard.asked_at, heard.times_asked = moment, heard.times_asked + 1
+        return bool(due)
 
     def to_ages(self, after: StatePosition, moment: float) -> list[VersionAge]:
         """Return the known ages of the newest versions that were named after a position."""
