BUDGET: compare whole requests, so that one that crashes runners is refused everywhere

Callers saw servers end one after the other, and `overloaded` from the rest: one request of an account came again and again at other entry hosts and ended a server or two each time.

Cause: only parts of prompts were objects of suspicion.

Change: a request as a whole is one more subject of `CrashingParts`, with the same evidence, probes, blocks, reports, merging, lifting and exchange. `crash_subjects.whole_request` is its digest over account, method, host, path with query and body, each with its length. Its numbers have 65 bits and their own fields in messages, so that no part that a caller names is a request; earlier builds ignore the new fields, and a report without a digest counts as before. * Narrowest cause first: a part counts once for each request that has it, and is not blocked while one suspected request was in all its crashes. * A request is blocked 0.3 s after a crash at the earliest, once all processes have told of their requests there; until then its repeats wait.

--- a/features/steps/crash_model.py
+++ b/features/steps/crash_model.py
@@ -12,6 +12,7 @@
 from forwarding_harness import RecordingLog
 from memory_links import Network, run_virtual
 from wasabilb_core.attempts import AnswerProgress, AttemptEnd
+from wasabilb_core.crash_subjects import is_whole_request, request_subject
 from wasabilb_core.crashing_parts import SURVIVED_S, CrashingParts
 from wasabilb_core.entry_roster import EntryPlace, EntryRoster
 from wasabilb_core.errors import ErrorKind
@@ -34,6 +35,8 @@
 AGENT_DELAY_S = (0.02, 0.2)
 MAX_ATTEMPTS = 2
 SYSTEM_PART, BAD_PART, OTHER_BAD_PART = 1, 0xBAD, 0xBEEF
+# Digests above those that number the other requests.
+BAD_REQUEST, STATUS_REQUEST = request_subject(1 << 40), request_subject(2 << 40)
 THINGS = 60
 
 
@@ -119,6 +122,8 @@
         self.network = Network(seed=seed)
         self.sound, self.bad = sound, bad
         self.bad_parts = {BAD_PART}
+        # Whether answers come whole at their end.
+        self.is_plain = False
         self.make_sound = self.usual_parts
         self.make_bad = lambda: (*self.usual_parts()[:2], BAD_PART)
         self.places = [
@@ -204,6 +209,8 @@
 
     async def request(self, process, parts, is_bad):
         """Send a request of a caller until it is answered or given up."""
+        if not any(map(is_whole_request, parts)):
+            parts = (*parts, request_subject(len(self.requests) + 1))
         req = ModelRequest(process=process, parts=parts, is_bad=is_bad, number=len(self.requests))
         self.requests.append(req)
         while len(req.sent_at) < MAX_ATTEMPTS:
@@ -246,16 +253,20 @@
 
     async def run(self, req, runner_id, end, state):
         await asyncio.sleep(self.rng.uniform(*WAIT_S))
-        state.progress = AnswerProgress.STARTED
+        if not self.is_plain:
+            state.progress = AnswerProgress.STARTED
         await asyncio.sleep(CRASH_DELAY_S)
         if self.bad_parts & set(req.parts):
             self.crash(runner_id, is_bad=True)
             return
         req.first_began = req.first_began or len(req.sent_at) == 1
-        state.progress = AnswerProgress.BEGUN
-        await asyncio.sleep(SURVIVED_S)
-        req.process.guard.on_answer_going_on(req.parts)
-        await asyncio.sleep(ANSWER_S - SURVIVED_S)
+        if self.is_plain:
+            await asyncio.sleep(ANSWER_S)
+        else:
+            state.progress = AnswerProgress.BEGUN
+            await asyncio.sleep(SURVIVED_S)
+            req.process.guard.on_answer_going_on(req.parts)
+            await asyncio.sleep(ANSWER_S - SURVIVED_S)
         _resolve(end, AttemptEnd.ANSWERED)
 
     async def send_for(self, seconds, *, has_bad=True):
@@ -286,6 +297,19 @@
         """Return the parts that some process refuses."""
         return set().union(*(p.parts.blocked_parts(now()) for p in self.processes))
 
+    def refused(self, *kinds):
+        """Return the sound requests that were not answered, with one of some errors."""
+        return [r for r in self.requests if not r.is_bad and r.error in kinds]
+
+    def blocked_ever(self):
+        """Return the parts that some process refused at some time, in hexadecimal."""
+        return {
+            fields["part"]
+            for process in self.processes
+            for _, name, fields in process.log.timed
+            if name == "part_blocked"
+        }
+
     def blocked_delays(self, part=BAD_PART):
         """Return, for each process, the time from the first crash until it refused a part."""
         delays = []
--- a/features/steps/crash_rules_steps.py
+++ b/features/steps/crash_rules_steps.py
@@ -10,7 +10,7 @@
 from hypothesis import given as property_given
 from hypothesis import strategies as st
 from memory_links import run_virtual
-from wasabilb_core import _crash_evidence, crashing_parts
+from wasabilb_core import _answered_subjects, _crash_evidence, crashing_parts
 from wasabilb_core.crash_reports import CrashReport
 from wasabilb_core.crashing_parts import CrashingParts, PartDecision
 from wasabilb_core.runner_directory import Runner
@@ -99,7 +99,7 @@
 def bounded(context):
     parts = context.parts
     assert parts.suspected_count <= _crash_evidence.MAX_SUSPECTS
-    assert len(parts._answered) <= crashing_parts.MAX_CLEARED
+    assert len(parts._answered) <= _answered_subjects.MAX_CLEARED
     assert parts.blocked_parts(context.moment) == {BAD_PART}
 
 
--- a/features/steps/crashing_part_steps.py
+++ b/features/steps/crashing_part_steps.py
@@ -23,7 +23,7 @@
 class CrashingFleet:
     """Linked entry processes before runners that end on a part of prompts."""
 
-    def __init__(self, *, runners, down_s, seed=1, bad_parts=(BAD_PART,)):
+    def __init__(self, *, runners, down_s, seed=1, bad_parts=(BAD_PART,), is_plain=False):
         self.rng = random.Random(seed)
         self.harnesses = []
         self.runners = [
@@ -33,6 +33,7 @@
                 on_ended=lambda runner: None,
                 on_back=self.on_back,
                 bad_parts=bad_parts,
+                is_plain=is_plain,
             )
             for number in range(runners)
         ]
--- a/packages/wasabilb-core/src/wasabilb_core/crashing_parts.py
+++ b/packages/wasabilb-core/src/wasabilb_core/crashing_parts.py
@@ -1,13 +1,18 @@
-"""Finds the parts of prompts that crash runners, and decides which requests may be sent.
+"""Finds what crashes runners, and decides which requests may be sent.
 
-A part crashes each runner that begins an answer on it, so a part under which an answer went on is
-none. The other parts of the requests that were with a crashed runner are suspected. At most one
-request with a suspected part is under way in the fleet, as its probe. A probe whose answer goes on
-clears the part; crashes under the part, one of them at a probe, block it. Crashes of runners that
-had no request with the part speak for another cause, so that more evidence is needed.
+The cause is a part of prompts, or a request as a whole that comes again and again; both are
+subjects of suspicion (`crash_subjects`), called parts here for short. A part crashes each runner
+that begins an answer on it, so a part under which an answer went on is none. The other parts of the
+requests that were with a crashed runner are suspected. At most one request with a suspected part is
+under way in the fleet, as its probe. A probe whose answer goes on clears the part; crashes under
+the part, one of them at a probe, block it. Crashes of runners that had no request with the part
+speak for another cause, so that more evidence is needed.
 
 Requests that were with the runner by chance do not make their parts suspicious for long: parts of
 ordinary prompts have been cleared before, and others are by their probe.
+
+The narrowest cause goes first: crashes that have one request in common speak against that request
+and not against the parts of its prompt.
 """
 
 import math
@@ -15,10 +20,11 @@
 from collections.abc import Collection, Iterable
 from enum import Enum, unique
 
-from attrs import define
-
+from wasabilb_core._answered_subjects import AnsweredSubjects
+from wasabilb_core._blocked_subject import BLOCKED_S, Blocked
 from wasabilb_core._crash_evidence import CrashEvidence, RunnerIncarnation
 from wasabilb_core.crash_reports import BlockedPart, CrashReport
+from wasabilb_core.crash_subjects import is_whole_request, request_digest
 
 # Evidence that blocks a part: two crashes just after the beginning of an answer, or four otherwise.
 BLOCKING_SCORE = 4
@@ -34,17 +40,13 @@
 # Time after the head of an answer from which its next event clears the parts, seconds: many steps
 # of a full batch, and several times the time in which runners crashed after the head.
 SURVIVED_S = 0.3
-# Time for which an answer clears its parts, seconds. Parts in use are cleared again and again.
-CLEARED_S = 600.0
-# The same for what another process tells, seconds: it is told again with the next crash.
-TOLD_CLEARED_S = 60.0
-# Parts that are remembered as cleared; at 150 bytes each, 2.5 MB.
-MAX_CLEARED = 16_384
+# Time after a crash from which all processes have told of their requests there, seconds: the check
+# for a crash takes up to 0.1 s, a message between regions as long. One of these requests may be the
+# cause in place of another.
+TOLD_S = 0.3
 # Longest time for which a probe excludes others, seconds: the longest wait for a first event, and
 # the time until the end is known elsewhere.
 PROBE_S = 3.0
-# Time without requests after which a probe may find out whether a part still crashes runners.
-BLOCKED_S = 600.0
 # Blocked parts that are kept; those not seen for longest are dropped first.
 MAX_BLOCKED = 256
 
@@ -61,30 +63,13 @@
     BLOCK = "block"
 
 
-@define(kw_only=True)
-class _Blocked:
-    """Knowledge of a blocked part; `turn` is even while a probe may be sent."""
-
-    seen_at: float
-    changed_at: float
-    crashes: int
-    turn: int = 1
-    companions: frozenset[int] = frozenset()
-
-    def is_lifted(self, now: float) -> bool:
-        return self.turn % 2 == 0 or now - self.seen_at > BLOCKED_S
-
-
 class CrashingParts:
     """Parts of prompts as one entry process knows them."""
 
     def __init__(self) -> None:
         self._evidence = CrashEvidence()
-        # Times of the last answers under parts, at this process, the oldest first.
-        self._answered: OrderedDict[int, float] = OrderedDict()
-        # Ends of the times for which other processes have cleared parts.
-        self._told_until: dict[int, float] = {}
-        self._blocked: dict[int, _Blocked] = {}
+        self._answered = AnsweredSubjects()
+        self._blocked: dict[int, Blocked] = {}
         self._probed_until: dict[int, float] = {}
         self._ended_at: OrderedDict[RunnerIncarnation, float] = OrderedDict()
         self._answered_at = -math.inf
@@ -116,7 +101,12 @@
         suspects = self._suspects(parts, now)
         if not suspects:
             return PartDecision.SEND
-        is_probed = any(self._is_probed(part, now) for part in suspects)
+        is_probed = any(
+            self._is_probed(part, now)
+            or self._is_unsettled(part, now)
+            or self._is_repeat(part, parts, now)
+            for part in suspects
+        )
         return PartDecision.WAIT if is_probed else PartDecision.PROBE
 
     def begin(self, parts: Collection[int], now: float) -> frozenset[int] | None:
@@ -153,11 +143,7 @@
             The parts that were suspected or blocked until now.
         """
         self._answered_at = now
-        for part in parts:
-            self._answered[part] = now
-            self._answered.move_to_end(part)
-        while len(self._answered) > MAX_CLEARED:
-            self._answered.popitem(last=False)
+        self._answered.add(parts, now)
         return self._clear(parts, now)
 
     def on_answer_told(self, parts: Iterable[int], now: float) -> list[int]:
@@ -168,10 +154,7 @@
         list of int
             The parts that were suspected or blocked until now.
         """
-        self._told_until = {p: end for p, end in self._told_until.items() if now < end}
-        for part in parts:
-            if len(self._told_until) < MAX_CLEARED:
-                self._told_until[part] = now + TOLD_CLEARED_S
+        self._answered.add_told(parts, now)
         return self._clear(parts, now)
 
     def _clear(self, parts: Iterable[int], now: float) -> list[int]:
@@ -180,7 +163,7 @@
         news = []
         for part in parts:
             is_blocked = self._blocked.pop(part, None) is not None
-            if self._evidence.remove_part(part) or is_blocked:
+            if self._evidence.remove(part) or is_blocked:
                 news.append(part)
         if news:
             self.on_probe_ended(news)
@@ -193,11 +176,11 @@
 
     def is_cleared(self, part: int, now: float) -> bool:
         """Return whether an answer under a part went on lately, here or elsewhere."""
-        return self.has_answered(part, now) or now < self._told_until.get(part, -math.inf)
+        return self._answered.is_cleared(part, now)
 
     def has_answered(self, part: int, now: float) -> bool:
         """Return whether an answer under a part went on lately at this process."""
-        return now - self._answered.get(part, -math.inf) <= CLEARED_S
+        return self._answered.has_answered(part, now)
 
     def on_crash(self, report: CrashReport, now: float) -> list[int]:
         """Merge a report of a crash, of this process or another one.
@@ -208,11 +191,11 @@
             The parts about which it tells something new.
         """
         self.on_runner_ended(report.runner, report.born_ms, now - report.age_s)
-        told = {*report.started, *report.waiting, *report.probes}
+        told = {*report.started_subjects, *report.waiting_subjects}
         cleared = [part for part in told if self.is_cleared(part, now)]
         changed = self._evidence.add(report, cleared, now)
         for part in changed:
-            if part in report.probes:
+            if part in report.probed_subjects:
                 self.on_probe_ended([part])
             blocked = self._blocked.get(part)
             if blocked is not None:
@@ -237,7 +220,7 @@
             return False
         blocked = self._blocked.get(told.part)
         if blocked is None:
-            blocked = _Blocked(seen_at=-math.inf, changed_at=now, crashes=0, turn=0)
+            blocked = Blocked(seen_at=-math.inf, changed_at=now, crashes=0, turn=0)
             self._add_blocked(told.part, blocked)
         blocked.seen_at = max(blocked.seen_at, now - told.age_s)
         blocked.crashes = max(blocked.crashes, told.crashes)
@@ -269,6 +252,14 @@
             self._blocked[found].changed_at = now
         return lifted
 
+    def has_recent_crash(self, now: float) -> bool:
+        """Return whether other processes may still tell of a crash."""
+        return any(now - crash.at < TOLD_S for crash in self._evidence)
+
+    def update(self, now: float) -> None:
+        """Block the requests with enough evidence of which all processes have told."""
+        self._update_blocked(now)
+
     def reports(self, now: float) -> tuple[list[CrashReport], list[BlockedPart]]:
         """Return all that another process should know, and drop what no longer matters."""
         self._evidence.expire(now)
@@ -283,11 +274,33 @@
             )
             for part, blocked in self._blocked.items()
         ]
-        return [crash.to_report(now) for crash in self._evidence if crash.parts], blocked_parts
+        return [r for crash in self._evidence for r in crash.to_reports(now)], blocked_parts
 
     def _is_probed(self, part: int, now: float) -> bool:
         return now < self._probed_until.get(part, -math.inf)
 
+    def _is_unsettled(self, part: int, now: float) -> bool:
+        """Return whether the next update blocks a request, unless reports name another cause."""
+        return (
+            is_whole_request(part)
+            and part not in self._blocked
+            and self._evidence.score(part) >= BLOCKING_SCORE
+            and self._has_enough_evidence(part, self._evidence.rivals(part), now)
+        )
+
+    def _is_repeat(self, part: int, parts: Collection[int], now: float) -> bool:
+        """Return whether a part that is nearly blocked needs the probe of another request."""
+        crashes = self._evidence.crashes(part)
+        return (
+            not is_whole_request(part)
+            and any(crash.has_request(part, request_digest(parts)) for crash in crashes)
+            and max(crash.at for crash in crashes) > now - PROBE_S
+            and self._evidence.score(part) >= BLOCKING_SCORE
+        )
+
+    def _is_recent(self, part: int, now: float) -> bool:
+        return any(now - crash.at < TOLD_S for crash in self._evidence.crashes(part))
+
     def _suspects(self, parts: Collection[int], now: float) -> list[int]:
         return [
             part
@@ -310,7 +323,9 @@
 
     def _has_enough_evidence(self, part: int, companions: frozenset[int], now: float) -> bool:
         crashes = self._evidence.crashes(part)
-        if not any(part in crash.probes for crash in crashes):
+        if not any(crash.is_probe_of(part) for crash in crashes):
+            return False
+        if not is_whole_request(part) and self._evidence.has_single_request(part):
             return False
         if now - self._answered_at > ANSWERED_S:
             # Runners that answer no request at all have another fault.
@@ -323,7 +338,7 @@
         needed = BLOCKING_SCORE + ADDITIONAL_SCORE * (has_unrelated + bool(companions))
         return self._evidence.score(part) >= needed
 
-    def _block_again(self, part: int, blocked: _Blocked, at: float, now: float) -> None:
+    def _block_again(self, part: int, blocked: Blocked, at: float, now: float) -> None:
         """Record a crash under a blocked part, perhaps from before it was lifted."""
         if blocked.is_lifted(now) and at > blocked.changed_at:
             # Also one that was lifted only by its time, so that both count as a change.
@@ -332,25 +347,31 @@
         blocked.seen_at = max(blocked.seen_at, at)
         blocked.crashes = max(blocked.crashes, len(self._evidence.crashes(part)))
 
-    def _add_blocked(self, part: int, blocked: _Blocked) -> None:
+    def _add_blocked(self, part: int, blocked: Blocked) -> None:
         self._blocked[part] = blocked
         if len(self._blocked) > MAX_BLOCKED:
             del self._blocked[min(self._blocked, key=lambda p: self._blocked[p].seen_at)]
 
     def _update_blocked(self, now: float) -> None:
         """Block the parts with enough evidence, and unblock those that another part explains."""
-        for part in sorted(self._evidence.parts_by_score(BLOCKING_SCORE)):
-            companions = self._evidence.companions(part)
-            if part in self._blocked or companions & self._blocked.keys():
+        for part in sorted(self._evidence.subjects_by_score(BLOCKING_SCORE)):
+            if is_whole_request(part):
+                companions = self._evidence.rivals(part)
+                is_known = part in self._blocked or self._is_recent(part, now)
+            else:
+                companions = self._evidence.companions(part)
                 # One of several parts that cannot be told apart stands for all.
+                is_known = part in self._blocked or bool(companions & self._blocked.keys())
+            if is_known:
                 continue
             if self._has_enough_evidence(part, companions, now):
                 crashes = len(self._evidence.crashes(part))
-                blocked = _Blocked(seen_at=now, changed_at=now, crashes=crashes)
+                blocked = Blocked(seen_at=now, changed_at=now, crashes=crashes)
                 self._add_blocked(part, blocked)
         for part, blocked in list(self._blocked.items()):
             # Without its first crashes, which expire, a part has more companions than it had.
-            if len(self._evidence.crashes(part)) >= max(1, blocked.crashes):
+            is_current = len(self._evidence.crashes(part)) >= max(1, blocked.crashes)
+            if is_current and not is_whole_request(part):
                 blocked.companions = self._evidence.companions(part)
             if self._is_explained(part, now):
                 del self._blocked[part]
--- a/packages/wasabilb-core/src/wasabilb_core/errors.py
+++ b/packages/wasabilb-core/src/wasabilb_core/errors.py
@@ -45,6 +45,8 @@
     BACKEND_UNREACHABLE = "backend-unreachable"
     PROMPT_BLOCKED = "prompt-blocked"
     PROMPT_PROBED = "prompt-probed"
+    REQUEST_BLOCKED = "request-blocked"
+    REQUEST_PROBED = "request-probed"
     BAD_FRAME = "bad-frame"
     BAD_SETTINGS = "bad-settings"
     BAD_TICKET = "bad-ticket"
@@ -113,6 +115,8 @@
     ErrorKind.BACKEND_UNREACHABLE: _row(502, "The backend server is down", _NOT_RUN, True),
     ErrorKind.PROMPT_BLOCKED: _row(400, "The prompt crashes backend servers", _NOT_RUN, False),
     ErrorKind.PROMPT_PROBED: _row(503, "A part of the prompt is being probed", _NOT_RUN, True),
+    ErrorKind.REQUEST_BLOCKED: _row(400, "The request crashes backend servers", _NOT_RUN, False),
+    ErrorKind.REQUEST_PROBED: _row(503, "The same request is being probed", _NOT_RUN, True),
     ErrorKind.BAD_FRAME: _row(502, "A message between hosts is malformed", _UNKNOWN, True),
     ErrorKind.BAD_SETTINGS: _row(500, "The settings are wrong", _NOT_RUN, False),
     ErrorKind.BAD_TICKET: _row(500, "The ticket is wrong", _NOT_RUN, False),
--- a/packages/wasabilb-entry/src/wasabilb_entry/crash_exchange.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/crash_exchange.py
@@ -1,10 +1,19 @@
-"""Exchange between entry processes of crashed runners and the parts of prompts that were there."""
+"""Exchange between entry processes of crashed runners and the requests that were there."""
 
 import asyncio
 import random
-from collections.abc import Callable
-
-from wasabilb_core.crash_reports import CrashReport
+from collections.abc import Callable, Collection, Iterable, Iterator
+from contextlib import contextmanager
+
+from attrs import evolve
+from wasabilb_core.crash_reports import BlockedPart, CrashReport
+from wasabilb_core.crash_subjects import (
+    digests_of,
+    is_whole_request,
+    parts_of,
+    request_digest,
+    request_subject,
+)
 from wasabilb_core.crashing_parts import CrashingParts
 from wasabilb_core.prompt_parts import parts_text
 from wasabilb_node.clock import now
@@ -15,6 +24,9 @@
 # Interval at which peers are told of all that is known, seconds; what is new is told at once. The
 # interval bounds the cost of a blocked part and covers lost messages.
 REPEAT_S = 15.0
+# Interval at which it is checked whether a request is blocked, once all processes have told of a
+# crash, seconds.
+UPDATE_S = 0.1
 # Range of delays after which processes of a large fleet correct a suspicion, seconds, so that
 # mostly one of them does.
 CORRECTION_SPREAD_S = 0.1
@@ -56,6 +68,7 @@
         self._log = log
         self._rng = rng
         self._is_repeating = False
+        self._is_updating = False
         self._pending_corrections: set[int] = set()
         links.set_handler(CrashNotice, self._on_notice, from_role="entry")
         links.on_link_up.append(self._on_link_up)
@@ -63,24 +76,26 @@
     def on_crash(self, report: CrashReport) -> None:
         """Apply and tell a crash that this process has seen."""
         if self._apply_crash(report, ""):
-            self._tell(CrashNotice(crashes=[report]))
+            self._tell(_notice(crashes=[report]))
             self._start_repeating()
 
     def on_answer_going_on(self, parts: tuple[int, ...]) -> None:
         """Record an answer that went on, and tell if that clears a suspected or blocked part."""
-        cleared = self._parts.on_answer_going_on(parts, now())
+        moment = now()
+        with self._logging_blocked(moment, ""):
+            cleared = self._parts.on_answer_going_on(parts, moment)
         if cleared:
             self._log_cleared(cleared, "")
-            self._tell(CrashNotice(cleared=cleared))
+            self._tell(_notice(cleared=cleared))
 
     def on_probe_begun(self, parts: frozenset[int]) -> None:
         """Tell that this process has sent the probe of some parts."""
-        self._tell(CrashNotice(probes_begun=sorted(parts)))
+        self._tell(_notice(probes_begun=sorted(parts)))
 
     def on_probe_ended(self, parts: frozenset[int]) -> None:
         """Record and tell that a probe has ended without a result."""
         self._parts.on_probe_ended(parts)
-        self._tell(CrashNotice(probes_ended=sorted(parts)))
+        self._tell(_notice(probes_ended=sorted(parts)))
 
     def lift(self, *, part: int | None, before: float, reason: str) -> list[int]:
         """Let a probe find out whether blocked parts still crash runners, and tell it."""
@@ -88,7 +103,7 @@
         if lifted:
             self._log.event("part_lifted", parts=parts_text(lifted), reason=reason)
             _, blocked = self._parts.reports(now())
-            self._tell(CrashNotice(blocked=[b for b in blocked if b.part in lifted]))
+            self._tell(_notice(blocked=[b for b in blocked if b.part in lifted]))
         return lifted
 
     def _on_link_up(self, peer: Peer) -> None:
@@ -100,7 +115,7 @@
 
     def _full_notice(self) -> CrashNotice | None:
         crashes, blocked = self._parts.reports(now())
-        return CrashNotice(crashes=crashes, blocked=blocked) if crashes or blocked else None
+        return _notice(crashes=crashes, blocked=blocked) if crashes or blocked else None
 
     def _start_repeating(self) -> None:
         if not self._is_repeating:
@@ -112,7 +127,7 @@
         self._is_repeating = False
         _, blocked = self._parts.reports(now())
         if blocked:
-            self._tell(CrashNotice(blocked=blocked))
+            self._tell(_notice(blocked=blocked))
         if blocked or self._parts.suspected_count:
             self._start_repeating()
 
@@ -122,31 +137,37 @@
 
     def _on_notice(self, peer: Peer, notice: CrashNotice) -> None:
         moment = now()
-        self._pending_corrections -= set(notice.cleared)
-        self._correct(notice)
+        cleared = _subjects(notice.cleared, notice.cleared_requests)
+        self._pending_corrections -= set(cleared)
+        told = _told_blocked(notice)
+        self._correct(notice, told)
         crashes = [report for report in notice.crashes if self._apply_crash(report, peer.host)]
-        blocked = [b for b in notice.blocked if self._parts.on_blocked_told(b, moment)]
-        for told in blocked:
-            self._log_blocked(told.part, peer.host)
-        cleared = self._parts.on_answer_told(notice.cleared, moment)
+        blocked = [b for b in told if self._parts.on_blocked_told(b, moment)]
+        for blocked_part in blocked:
+            self._log_blocked(blocked_part.part, peer.host)
+        with self._logging_blocked(moment, peer.host):
+            cleared = self._parts.on_answer_told(cleared, moment)
         if cleared:
             self._log_cleared(cleared, peer.host)
-        news = CrashNotice(
+        begun = _subjects(notice.probes_begun, notice.request_probes_begun)
+        ended = _subjects(notice.probes_ended, notice.request_probes_ended)
+        news = _notice(
             crashes=crashes,
             blocked=blocked,
             cleared=cleared,
-            probes_begun=self._parts.on_probe_begun(notice.probes_begun, moment),
-            probes_ended=self._parts.on_probe_ended(notice.probes_ended),
+            probes_begun=self._parts.on_probe_begun(begun, moment),
+            probes_ended=self._parts.on_probe_ended(ended),
         )
         if news != CrashNotice():
             self._start_repeating()
             if not self._has_full_mesh() and self._is_relay():
                 self._tell(news, skip=peer)
 
-    def _correct(self, notice: CrashNotice) -> None:
+    def _correct(self, notice: CrashNotice, blocked: Iterable[BlockedPart]) -> None:
         """Plan to tell that answers under suspected parts went on here."""
-        told = {b.part for b in notice.blocked}
-        told.update(*((*report.started, *report.waiting) for report in notice.crashes))
+        told = {b.part for b in blocked}
+        for report in notice.crashes:
+            told.update(report.started_subjects, report.waiting_subjects)
         known = {part for part in told if self._parts.has_answered(part, now())}
         if known - self._pending_corrections:
             self._pending_corrections |= known
@@ -157,15 +178,32 @@
     def _send_corrections(self) -> None:
         parts, self._pending_corrections = self._pending_corrections, set()
         if parts:
-            self._tell(CrashNotice(cleared=sorted(parts)))
+            self._tell(_notice(cleared=sorted(parts)))
 
     def _apply_crash(self, report: CrashReport, peer: str) -> bool:
         moment = now()
+        with self._logging_blocked(moment, peer):
+            changed = self._parts.on_crash(report, moment)
+        if changed and report.request and not self._is_updating:
+            self._is_updating = True
+            asyncio.get_running_loop().call_later(UPDATE_S, self._update)
+        return bool(changed)
+
+    def _update(self) -> None:
+        self._is_updating = False
+        moment = now()
+        with self._logging_blocked(moment, ""):
+            self._parts.update(moment)
+        if self._parts.has_recent_crash(moment):
+            self._is_updating = True
+            asyncio.get_running_loop().call_later(UPDATE_S, self._update)
+
+    @contextmanager
+    def _logging_blocked(self, moment: float, peer: str) -> Iterator[None]:
         before = self._parts.blocked_parts(moment)
-        changed = self._parts.on_crash(report, moment)
+        yield
         for part in self._parts.blocked_parts(moment) - before:
             self._log_blocked(part, peer)
-        return bool(changed)
 
     def _log_blocked(self, part: int, peer: str) -> None:
         runners = self._parts.crashed_runners(part)
@@ -178,3 +216,36 @@
 
     def _log_cleared(self, parts: list[int], peer: str) -> None:
         self._log.event("part_cleared", parts=parts_text(parts), peer=peer or None)
+
+
+def _notice(
+    *,
+    crashes: Collection[CrashReport] = (),
+    blocked: Collection[BlockedPart] = (),
+    cleared: Collection[int] = (),
+    probes_begun: Collection[int] = (),
+    probes_ended: Collection[int] = (),
+) -> CrashNotice:
+    """Return a message about parts of prompts and whole requests, which it names separately."""
+    return CrashNotice(
+        crashes=list(crashes),
+        blocked=[b for b in blocked if not is_whole_request(b.part)],
+        cleared=parts_of(cleared),
+        probes_begun=parts_of(probes_begun),
+        probes_ended=parts_of(probes_ended),
+        blocked_requests=[
+            evolve(b, part=request_digest([b.part])) for b in blocked if is_whole_request(b.part)
+        ],
+        cleared_requests=digests_of(cleared),
+        request_probes_begun=digests_of(probes_begun),
+        request_probes_ended=digests_of(probes_ended),
+    )
+
+
+def _subjects(parts: list[int], digests: list[int]) -> list[int]:
+    return parts + [request_subject(digest) for digest in digests]
+
+
+def _told_blocked(notice: CrashNotice) -> list[BlockedPart]:
+    requests = [evolve(b, part=request_subject(b.part)) for b in notice.blocked_requests]
+    return notice.blocked + requests
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -12,6 +12,7 @@
     final_error,
 )
 from wasabilb_core.catalog import Catalog, ClientAccount, RequestKind, key_digest
+from wasabilb_core.crash_subjects import whole_request
 from wasabilb_core.drain_schedule import DrainSchedule, RunTimes, assumed_answer_tokens
 from wasabilb_core.errors import Error, ErrorKind, Outcome
 from wasabilb_core.forwarding_metadata import RequestMetadata
@@ -175,6 +176,7 @@
             deadline=req.arrived_at + timeout_s - ANSWER_MARGIN_S,
             relay=relay,
             gone=GoneCallbacks(req),
+            subjects=(*metadata.shared_parts, _whole_request(req, account)),
         )
         if self._drain is None:
             return ctx
@@ -342,3 +344,13 @@
             catalog=self._fleet.catalog.version if self._fleet.catalog else None,
             revision=self._fleet.published.revision,
         )
+
+
+def _whole_request(req: ReceivedRequest, account: ClientAccount | None) -> int:
+    return whole_request(
+        account=account.name if account is not None else None,
+        method=req.method,
+        host=req.host,
+        target=req.target,
+        body=req.body,
+    )
--- a/packages/wasabilb-entry/src/wasabilb_entry/model_requests.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/model_requests.py
@@ -25,7 +25,7 @@
 
 from wasabilb_entry.agent_attempts import Attempt, AttemptTable, Part
 from wasabilb_entry.attempt_watch import AttemptWatch, MovableRequest
-from wasabilb_entry.prompt_guard import CrashedAttempt, PromptGuard
+from wasabilb_entry.prompt_guard import PROBED_KINDS, CrashedAttempt, PromptGuard
 from wasabilb_entry.prompts import ModelPrompt
 from wasabilb_entry.request_state import MOVABLE, OVERLOADS, REFUSALS, AnswerPart, RequestState
 from wasabilb_entry.requests import CallerRequest, RequestFailedError, RequestRecord, new_error
@@ -462,7 +462,7 @@
 
 def _is_probed(refusal: Error | None) -> bool:
     """Return whether a request must only wait for the result of a probe of its prompt."""
-    return refusal is None or refusal.kind is ErrorKind.PROMPT_PROBED
+    return refusal is None or refusal.kind in PROBED_KINDS
 
 
 async def _has_part_in_time(attempt: Attempt, timeout_s: float) -> bool:
--- a/packages/wasabilb-entry/src/wasabilb_entry/prompt_guard.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/prompt_guard.py
@@ -1,4 +1,4 @@
-"""Protects runners from requests whose prompts crash them."""
+"""Protects runners from requests that crash them, by themselves or by a part of their prompt."""
 
 import math
 from collections.abc import Callable
@@ -6,7 +6,8 @@
 
 from attrs import define, frozen
 from wasabilb_core.attempts import AnswerProgress, AttemptEnd
-from wasabilb_core.crash_reports import CrashReport
+from wasabilb_core.crash_reports import crash_report
+from wasabilb_core.crash_subjects import is_whole_request, parts_of, request_digest
 from wasabilb_core.crashing_parts import CrashingParts, PartDecision
 from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.prompt_parts import parts_text
@@ -23,6 +24,9 @@
 PROBE_RETRY_S = 0.5
 # Parts of one request that a report names; the size of a caller's header limits them further.
 MAX_REPORTED_PARTS = 2048
+# Errors of requests that must not be sent at all, and of those that may be sent soon.
+BLOCKED_KINDS = (ErrorKind.PROMPT_BLOCKED, ErrorKind.REQUEST_BLOCKED)
+PROBED_KINDS = (ErrorKind.PROMPT_PROBED, ErrorKind.REQUEST_PROBED)
 
 
 @frozen(kw_only=True)
@@ -36,7 +40,8 @@
     runner : Runner
         Where it was sent.
     parts : tuple of int
-        Parts of its prompt that other requests may share.
+        Parts of its prompt that other requests may share, and the request as a whole; see
+        `wasabilb_core.crash_subjects`.
     probed : frozenset of int
         Those of them that it probed.
     end : AttemptEnd
@@ -107,21 +112,27 @@
         moment = now()
         decision = self.parts.decide(parts, moment)
         if decision is PartDecision.BLOCK:
-            part = self.parts.blocking_part(parts, moment)
-            runners = ", ".join(self.parts.crashed_runners(part)) if part is not None else ""
-            return Error(
-                kind=ErrorKind.PROMPT_BLOCKED,
-                detail=f"part {part or 0:x} of the prompt crashes runners"
-                + (f": {runners}" if runners else ""),
-            )
+            return self._blocked_error(self.parts.blocking_part(parts, moment) or 0)
         if decision is PartDecision.WAIT:
+            is_same = self.parts.decide(parts_of(parts), moment) is not PartDecision.WAIT
+            what = "this request" if is_same else "a part of the prompt"
             return Error(
-                kind=ErrorKind.PROMPT_PROBED,
-                detail="another request finds out whether a part of the prompt crashes runners",
+                kind=ErrorKind.REQUEST_PROBED if is_same else ErrorKind.PROMPT_PROBED,
+                detail=f"another request finds out whether {what} crashes runners",
                 retry_after_s=PROBE_RETRY_S,
             )
         return None
 
+    def _blocked_error(self, part: int) -> Error:
+        is_whole = is_whole_request(part)
+        runners = ", ".join(self.parts.crashed_runners(part))
+        return Error(
+            kind=ErrorKind.REQUEST_BLOCKED if is_whole else ErrorKind.PROMPT_BLOCKED,
+            detail=("the request " if is_whole else "part ")
+            + f"{part:x} {'' if is_whole else 'of the prompt '}crashes runners"
+            + (f": {runners}" if runners else ""),
+        )
+
     def lift(self, *, part: int | None = None, before: float = math.inf, reason: str) -> list[int]:
         """Let a probe find out whether blocked parts still crash runners, and return these.
 
@@ -200,7 +211,8 @@
     def on_crash(self, attempt: CrashedAttempt, at: float) -> None:
         """Process an attempt that a crash of its runner has ended at a time."""
         moment = now()
-        suspects = self.parts.uncleared(attempt.parts, moment)[:MAX_REPORTED_PARTS]
+        suspects = self.parts.uncleared(attempt.parts, moment)
+        suspects = suspects[:MAX_REPORTED_PARTS]
         self.on_crash_seen()
         self.log.event(
             "runner_crashed",
@@ -212,12 +224,13 @@
         )
         has_started = attempt.progress is AnswerProgress.STARTED
         self.exchange.on_crash(
-            CrashReport(
+            crash_report(
                 runner=attempt.runner_id,
                 born_ms=attempt.born_ms,
                 age_s=moment - at,
+                request=request_digest(attempt.parts),
                 started=suspects if has_started else [],
                 waiting=[] if has_started else suspects,
-                probes=sorted(attempt.probed),
+                probes=attempt.probed,
             )
         )
--- a/packages/wasabilb-entry/src/wasabilb_entry/request_attempts.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/request_attempts.py
@@ -111,7 +111,7 @@
             ),
             may_send=partial(self._may_send, ctx),
             on_metadata=partial(self._on_answer_metadata, ctx, runner),
-            on_going_on=partial(self.guard.on_answer_going_on, metadata.shared_parts),
+            on_going_on=partial(self.guard.on_answer_going_on, ctx.subjects),
             gives_up_silent=partial(self._gives_up_silent, ctx),
             keeps_running_without_caller=ctx.route.kind is RequestKind.NON_IDEMPOTENT,
         )
@@ -222,7 +222,7 @@
             load_age_ms=placement.load_age_ms,
             events=relay.events.count,
             answer=relay.progress.value,
-            parts=parts_text(ctx.metadata.shared_parts) or None,
+            parts=parts_text(ctx.subjects) or None,
             left_ms=ctx.left_s * 1000,
             detail=attempt.abort_reason or None,
         )
@@ -231,7 +231,7 @@
         """Return whether a request may still be sent to the runner chosen for it."""
         if not self.fleet.may_send(attempt.runner, attempt.placed_at):
             return False
-        probed = self.guard.begin(ctx.metadata.shared_parts)
+        probed = self.guard.begin(ctx.subjects)
         attempt.probed = probed or frozenset()
         return probed is not None
 
@@ -243,7 +243,7 @@
             GuardedAttempt(
                 request_id=ctx.metadata.id,
                 runner=attempt.runner,
-                parts=ctx.metadata.shared_parts,
+                parts=ctx.subjects,
                 probed=attempt.probed,
                 end=end,
                 progress=attempt.relay.progress,
--- a/packages/wasabilb-entry/src/wasabilb_entry/request_context.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/request_context.py
@@ -27,6 +27,8 @@
     deadline: float
     relay: Relay
     gone: GoneCallbacks
+    # What the request has that may crash runners; see `wasabilb_core.crash_subjects`.
+    subjects: tuple[int, ...] = ()
     history: AttemptHistory = field(factory=AttemptHistory)
     tried: set[str] = field(factory=set)
     failed_answer: BufferedAnswer | None = None
--- a/packages/wasabilb-entry/src/wasabilb_entry/resender.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/resender.py
@@ -20,7 +20,7 @@
 
 from wasabilb_entry.fleet_view import FleetView, Placement
 from wasabilb_entry.placer import PlacementNeeds, Placer
-from wasabilb_entry.prompt_guard import PromptGuard
+from wasabilb_entry.prompt_guard import BLOCKED_KINDS, PromptGuard
 from wasabilb_entry.request_context import RequestContext
 
 # A caller whose timeout is shorter than the route's by this much is retrying, seconds.
@@ -81,7 +81,7 @@
 
     def place_move(self, ctx: RequestContext, runner_id: str) -> Placement | None:
         """Return where a stream may move off a runner, charged to the budget; None if nowhere."""
-        if ctx.left_s < MIN_MOVE_LEFT_S or not self.guard.may_hedge(ctx.metadata.shared_parts):
+        if ctx.left_s < MIN_MOVE_LEFT_S or not self.guard.may_hedge(ctx.subjects):
             return None
         history = ctx.history.with_attempt(AttemptEnd.MOVED)
         if stop_reason(ctx.route, history, AttemptEnd.MOVED, ctx.left_s, has_begun=True):
@@ -116,12 +116,12 @@
                 self._log_waiting(ctx, placement)
             ctx.waiting_for = _cause(placement)
             is_over = ctx.req.is_caller_gone or until - now() < MIN_ATTEMPT_S
-            if is_over or placement.kind is ErrorKind.PROMPT_BLOCKED:
+            if is_over or placement.kind in BLOCKED_KINDS:
                 return placement
             await self._sleep(ctx, WAIT_CHECK_S)
 
     async def _place(self, ctx: RequestContext) -> Placement | Error:
-        refusal = self.guard.refusal(ctx.metadata.shared_parts)
+        refusal = self.guard.refusal(ctx.subjects)
         if refusal is not None:
             return refusal
         return await self.placer.place(self._needs(ctx), ctx.req)
--- a/packages/wasabilb-wire/src/wasabilb_wire/codec.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/codec.py
@@ -68,6 +68,7 @@
     (messages.LimitNotice, "news"): LimitNews,
     (messages.CrashNotice, "crashes"): CrashReport,
     (messages.CrashNotice, "blocked"): BlockedPart,
+    (messages.CrashNotice, "blocked_requests"): BlockedPart,
 }
 _ITEM_CLASSES = (
     Header,
--- a/packages/wasabilb-wire/src/wasabilb_wire/messages.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/messages.py
@@ -455,7 +455,8 @@
     """What an entry process tells another of crashed runners and parts of prompts.
 
     `cleared` are suspected or blocked parts under which an answer went on; `probes_begun` and
-    `probes_ended` are parts whose probe the sender has begun or ended.
+    `probes_ended` are parts whose probe the sender has begun or ended. The other fields are the
+    same for whole requests, named by their digests: earlier builds ignore them.
     """
 
     crashes: list[CrashReport] = field(factory=list)
@@ -463,3 +464,7 @@
     cleared: list[int] = field(factory=list)
     probes_begun: list[int] = field(factory=list)
     probes_ended: list[int] = field(factory=list)
+    blocked_requests: list[BlockedPart] = field(factory=list)
+    cleared_requests: list[int] = field(factory=list)
+    request_probes_begun: list[int] = field(factory=list)
+    request_probes_ended: list[int] = field(factory=list)
--- a/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
+++ b/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
@@ -334,6 +334,10 @@
   started @3 :List(UInt64);
   waiting @4 :List(UInt64);
   probes @5 :List(UInt64);
+  request @6 :UInt64;
+  isStarted @7 :Bool;
+  isWaiting @8 :Bool;
+  isProbe @9 :Bool;
 }
 
 struct BlockedPart {
@@ -350,4 +354,8 @@
   cleared @2 :List(UInt64);
   probesBegun @3 :List(UInt64);
   probesEnded @4 :List(UInt64);
+  blockedRequests @5 :List(BlockedPart);
+  clearedRequests @6 :List(UInt64);
+  requestProbesBegun @7 :List(UInt64);
+  requestProbesEnded @8 :List(UInt64);
 }
