BUDGET: tell a new peer which probes are under way

A process that was linked after the probe of a request or part was announced knew the crash and not the probe, and could send a second probe beside it, which ends one more server. The message at link-up named crashes and blocks only.

Change: it names the probes under way as well. The scenario "A process that starts while the probe of a request is under way" fails before (the process decides PROBE) and passes after (WAIT).

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -71,6 +71,11 @@
     Then another one has the same suspects and blocks after it has read the messages
     And no message names the request among the parts
 
+  Scenario: A process that starts while the probe of a request is under way
+    # Guards against a second probe by a process that was not there when the first was announced.
+    When a process is linked after another one has sent the probe of a request
+    Then it sends no such request
+
   Scenario: A request with which one was taken for the cause
     # Guards against blocking a sound request whose report came first.
     When two requests crash with the same runners and the reports on one come first
--- a/features/steps/crashing_request_rules_steps.py
+++ b/features/steps/crashing_request_rules_steps.py
@@ -9,14 +9,17 @@
 from crashing_runner import BAD_TARGET
 from direct_forwarding_steps import fetch
 from forwarding_harness import RecordingLog, raw_request
+from guard_factory import make_guard
 from hypothesis import given as property_given
 from hypothesis import strategies as st
 from memory_links import run_virtual
+from wasabilb_core.attempts import AnswerProgress
 from wasabilb_core.crash_reports import crash_report
 from wasabilb_core.crash_subjects import is_whole_request, request_digest, whole_request
 from wasabilb_core.crashing_parts import CrashingParts, PartDecision
 from wasabilb_core.prompt_parts import prompt_part
 from wasabilb_entry.crash_exchange import CrashExchange
+from wasabilb_entry.prompt_guard import CrashedAttempt
 from wasabilb_node.clock import now
 from wasabilb_wire.codec import LENGTH_PREFIX, PACKED_FLAG, Frame, decode, encode
 
@@ -81,12 +84,13 @@
 
     def __init__(self):
         self.handlers, self.parts, self.exchanges, self.sent = {}, [], [], []
+        self.on_link_up, self.is_linked = [], True
         for name in ("one", "two"):
             links = SimpleNamespace(
                 set_handler=lambda kind, handler, name=name, **_: self.handlers.update(
                     {name: handler}
                 ),
-                on_link_up=[],
+                on_link_up=self.on_link_up,
                 peers=lambda role="": [],
                 multicast=lambda message, peers, name=name: self.transmit(name, message),
             )
@@ -102,7 +106,17 @@
                 )
             )
 
+    def link_up(self):
+        """Link the first one with the second one again."""
+        self.is_linked = True
+        peer = SimpleNamespace(
+            hello=SimpleNamespace(role="entry"), send=lambda message: self.transmit("one", message)
+        )
+        self.on_link_up[0](peer)
+
     def transmit(self, sender, message):
+        if not self.is_linked:
+            return
         data = encode(message)
         (length,) = LENGTH_PREFIX.unpack(data[: LENGTH_PREFIX.size])
         frame = Frame(data[LENGTH_PREFIX.size :], is_packed=bool(length & PACKED_FLAG))
@@ -161,6 +175,47 @@
         assert not any(digest in found or REQUEST in found for found in lists), notice
 
 
+@when("a process is linked after another one has sent the probe of a request")
+def linked_later(context):
+    async def script():
+        pair = WirePair()
+        pair.is_linked = False
+        pair.exchanges[0].on_crash(report("r-1", parts=[7]))
+        pair.exchanges[0].on_probe_begun(pair.parts[0].begin([REQUEST], now()))
+        pair.link_up()
+        context.decision = pair.parts[1].decide([REQUEST], now())
+
+    run_virtual(script)
+
+
+@then("it sends no such request")
+def check_no_probe(context):
+    assert context.decision is PartDecision.WAIT, context.decision
+
+
+@when("a request with {count:d} parts and a runner crash")
+def many_parts(context, count):
+    async def script():
+        guard = make_guard(RecordingLog())
+        attempt = CrashedAttempt(
+            request_id="q",
+            runner_id="r",
+            born_ms=1,
+            parts=(*range(count), REQUEST),
+            probed=frozenset(),
+            progress=AnswerProgress.STARTED,
+        )
+        guard.on_crash(attempt, now())
+        context.decision = guard.parts.decide([REQUEST], now())
+
+    run_virtual(script)
+
+
+@then("the request is suspected")
+def check_suspected(context):
+    assert context.decision is PartDecision.PROBE, context.decision
+
+
 @when("two requests crash with the same runners and the reports on one come first")
 def two_requests(context):
     parts = context.parts = CrashingParts()
--- a/packages/wasabilb-core/src/wasabilb_core/crashing_parts.py
+++ b/packages/wasabilb-core/src/wasabilb_core/crashing_parts.py
@@ -130,6 +130,10 @@
         self._probed_until.update(dict.fromkeys(new, now + PROBE_S))
         return new
 
+    def probes(self, now: float) -> list[int]:
+        """Return the parts whose probe is under way."""
+        return [part for part in self._probed_until if self._is_probed(part, now)]
+
     def on_probe_ended(self, parts: Iterable[int]) -> list[int]:
         """Record that a probe has ended, also without a result; return the parts that had one."""
         return [part for part in parts if self._probed_until.pop(part, None) is not None]
--- a/packages/wasabilb-entry/src/wasabilb_entry/crash_exchange.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/crash_exchange.py
@@ -115,7 +115,9 @@
 
     def _full_notice(self) -> CrashNotice | None:
         crashes, blocked = self._parts.reports(now())
-        return _notice(crashes=crashes, blocked=blocked) if crashes or blocked else None
+        if not crashes and not blocked:
+            return None
+        return _notice(crashes=crashes, blocked=blocked, probes_begun=self._parts.probes(now()))
 
     def _start_repeating(self) -> None:
         if not self._is_repeating:
