BUDGET: report a crashing request before the parts of its prompt

A report names 2048 subjects of a request at most, and the request as a whole came last: a caller with more parts than that hid it, so that its repeats were sent on. The scenario "A request with more parts than a report names" fails before (the repeat is sent) and passes after.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -76,6 +76,11 @@
     When a process is linked after another one has sent the probe of a request
     Then it sends no such request
 
+  Scenario: A request with more parts than a report names
+    # Guards against callers that hide a request behind invented parts.
+    When a request with 3000 parts and a runner crash
+    Then the request is suspected
+
   Scenario: A request with which one was taken for the cause
     # Guards against blocking a sound request whose report came first.
     When two requests crash with the same runners and the reports on one come first
--- a/packages/wasabilb-entry/src/wasabilb_entry/prompt_guard.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/prompt_guard.py
@@ -212,7 +212,8 @@
         """Process an attempt that a crash of its runner has ended at a time."""
         moment = now()
         suspects = self.parts.uncleared(attempt.parts, moment)
-        suspects = suspects[:MAX_REPORTED_PARTS]
+        # Callers decide how many parts there are, which must not push the request out.
+        suspects = sorted(suspects, key=is_whole_request, reverse=True)[:MAX_REPORTED_PARTS]
         self.on_crash_seen()
         self.log.event(
             "runner_crashed",
