--- a/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
+++ b/packages/wasabilb-wire/src/wasabilb_wire/schema/wasabilb.capnp
@@ -346,6 +346,10 @@
   started @3 :List(UInt64);
   waiting @4 :List(UInt64);
   probes @5 :List(UInt64);
+  request @6 :UInt64;
+  isStarted @7 :Bool;
+  isWaiting @8 :Bool;
+  isProbe @9 :Bool;
 }
 
 struct BlockedPart {
@@ -362,4 +366,8 @@
   cleared @2 :List(UInt64);
   probesBegun @3 :List(UInt64);
   probesEnded @4 :List(UInt64);
+  blockedRequests @5 :List(BlockedPart);
+  clearedRequests @6 :List(UInt64);
+  requestProbesBegun @7 :List(UInt64);
+  requestProbesEnded @8 :List(UInt64);
 }
