--- a/packages/wasabilb-node/src/wasabilb_node/published_sync.py
+++ b/packages/wasabilb-node/src/wasabilb_node/published_sync.py
@@ -307,9 +307,6 @@
             self._announce_later()
         if beat.reads_platform:
             self._reading_peers.add(peer)
-            # It may have heard of a version after it was asked for the age.
-            if self._version_ages.should_ask(now()):
-                peer.send(self._to_want(asks_ages=True))
         else:
             self._reading_peers.discard(peer)
         self._update_platform_state()
@@ -319,6 +316,8 @@
             self._on_removal_trust()
         self._on_peer_distrust(beat.distrust_ms, beat.era)
         position = StatePosition(era=beat.era, revision=beat.revision)
+        if beat.reads_platform and self._version_ages.take_reader(peer.host, position, now()):
+            peer.send(self._to_want(asks_ages=True))
         if position > self._state.position:
             self._on_peer_ahead(peer, position.era)
 
--- a/packages/wasabilb-node/src/wasabilb_node/version_ages.py
+++ b/packages/wasabilb-node/src/wasabilb_node/version_ages.py
@@ -9,7 +9,7 @@
 import math
 from collections.abc import Iterable
 
-from attrs import define
+from attrs import define, field
 from wasabilb_core.named_versions import NamedVersions, Naming
 from wasabilb_core.state_position import StatePosition
 from wasabilb_wire.messages import VersionAge
@@ -34,6 +34,13 @@
     version: int
     at: float
     is_asked: bool = False
+    # Peers that read the platform and were asked once they had the version.
+    asked_readers: set[str] = field(factory=set)
+
+    def is_unasked(self, host: str, position: StatePosition) -> bool:
+        """Return whether a reader has the version and was not asked since."""
+        named_at = self.named_versions.naming(self.version).position
+        return host not in self.asked_readers and named_at <= position
 
     def is_open(self, moment: float) -> bool:
         """Return whether a peer may know a smaller age."""
@@ -74,6 +81,16 @@
             heard.is_asked = True
         return bool(unasked)
 
+    def take_reader(self, host: str, position: StatePosition, moment: float) -> bool:
+        """Return whether to ask a peer that reads the platform, once it announces a version.
+
+        When all peers were asked, it may not have heard of the version.
+        """
+        unasked = [h for h in self._heard if h.is_open(moment) and h.is_unasked(host, position)]
+        for heard in unasked:
+            heard.asked_readers.add(host)
+        return bool(unasked)
+
     def to_ages(self, after: StatePosition, moment: float) -> list[VersionAge]:
         """Return the ages of the newest versions that were named after a position.
 
