Idle runners count as running between two of their reports

What callers saw: requests in the last 2 s before a version is outdated avoided idle runners, the ones with room, for 0.2 s of each 0.7 s or more: agents report an unchanged state every 0.7 s, and a runner with no report in the last 0.5 s received nothing.

Evidence: a stream sent 5.5 s after the naming to a runner last heard 0.8 s before: 0 requests there, now 1. One last heard 1.0 s before receives none, as before.

Not covered: runners of another region in fleets in which an agent has more than 16 entry processes report every 1.4 s while idle; requests go there only when the own region is full.

--- a/features/version_bound.feature
+++ b/features/version_bound.feature
@@ -50,7 +50,8 @@
 
   Scenario Outline: A runner that has reported nothing for a while
     # Guards against requests that are lost at a runner that has stopped, or that begin there when
-    # it goes on, in the last part of the time for its version.
+    # it goes on, in the last part of the time for its version; and against idle runners, whose
+    # agents report every 0.7 s, that receive none.
     Given a runner with version 1 that receives requests and is silent, and one with version 2
     And a bound of 8 s for versions
     When a stream is sent <sent> s after the naming and the runner was last heard <quiet> s before
@@ -60,6 +61,7 @@
       | sent | quiet | count |
       | 4.5  | 1.0   | 1     |
       | 5.5  | 0.3   | 1     |
+      | 5.5  | 0.8   | 1     |
       | 5.5  | 1.0   | 0     |
       | 5.5  | 2.5   | 0     |
       | 6.9  | 1.0   | 0     |
--- a/packages/wasabilb-entry/src/wasabilb_entry/version_bound.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/version_bound.py
@@ -8,9 +8,9 @@
 from wasabilb_node.clock import now
 from wasabilb_node.published_view import PublishedView
 
-# Age from which a report is no sign that its runner is running now, seconds. Agents report every
-# 0.1 s.
-RECENT_REPORT_S = 0.5
+# Age from which a report is no sign that its runner is running now, seconds. Agents of idle runners
+# report every 0.7 s, and check every 0.1 or 0.2 s whether to.
+RECENT_REPORT_S = 0.9
 # Time before a request must begin in which only runners with a recent report receive it, seconds.
 # Requests at a stopped runner are sent to another one after this silence.
 RECENT_ONLY_S = 2.0
