Check the age of versions in random histories of a store that comes back from copies

The model of restored_store has times now: each answer of the store is requested when it is given, each event takes 10 ms, and peers send ages. In each history no process counts a version from later than the publication that it takes for the first.

--- a/features/steps/restored_store_model.py
+++ b/features/steps/restored_store_model.py
@@ -14,6 +14,7 @@
 from wasabilb_core.runner_directory import ENTRY_LASTS_S, EXPIRY_GRACE_S
 from wasabilb_core.runner_presence import PresenceState
 from wasabilb_core.state_position import START, StatePosition
+from wasabilb_node import published_reader as reader_module
 from wasabilb_node import published_view as view_module
 from wasabilb_node.decoded_items import DecodedItems
 from wasabilb_node.item_compression import ItemPacker, unpack
@@ -27,6 +28,8 @@
 RUNNERS = ("x", "y")
 # Small enough that most lists take several messages.
 MAX_BATCH_BYTES = 24
+# Time between two events, seconds; far less than all that expires.
+EVENT_S = 0.01
 
 
 class Process:
@@ -47,14 +50,15 @@
         self.newest, self.newest_position, self.last_born, self.left = {}, START, {}, set()
 
     async def take_answer(self, after=None):
-        answer = self.answers.pop(0)
+        _, answer = self.answers.pop(0)
         is_expected = isinstance(answer, Snapshot if after is None else Changes)
         return Success(answer) if is_expected else Failure(None)
 
     def read(self):
-        """Merge the first answer under way."""
+        """Merge the first answer under way, which the store gave when it was requested."""
         before = self.state.position
-        result = asyncio.run(self.reader.read())
+        with patch.object(reader_module, "now", lambda: self.answers[0][0]):
+            result = asyncio.run(self.reader.read())
         if isinstance(result, Success):
             if before.is_start or self.state.position.era > before.era:
                 self.view.on_era_began()
@@ -65,6 +69,7 @@
         message = self.inbox.pop(0)
         if message.distrust_ms:
             self.view.on_removal_distrust(message.distrust_ms / 1000)
+        self.view.version_ages.on_told(message.ages, message.sent_ms / 1000)
         changed = self.state.on_changes(
             [unpack(item) for item in message.items],
             after=StatePosition(era=message.after_era, revision=message.after),
@@ -96,6 +101,8 @@
         self.platform = Platform()
         self.platform.era = 1
         self.written = {"routes": 0, "weights": 0}
+        # When versions of the weights were published, by the items, and by where they were read.
+        self.publications, self.published_at = [], {}
         # Start and state of each runner.
         self.runners = {name: (0, "gone") for name in RUNNERS}
         self.unwritten = set()
@@ -109,6 +116,7 @@
             # An entry lasts until the store removes it; here that needs an event, and no time.
             with patch.object(directory_module, "ENTRY_LASTS_S", math.inf):
                 for kind, *values in events:
+                    self.moment += EVENT_S
                     getattr(self, kind)(*values)
                     for process in self.processes:
                         self.check(process)
@@ -142,6 +150,7 @@
         if name in self.written:
             kind = b"catalog" if name == "routes" else b"weights"
             self.platform.publish(name, b"%s %d" % (kind, self.written[name]))
+            self.publications.append((self.platform.items[name], self.moment))
             return
         born, how = self.runners[name]
         words = {"ready": f"runner {name} {born}", "draining": f"draining {name} {born}"}
@@ -193,7 +202,10 @@
                 is_history_lost=is_lost,
                 era=era,
             )
-        process.answers.append(found)
+        process.answers.append((self.moment, found))
+        for item, at in self.publications:
+            if platform.items.get(item.name) is item:
+                self.published_at[StatePosition(era=platform.era, revision=item.revision)] = at
 
     def answer_arrives(self, number, overtaken):
         process = self.processes[number]
@@ -207,6 +219,8 @@
             process.state.position,
             packer=asked.packer,
             distrust_ms=round(asked.view.removal_distrust_s() * 1000),
+            ages=asked.view.version_ages.to_ages(process.state.position, self.moment),
+            sent_ms=int(self.moment * 1000),
             max_bytes=MAX_BATCH_BYTES,
         )
 
@@ -263,6 +277,10 @@
         for name, kind in (("routes", "catalog"), ("weights", "weights")):
             content = known.get(name, b"%s 0" % kind.encode()).decode()
             assert served[name] == 0 or content == f"{kind} {served[name]}", (content, served)
+        named = process.view.named_versions("m")
+        for version in named.newer_than(0) if named is not None else ():
+            naming = named.naming(version)
+            assert naming.after <= self.published_at[naming.position], (version, naming)
         assert process.state.position >= process.newest_position
         process.newest_position = process.state.position
         for name, (born, how) in self.runners.items():
