Ask peers for the age of a version that a later era of the store names

The store that comes back from a copy may have lost a version, and the operator names it again. A process that knows only the later publication, with a fresh proof before it, takes the version for new, while its peers count from the first publication; nothing made it ask them.

A version that is published in an era after the first is asked for like one without a fresh proof.

--- a/features/steps/version_naming_steps.py
+++ b/features/steps/version_naming_steps.py
@@ -12,8 +12,9 @@
 from memory_links import Network, run_virtual
 from published_fleet import Decoder, Platform, Process
 from returns.result import Success
+from wasabilb_core.named_versions import Naming
 from wasabilb_core.published import PublishedState, StateItem
-from wasabilb_core.state_position import START
+from wasabilb_core.state_position import START, StatePosition
 from wasabilb_node import clock, published_view
 from wasabilb_node.decoded_items import DecodedItems
 from wasabilb_node.item_compression import ItemPacker
@@ -21,6 +22,7 @@
 from wasabilb_node.published_reader import PublishedReader
 from wasabilb_node.published_source import Changes, PublishedSource, Snapshot
 from wasabilb_node.published_view import PublishedView
+from wasabilb_node.version_ages import VersionAges
 from wasabilb_wire.codec import encode
 from wasabilb_wire.messages import Published, PublishedWant, VersionAge
 
@@ -161,6 +163,20 @@
     assert math.isclose(context.age_s, expected, abs_tol=0.002), context.age_s
 
 
+@when("a process hears of version 2 in era {era:d}, with a proof that is {seconds:g} s old")
+def step_hears_in_era(context, era, seconds):
+    context.version_ages = VersionAges()
+    naming = Naming(position=StatePosition(era=era, revision=20), after=MOMENT - seconds)
+    context.version_ages.on_named("m", 2, naming, MOMENT)
+
+
+@then("it asks its peers for an age {times:d} times in 3 s")
+def step_asks(context, times):
+    moments = [MOMENT + number * 0.1 for number in range(30)]
+    asked = sum(context.version_ages.take_question(moment) for moment in moments)
+    assert asked == times, asked
+
+
 @when("a request and an answer with the age of one version are encoded")
 def step_encoded(context):
     want = PublishedWant(after=123_456, sent_ms=30 * 24 * 3_600_000 + 123, asks_ages=True)
--- a/packages/wasabilb-node/src/wasabilb_node/version_ages.py
+++ b/packages/wasabilb-node/src/wasabilb_node/version_ages.py
@@ -41,9 +41,11 @@
     times_asked: int = 0
 
     def is_open(self, moment: float) -> bool:
-        """Return whether a peer may know a smaller age."""
-        age_s = self.at - self.named_versions.naming(self.version).after
-        return moment - self.at < ASK_FOR_S and age_s > ASK_ABOVE_S
+        """Return whether a peer may know more of its age."""
+        naming = self.named_versions.naming(self.version)
+        # A store that came back from a copy may have lost an earlier publication.
+        is_uncertain = self.at - naming.after > ASK_ABOVE_S or naming.position.era > 0
+        return is_uncertain and moment - self.at < ASK_FOR_S
 
     def is_due(self, moment: float) -> bool:
         """Return whether all peers are to be asked now."""
