Stand-ins: the plain service crashes under requests, too

The engine stand-in crashed under a text of prompts of streamed answers; a plain service could not crash at all, so that no scenario could play a request that ends each server which begins it.

The crash moves from the engine to a base class of both: cut connections, refused ones for crash_s, the same address afterwards. The service looks for crash_text in path and body after it has counted the execution; the engine crashes under whole answers as well. Callers have two kinds that send the same request at each call, one to a model and one to a plain service.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -47,6 +47,26 @@
     When a running answer of 500 tokens is cancelled
     Then the engine records it as cancelled before its end
 
+  Scenario Outline: A server crashes under each run of a request and is back after a while
+    Guards against drills of such requests under which nothing ends, or nothing comes back.
+    Given <server> that crashes for 0.3 seconds under requests with the text "deadly"
+    When a request with the text is sent twice, and one without it before and after each
+    Then the requests without the text are answered, and those with it began to run and broke off
+    And the server has crashed twice
+
+    Examples:
+      | server                         |
+      | an engine for streamed answers |
+      | an engine for whole answers    |
+      | a service by its path          |
+      | a service by its body          |
+
+  Scenario: Callers send the same request at each call
+    Guards against repeats of a request that no server can take for the same.
+    Given a service that crashes for 0.1 seconds under requests with the text "deadly"
+    When callers send 3 requests of the kind "same-portal"
+    Then all have the same method, path and body
+
   Scenario: A cached prefix needs no second prefill until it is evicted
     Guards against a prefix cache that never saves work, or one that saves it without limit.
     When random prompts are stored in a small prefix cache
--- a/packages/wasabilb-standins/src/wasabilb_standins/_engine_handlers.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/_engine_handlers.py
@@ -12,14 +12,13 @@
 from wasabilb_standins._batch import Answer
 from wasabilb_standins._prefix_cache import block_hashes
 from wasabilb_standins.base import ErrorAnswer, Handler
+from wasabilb_standins.crashes import crash_if_due
 
 if TYPE_CHECKING:
     from wasabilb_standins.engine import Engine
 
 # Interval at which a long poll checks for due events.
 POLL_S = 0.02
-# Time from the head of an answer until the engine crashes on it, seconds.
-CRASH_DELAY_S = 0.02
 
 
 def variant_from(body: dict[str, Any]) -> Variant:
@@ -62,7 +61,7 @@
     async def _send_stream(self, answer: Answer, variant: Variant) -> None:
         self.set_header("Content-Type", "text/event-stream")
         await self._send("")
-        await self._crash_if_due(answer)
+        await crash_if_due(self, answer.prompt)
         names = (variant.model, variant.adapter, variant.version)
         while (index := await self._next_token(answer)) is not None:
             text = oracle.token_text(*names, answer.prompt, index)
@@ -72,6 +71,7 @@
         self.finish(f"data: {json.dumps(end)}\n\ndata: [DONE]\n\n")
 
     async def _send_whole(self, answer: Answer, variant: Variant) -> None:
+        await crash_if_due(self, answer.prompt)
         names = (variant.model, variant.adapter, variant.version)
         texts = []
         while (index := await self._next_token(answer)) is not None:
@@ -99,15 +99,6 @@
             await self.wait_or_finish(self.standin.wait_for_change())
         return index
 
-    async def _crash_if_due(self, answer: Answer) -> None:
-        """Crash shortly after the head of an answer to a prompt that crashes the engine."""
-        text = self.standin.faults.crash_text
-        if text and text in answer.prompt:
-            await self.wait_or_finish(asyncio.sleep(CRASH_DELAY_S))
-            self.standin.crash()
-            # The crash cuts this connection, too.
-            await self.wait_for_close()
-
     def _finish_reason(self, answer: Answer) -> str:
         if answer.state == "finished":
             return oracle.finish_reason(answer.prompt, answer.max_tokens)
--- a/packages/wasabilb-standins/src/wasabilb_standins/_engine_settings.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/_engine_settings.py
@@ -3,6 +3,8 @@
 from attrs import field, frozen
 from attrs.validators import instance_of, optional
 
+from wasabilb_standins.crashes import CrashFaults
+
 
 @frozen(kw_only=True)
 class EngineSettings:
@@ -47,8 +49,8 @@
 
 
 @frozen(kw_only=True)
-class EngineFaults:
-    """Faults of an engine.
+class EngineFaults(CrashFaults):
+    """Faults of an engine; `crash_text` is looked for in the prompt.
 
     Parameters
     ----------
@@ -60,10 +62,6 @@
         Close an answer's connection after this many tokens.
     die_answers : int
         Number of answers that `die_after_tokens` applies to; -1 is all.
-    crash_text : str
-        Crash when an answer to a prompt with this text begins; empty for never.
-    crash_s : float
-        Time until a crashed engine accepts connections again.
     refuse_orders : bool
         Refuse orders with 503.
     delay_next_order_s : float
@@ -74,7 +72,5 @@
     stall: bool = field(default=False, validator=instance_of(bool))
     die_after_tokens: int | None = field(default=None, validator=optional(instance_of(int)))
     die_answers: int = field(default=1, validator=instance_of(int))
-    crash_text: str = field(default="", validator=instance_of(str))
-    crash_s: float = field(default=1.0, converter=float)
     refuse_orders: bool = field(default=False, validator=instance_of(bool))
     delay_next_order_s: float = field(default=0.0, converter=float)
--- a/packages/wasabilb-standins/src/wasabilb_standins/call_records.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/call_records.py
@@ -19,13 +19,16 @@
         Mean arrivals per second, with exponential gaps, independent of answers.
     mix : dict
         Weight of each kind: `short`, `long` and `chat` completions, `booking` with the caller's own
-        UUIDv7 key, `issued` with a key that an entry host has issued, `get` and `portal`.
+        UUIDv7 key, `issued` with a key that an entry host has issued, `get` and `portal`;
+        `same-model` and `same-portal` send the same request each time.
     model, service, portal : str
         Model of the completions, service of bookings and of `get`, and service of `portal`.
     short_tokens, long_tokens : tuple of int
         Range of the natural lengths of the answers.
     max_tokens : int
         Sent with each completion, equal for short and long ones so that it does not identify them.
+    same_text : str
+        In the prompt of `same-model` and the path of `same-portal`.
     account_key : str
         Sent as `Authorization: Bearer`.
     deadline_ms : int
@@ -52,6 +55,7 @@
     short_tokens: tuple[int, int] = (8, 24)
     long_tokens: tuple[int, int] = (200, 400)
     max_tokens: int = 512
+    same_text: str = "same"
     account_key: str = ""
     deadline_ms: int = 0
     booking_repeats: int = 1
--- a/packages/wasabilb-standins/src/wasabilb_standins/callers.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/callers.py
@@ -55,6 +55,9 @@
             low, high = cfg.long_tokens if kind == "long" else cfg.short_tokens
             rec.prompt = f"{kind} {cfg.seed}.{rec.number} [len={self._rng.randint(low, high)}]"
             await self._call_model(rec)
+        elif kind == "same-model":
+            rec.prompt = f"{cfg.same_text} [len={cfg.short_tokens[0]}]"
+            await self._call_model(rec)
         elif kind in ("booking", "issued"):
             rec.key = str(self._uuid7()) if kind == "booking" else await self._issued_key(rec)
             rec = await self._book(rec, entries)
@@ -120,9 +123,11 @@
 
     async def _call_service(self, rec: CallRecord, *, method: str, body: bytes | None) -> None:
         received: list[bytes] = []
-        service = self.settings.portal if rec.kind == "portal" else self.settings.service
+        cfg = self.settings
+        service = cfg.portal if rec.kind.endswith("portal") else cfg.service
+        name = cfg.same_text if rec.kind == "same-portal" else rec.number
         # Tickets declare `POST /book` as the call that runs at most once.
-        path = f"/services/{service}/{'book' if method == 'POST' else 'records'}/{rec.number}"
+        path = f"/services/{service}/{'book' if method == 'POST' else 'records'}/{name}"
         await self._send(rec, method, path, body, received.append)
         if rec.status == 200 and rec.verdict != "broken":
             rec.verdict = "whole"
--- a/packages/wasabilb-standins/src/wasabilb_standins/engine.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/engine.py
@@ -22,7 +22,8 @@
 from wasabilb_standins._engine_settings import EngineFaults, EngineSettings
 from wasabilb_standins._engine_weights import Deployments, EngineWeights
 from wasabilb_standins._prefix_cache import PrefixCache
-from wasabilb_standins.base import STANDINS, ErrorAnswer, Handler, Standin
+from wasabilb_standins.base import STANDINS, ErrorAnswer, Handler
+from wasabilb_standins.crashes import CrashingStandin
 
 MAX_RECORDED = 100_000
 # The sampling interval limits the accuracy of a lagging report.
@@ -30,7 +31,7 @@
 
 
 @STANDINS.register("engine")
-class Engine(Standin[EngineSettings, EngineFaults]):
+class Engine(CrashingStandin[EngineSettings, EngineFaults]):
     """Inference engine; see the module and `EngineSettings`."""
 
     settings_type = EngineSettings
@@ -62,8 +63,6 @@
         self._request_numbers = itertools.count(1)
         self._samples: deque[tuple[float, dict[str, Any]]] = deque()
         self._tasks: list[asyncio.Task[None]] = []
-        self.crashes = 0
-        self._crash_task: asyncio.Task[None] | None = None
         for text in filter(None, cfg.models.split(",")):
             self.deployments.preload(oracle.parse_variant(text.strip()))
         self._sample()
@@ -126,17 +125,6 @@
         self.batch.end(answer, "lost")
         self._open_answers.pop(answer.id, None)
 
-    def crash(self) -> None:
-        """Cut all connections and refuse new ones for a while, as after a restart."""
-        if self._crash_task is None or self._crash_task.done():
-            self.crashes += 1
-            self._crash_task = asyncio.ensure_future(self._end_and_return(self.faults.crash_s))
-
-    async def _end_and_return(self, seconds: float) -> None:
-        await self.stop()
-        await asyncio.sleep(seconds)
-        await self.start()
-
     def is_death_due(self, sent: int) -> bool:
         """Return whether the connection is to die after this many tokens, and count it if so."""
         faults = self.faults
--- a/packages/wasabilb-standins/src/wasabilb_standins/service.py
+++ b/packages/wasabilb-standins/src/wasabilb_standins/service.py
@@ -10,7 +10,8 @@
 from attrs.validators import in_
 from tornado.web import Finish
 
-from wasabilb_standins.base import STANDINS, Handler, Standin
+from wasabilb_standins.base import STANDINS, Handler
+from wasabilb_standins.crashes import CrashFaults, CrashingStandin, crash_if_due
 
 MAX_RECORDED = 100_000
 _FAULT_MOMENTS = ("", "before", "after")
@@ -33,8 +34,8 @@
 
 
 @frozen(kw_only=True)
-class ServiceFaults:
-    """Faults of a service.
+class ServiceFaults(CrashFaults):
+    """Faults of a service; `crash_text` is looked for in the path and the body.
 
     Parameters
     ----------
@@ -58,7 +59,7 @@
 
 
 @STANDINS.register("service")
-class Service(Standin[ServiceSettings, ServiceFaults]):
+class Service(CrashingStandin[ServiceSettings, ServiceFaults]):
     """Plain service; an execution is counted when it starts."""
 
     settings_type = ServiceSettings
@@ -122,6 +123,7 @@
             key=self.request.headers.get("Idempotency-Key", ""),
             body=self.request.body,
         )
+        await crash_if_due(self, f"{self.request.uri} {self.request.body.decode(errors='replace')}")
         # An execution that has started continues after its caller has disconnected.
         await asyncio.sleep(service.settings.work_s * service.faults.slow)
         await self._apply_fault("after")
