Agent: a second crash of the engine counts, also if nothing was answered between the two

An agent kept the time of a crash until a report of its engine told that it answers again. Two crashes without a report between them counted as one, and evidence against what crashed the engine was lost; a plain service sends no reports at all, so that its agent could not use this state. Calls that reach the engine once it is back belong to another crash, and those that were sent before belong to the one that was found, however late their end is noticed.

Before: an engine that ends, is back and ends again under the next call gives [1, 1]; the third step of the scenario gave 0 for a call that was broken off by a crash found before. After: two crashes, each the same for all its calls. The scenario now checks both in place of on_answering. behave features/crashing_parts.feature -n 'An agent tells': passed.

--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -148,7 +148,7 @@
     And all requests without it are answered
 
   Scenario: An agent tells crashes of its engine
-    # Guards against one crash that counts once for each answer, and against a broken connection that
-    # counts as a crash.
-    When an engine ends under three answers, is back, and ends again
+    # Guards against one crash that counts once for each answer, two that count once because nothing
+    # was answered between them, and a broken connection that counts as a crash.
+    When an engine ends under three answers, is back, and ends again under the next ones
     Then its agent tells two crashes, each the same for all answers, and none before and after
--- a/features/steps/crash_model_requests_steps.py
+++ b/features/steps/crash_model_requests_steps.py
@@ -100,7 +100,7 @@
     assert all(sound == ["a ", "b ", "c "] for _, sound in context.results), context.results
 
 
-@when("an engine ends under three answers, is back, and ends again")
+@when("an engine ends under three answers, is back, and ends again under the next ones")
 def engine_ends(context):
     async def run():
         server = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", 0)
@@ -111,13 +111,14 @@
             pool=ConnectionPool(max_idle=0),
             wall_ms=lambda: next(times),
         )
-        found = [await crashes.crash_ms()]
+        found = [await crashes.crash_ms(now())]
         for _ in range(2):
+            sent_at = now()
             server.close()
-            found.append(await asyncio.gather(*(crashes.crash_ms() for _ in range(3))))
+            found.append(await asyncio.gather(*(crashes.crash_ms(sent_at) for _ in range(3))))
             server = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", port)
-            crashes.on_answering()
-        found.append(await crashes.crash_ms())
+            found.append(await crashes.crash_ms(sent_at))
+        found.append(await crashes.crash_ms(now()))
         server.close()
         return found
 
@@ -126,4 +127,4 @@
 
 @then("its agent tells two crashes, each the same for all answers, and none before and after")
 def check_crashes(context):
-    assert context.found == [0, [1, 1, 1], [2, 2, 2], 0], context.found
+    assert context.found == [0, [1, 1, 1], 1, [2, 2, 2], 2, 0], context.found
--- a/packages/wasabilb-agent/src/wasabilb_agent/engine_crashes.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/engine_crashes.py
@@ -1,11 +1,12 @@
 """Finds out whether the engine has crashed, after it broke off an answer."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from urllib.parse import urlsplit
 
 from attrs import define
-from wasabilb_node.clock import wall_ms
+from wasabilb_node.clock import now, wall_ms
 from wasabilb_node.http_client import ConnectError, ConnectionPool, ConnectRefusedError
 
 # Longest time to wait for a connection to the engine on this host, seconds.
@@ -30,6 +31,7 @@
     pool: ConnectionPool
     wall_ms: Callable[[], int] = wall_ms
     _crashed_ms: int = 0
+    _found_at: float = -math.inf
     _check: "asyncio.Task[int] | None" = None
 
     @classmethod
@@ -39,16 +41,18 @@
         address = f"{parts.hostname}:{parts.port or 80}"
         return cls(address=address, pool=ConnectionPool(max_idle=0))
 
-    def on_answering(self) -> None:
-        """Record that the engine answers; the next crash is another one."""
-        self._crashed_ms = 0
-
-    async def crash_ms(self) -> int:
+    async def crash_ms(self, sent_at: float) -> int:
         """Return the wall time at which the engine was found crashed, 0 if it was not.
 
-        It is the same for all answers that one crash broke off.
+        It is the same for all calls that one crash broke off.
+
+        Parameters
+        ----------
+        sent_at : float
+            When the call was sent that was broken off. Later calls reached an engine that was back,
+            so that another crash broke them off.
         """
-        if self._crashed_ms:
+        if sent_at <= self._found_at:
             return self._crashed_ms
         if self._check is None or self._check.done():
             self._check = asyncio.ensure_future(self._find_out())
@@ -58,8 +62,9 @@
         try:
             await self.pool.check(self.address, timeout_s=CHECK_TIMEOUT_S)
         except ConnectRefusedError:
-            self._crashed_ms = self.wall_ms()
+            self._crashed_ms, self._found_at = self.wall_ms(), now()
+            return self._crashed_ms
         except ConnectError:
             # A host that is too busy to accept a connection tells nothing.
             return 0
-        return self._crashed_ms
+        return 0
--- a/packages/wasabilb-agent/src/wasabilb_agent/model_calls.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/model_calls.py
@@ -229,6 +229,7 @@
             "resume_from": run.job.produced,
         }
         deadline = run.job.deadline or now()
+        sent_at = now()
         try:
             result = await self._engine.complete(
                 body=body,
@@ -236,7 +237,7 @@
                 on_head=lambda variant: self._on_head(run, variant),
                 on_tokens=lambda tokens: self._on_tokens(run, tokens),
             )
-            await self._on_result(run, result)
+            await self._on_result(run, result, sent_at)
         except (ExchangeStoppedError, ValueError, KeyError, TypeError) as exc:
             self._on_aborted(run, exc)
         finally:
@@ -273,12 +274,12 @@
             self._metrics.count(Metric.PREEMPTIONS)
             raise ExchangeStoppedError
 
-    async def _on_result(self, run: _Run, result: Result[Finished, Error]) -> None:
+    async def _on_result(self, run: _Run, result: Result[Finished, Error], sent_at: float) -> None:
         if isinstance(result, Failure):
             error = result.failure()
             crash_ms = 0
             if self._crashes is not None and error.kind is ErrorKind.STREAM_BROKEN:
-                crash_ms = await self._crashes.crash_ms()
+                crash_ms = await self._crashes.crash_ms(sent_at)
             run.answer.fail(error, crash_ms=crash_ms)
         else:
             finished = result.unwrap()
--- a/packages/wasabilb-agent/src/wasabilb_agent/process.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/process.py
@@ -160,14 +160,13 @@
             metrics=self.node.metrics,
             on_status=self._on_status,
         )
-        self._crashes = EngineCrashes.from_url(url)
         self._model_calls = ModelCalls(
             engine=engine,
             make_queue=self._make_queue,
             is_servable=self._reconciler.is_servable,
             progress_s=self._cfg.timeouts.progress_s,
             metrics=self.node.metrics,
-            crashes=self._crashes,
+            crashes=EngineCrashes.from_url(url),
         )
 
     def _build_service(self, url: str, name: str, incarnation: int) -> None:
@@ -253,7 +252,6 @@
 
     def _on_status(self, status: EngineStatus) -> None:
         if self._model_calls is not None:
-            self._crashes.on_answering()
             self._model_calls.set_slots(status.slots)
             self._model_calls.start_waiting_calls()
         self._send_report(only_changed=True)
