Agent: tells crashes of its plain service, also under a key

Agents told entry processes of crashes of engines only. A request that crashes each plain service that begins it gave 502 unknown, without a crash that anybody could count.

EngineCrashes becomes ServerCrashes, for the engine and the plain service alike; a call that was broken off asks it, with and without a key. A call under a key keeps its unknown outcome in the ledger as before.

Before (crashes=None): two crashes of the stand-in, crash_ms 0 and 0 with and without a key. After: two different times; 0 with a connection that the service only closed. behave features/crashing_parts.feature -n 'An agent tells' -n 'A service that only': 4 passed; features/once.feature: 24 passed.

--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -147,6 +147,23 @@
     Then 2 engines crash, and the other requests with the block are refused as not run
     And all requests without it are answered
 
+  Scenario Outline: An agent tells crashes of its plain service
+    # Guards against services whose crashes nobody counts, since their agents do not tell them.
+    Given an agent beside a service that crashes for 0.2 seconds under a request
+    When <calls> with the request are sent twice, and a sound one before and after each
+    Then the agent tells two crashes with the broken calls, and none with the sound ones
+
+    Examples:
+      | calls             |
+      | calls             |
+      | calls under a key |
+
+  Scenario: A service that only closes a connection
+    # Guards against a broken connection that counts as a crash.
+    Given an agent beside a service that drops each connection
+    When a call is sent
+    Then the agent tells no crash with the broken call
+
   Scenario: An agent tells crashes of its engine
     # Guards against one crash that counts once for each answer, two that count once because nothing
     # was answered between them, and a broken connection that counts as a crash.
--- a/features/steps/crash_model_requests_steps.py
+++ b/features/steps/crash_model_requests_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 from forwarding_steps import LOG, FakeLinks, make_router
 from guard_factory import make_guard
-from wasabilb_agent.engine_crashes import EngineCrashes
+from wasabilb_agent.server_crashes import ServerCrashes
 from wasabilb_core.errors import ErrorKind
 from wasabilb_entry.prompts import PREFIX_BLOCK_CHARS, parse_prompt
 from wasabilb_entry.requests import CallerRequest, RequestFailedError, RequestRecord
@@ -106,7 +106,7 @@
         server = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         times = itertools.count(1)
-        crashes = EngineCrashes(
+        crashes = ServerCrashes(
             address=f"127.0.0.1:{port}",
             pool=ConnectionPool(max_idle=0),
             wall_ms=lambda: next(times),
--- a/packages/wasabilb-agent/src/wasabilb_agent/model_calls.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/model_calls.py
@@ -16,8 +16,8 @@
 
 from wasabilb_agent._http_stream import ExchangeStoppedError
 from wasabilb_agent.engine_client import EngineClient, Finished, Tokens
-from wasabilb_agent.engine_crashes import EngineCrashes
 from wasabilb_agent.outgoing_answer import OutgoingAnswer
+from wasabilb_agent.server_crashes import ServerCrashes
 
 # Largest size class of short work in `short_first`, in predicted tokens.
 SHORT_TOKENS = 128
@@ -54,7 +54,7 @@
         Returns whether the engine serves a variant that the tickets allow.
     progress_s : float
         Longest time without data from the engine within an answer, seconds.
-    crashes : EngineCrashes or None
+    crashes : ServerCrashes or None
         Tells whether the engine has crashed; None if nobody needs to know.
     """
 
@@ -66,7 +66,7 @@
         is_servable: Callable[[str], bool],
         progress_s: float,
         metrics: Metrics,
-        crashes: EngineCrashes | None = None,
+        crashes: ServerCrashes | None = None,
     ) -> None:
         self._engine = engine
         self._crashes = crashes
@@ -278,8 +278,8 @@
         if isinstance(result, Failure):
             error = result.failure()
             crash_ms = 0
-            if self._crashes is not None and error.kind is ErrorKind.STREAM_BROKEN:
-                crash_ms = await self._crashes.crash_ms(sent_at)
+            if self._crashes is not None:
+                crash_ms = await self._crashes.crash_ms_of(error, sent_at)
             run.answer.fail(error, crash_ms=crash_ms)
         else:
             finished = result.unwrap()
--- a/packages/wasabilb-agent/src/wasabilb_agent/process.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/process.py
@@ -26,11 +26,11 @@
 from wasabilb_agent._participants import TicketParticipants
 from wasabilb_agent._store_client import StoreClient
 from wasabilb_agent.engine_client import EngineClient, EngineStatus
-from wasabilb_agent.engine_crashes import EngineCrashes
 from wasabilb_agent.model_calls import ModelCalls
 from wasabilb_agent.outgoing_answer import OutgoingAnswer
 from wasabilb_agent.ownership_exchange import OwnershipExchange
 from wasabilb_agent.reconciler import Reconciler
+from wasabilb_agent.server_crashes import ServerCrashes
 from wasabilb_agent.service_calls import ServiceCalls
 from wasabilb_agent.service_client import ServiceClient
 from wasabilb_agent.weight_transfers import WeightTransfers
@@ -166,7 +166,7 @@
             is_servable=self._reconciler.is_servable,
             progress_s=self._cfg.timeouts.progress_s,
             metrics=self.node.metrics,
-            crashes=EngineCrashes.from_url(url),
+            crashes=ServerCrashes.from_url(url),
         )
 
     def _build_service(self, url: str, name: str, incarnation: int) -> None:
@@ -195,6 +195,7 @@
             log=self.log,
             metrics=self.node.metrics,
             max_calls=self._cfg.limits.queue_jobs,
+            crashes=ServerCrashes.from_url(url),
         )
 
     def _make_queue(self, slots: int) -> QueuePolicy:
--- a/packages/wasabilb-agent/src/wasabilb_agent/engine_crashes.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/server_crashes.py
@@ -1,4 +1,4 @@
-"""Finds out whether the engine has crashed, after it broke off an answer."""
+"""Finds out whether the agent's backend server has crashed, after it broke off an answer."""
 
 import asyncio
 import math
@@ -6,21 +6,22 @@
 from urllib.parse import urlsplit
 
 from attrs import define
+from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_node.clock import now, wall_ms
 from wasabilb_node.http_client import ConnectError, ConnectionPool, ConnectRefusedError
 
-# Longest time to wait for a connection to the engine on this host, seconds.
+# Longest time to wait for a connection to the server on this host, seconds.
 CHECK_TIMEOUT_S = 0.5
 
 
 @define(kw_only=True, eq=False)
-class EngineCrashes:
-    """Tells a crash of the engine from an answer that it broke off.
+class ServerCrashes:
+    """Tells a crash of the engine or plain service from an answer that it broke off.
 
     Parameters
     ----------
     address : str
-        `IP:PORT` of the engine.
+        `IP:PORT` of the server.
     pool : ConnectionPool
         Opens the connection that tells it.
     wall_ms : callable
@@ -35,21 +36,25 @@
     _check: "asyncio.Task[int] | None" = None
 
     @classmethod
-    def from_url(cls, url: str) -> "EngineCrashes":
-        """Return the state for the engine at a base URL."""
+    def from_url(cls, url: str) -> "ServerCrashes":
+        """Return the state for the server at a base URL."""
         parts = urlsplit(url)
         address = f"{parts.hostname}:{parts.port or 80}"
         return cls(address=address, pool=ConnectionPool(max_idle=0))
 
+    async def crash_ms_of(self, error: Error, sent_at: float) -> int:
+        """Return the time of the crash that ended a call with an error; see `crash_ms`."""
+        return await self.crash_ms(sent_at) if error.kind is ErrorKind.STREAM_BROKEN else 0
+
     async def crash_ms(self, sent_at: float) -> int:
-        """Return the wall time at which the engine was found crashed, 0 if it was not.
+        """Return the wall time at which the server was found crashed, 0 if it was not.
 
         It is the same for all calls that one crash broke off.
 
         Parameters
         ----------
         sent_at : float
-            When the call was sent that was broken off. Later calls reached an engine that was back,
+            When the call was sent that was broken off. Later calls reached a server that was back,
             so that another crash broke them off.
         """
         if sent_at <= self._found_at:
--- a/packages/wasabilb-agent/src/wasabilb_agent/service_calls.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/service_calls.py
@@ -28,6 +28,7 @@
 
 from wasabilb_agent._http_stream import ExchangeStoppedError
 from wasabilb_agent.outgoing_answer import OutgoingAnswer
+from wasabilb_agent.server_crashes import ServerCrashes
 from wasabilb_agent.service_client import ServiceClient
 
 # Answers of at-most-once calls are recorded in full for repeats, so they have a separate bound.
@@ -63,6 +64,8 @@
         Records the keys of at-most-once calls.
     max_calls : int
         Maximum number of calls in progress.
+    crashes : ServerCrashes or None
+        Tells whether the service has crashed; None if nobody needs to know.
     """
 
     def __init__(
@@ -75,6 +78,7 @@
         log: EventLog,
         metrics: Metrics,
         max_calls: int,
+        crashes: ServerCrashes | None = None,
     ) -> None:
         self._name = name
         self._client = client
@@ -83,6 +87,7 @@
         self._log = log
         self._metrics = metrics
         self._max_calls = max_calls
+        self._crashes = crashes
         self._joined_answers: dict[tuple[str, str], list[OutgoingAnswer]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -181,9 +186,9 @@
                 raise ExchangeStoppedError
             recorded.body += data
 
-        error: Error | None = None
+        error, crash_ms = None, 0
         if self._ledger.start(key, call_fingerprint):
-            error = await self._call_once(call, on_head, on_bytes)
+            error, crash_ms = await self._call_once(call, on_head, on_bytes)
         answers = self._joined_answers.pop((call_fingerprint.account, key.text))
         if error is None:
             frames = recorded.to_bytes()
@@ -196,22 +201,29 @@
             self._ledger.fail_unknown(key, call_fingerprint)
         self._log_unexecuted(call, error)
         for answer in answers:
-            answer.fail(error)
+            answer.fail(error, crash_ms=crash_ms)
 
-    async def _call_once(self, call: Call, on_head: Any, on_bytes: Any) -> Error | None:
+    async def _call_once(self, call: Call, on_head: Any, on_bytes: Any) -> tuple[Error | None, int]:
+        """Send a call; return its error and the time of the crash that ended it, 0 without one."""
+        sent_at = now()
         try:
             status = await self._client.call(
                 call=call, timeout_s=call.deadline_ms / 1000, on_head=on_head, on_bytes=on_bytes
             )
         except ExchangeStoppedError:
             detail = f"the call ran; its answer exceeds {MAX_RECORDED_ANSWER_BYTES} bytes"
-            return Error(kind=ErrorKind.ANSWER_FORGOTTEN, detail=detail)
+            return Error(kind=ErrorKind.ANSWER_FORGOTTEN, detail=detail), 0
         if not isinstance(status, Failure):
-            return None
+            return None, 0
         error: Error = status.failure()
         if error.effective_outcome is Outcome.NOT_RUN:
-            return error
-        return Error(kind=ErrorKind.OUTCOME_UNKNOWN, detail=f"the answer was lost: {error.detail}")
+            return error, 0
+        crash_ms = await self._crash_ms(error, sent_at)
+        detail = f"the answer was lost: {error.detail}"
+        return Error(kind=ErrorKind.OUTCOME_UNKNOWN, detail=detail), crash_ms
+
+    async def _crash_ms(self, error: Error, sent_at: float) -> int:
+        return await self._crashes.crash_ms_of(error, sent_at) if self._crashes is not None else 0
 
     async def _replay(self, answer: OutgoingAnswer, frames: bytes) -> None:
         head, data = [decode(frame).unwrap() for frame in FrameBuffer().feed(frames).unwrap()]
@@ -227,7 +239,7 @@
 
     async def _stream_call(self, answer: OutgoingAnswer) -> None:
         call = answer.call
-        position = 0
+        position, sent_at = 0, now()
 
         async def on_bytes(data: bytes) -> None:
             nonlocal position
@@ -244,7 +256,8 @@
         except ExchangeStoppedError:
             return
         if isinstance(status, Failure):
-            answer.fail(status.failure())
+            error = status.failure()
+            answer.fail(error, crash_ms=await self._crash_ms(error, sent_at))
         else:
             answer.end(position=position)
 
