Model requests wait for the probe of their prompt, in place of a refusal

Callers of the product's own interface got 503 prompt-probed at once while another request was the probe of a part of their prompt, so that sound requests were refused; a caller that sent its next request at another entry host, right after the probe's answer, got one too, when the message that clears the part was still under way.

A request that is not sent yet now waits, as an answer that has begun did: looking again each 50 ms, at most for two probes (6 s) and not past its deadline, after which it is refused as not run.

--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -147,6 +147,24 @@
     Then 2 engines crash, and the other requests with the block are refused as not run
     And all requests without it are answered
 
+  Scenario Outline: A request of the product's own interface during the probe of another process
+    # Guards against sound requests that are refused because a probe's result is still under way.
+    Given two engines that crash on a block of the prompt, after answers to other prompts
+    When 3 requests with a suspected block come, and a probe elsewhere <ends> after <seconds> s
+    Then <kinds> is the result of all within 0.1 s
+
+    Examples:
+      | ends              | seconds | kinds          |
+      | is answered       | 0.2     | an answer      |
+      | crashes an engine | 0.2     | prompt-blocked |
+      | tells nothing     | 3.0     | an answer      |
+
+  Scenario: A request of the product's own interface whose deadline is before the probe's end
+    # Guards against an unknown outcome for a request that was never sent.
+    Given two engines that crash on a block of the prompt, after answers to other prompts
+    When a request with a suspected block has 0.3 s left, and a probe elsewhere does not end
+    Then it is refused as not run within 0.3 s
+
   Scenario Outline: An agent tells crashes of its plain service
     # Guards against services whose crashes nobody counts, since their agents do not tell them.
     Given an agent beside a service that crashes for 0.2 seconds under a request
--- a/features/steps/crash_model_requests_steps.py
+++ b/features/steps/crash_model_requests_steps.py
@@ -8,7 +8,9 @@
 from behave import given, then, when
 from forwarding_steps import LOG, FakeLinks, make_router
 from guard_factory import make_guard
+from memory_links import run_virtual
 from wasabilb_agent.server_crashes import ServerCrashes
+from wasabilb_core.crash_reports import CrashReport
 from wasabilb_core.errors import ErrorKind
 from wasabilb_entry.prompts import PREFIX_BLOCK_CHARS, parse_prompt
 from wasabilb_entry.requests import CallerRequest, RequestFailedError, RequestRecord
@@ -54,15 +56,15 @@
     context.results = []
 
 
-async def complete(context, name, prompt):
+async def complete(context, name, prompt, *, router=None, timeout_s=10.0):
     """Return the texts of a completion, or its error."""
-    links = context.links
+    router = router or make_router(context.links, guard=context.guard)
     body = json.dumps({"model": "m", "prompt": prompt}).encode()
     texts = []
     try:
-        async for part in make_router(links, guard=context.guard).answer(
+        async for part in router.answer(
             req=CallerRequest(
-                id=name, account=SimpleNamespace(name="a", weight=1.0), deadline=now() + 10.0
+                id=name, account=SimpleNamespace(name="a", weight=1.0), deadline=now() + timeout_s
             ),
             prompt=parse_prompt(body, is_chat=False).unwrap(),
             record=RequestRecord(kind="completion"),
@@ -95,6 +97,80 @@
     assert context.results[0][0].effective_outcome.value == "unknown", context.results[0]
 
 
+def suspect(context):
+    """Return a prompt with a block that a crash elsewhere makes suspicious, and the block."""
+    prompt = SYSTEM + "suspected".ljust(PREFIX_BLOCK_CHARS) + "tail"
+    body = json.dumps({"model": "m", "prompt": prompt}).encode()
+    block = parse_prompt(body, is_chat=False).unwrap().shared_parts[-1]
+    parts = context.guard.parts
+    parts.on_crash(CrashReport(runner="r9", born_ms=1, started=[block]), now())
+    parts.on_probe_begun([block], now())
+    return prompt, block
+
+
+def end_probe(parts, block, ends):
+    """Apply what another process tells of its probe."""
+    if ends == "is answered":
+        parts.on_answer_told([block], now())
+    elif ends == "crashes an engine":
+        report = CrashReport(runner="r8", born_ms=2, started=[block], probes=[block])
+        parts.on_crash(report, now())
+
+
+@when(
+    "{count:d} requests with a suspected block come, and a probe elsewhere {ends} after "
+    "{seconds:f} s"
+)
+def requests_during_probe(context, count, ends, seconds):
+    async def timed(router, name, prompt):
+        began = now()
+        result = await complete(context, name, prompt, router=router)
+        context.results.append((result, now() - began - seconds))
+
+    async def run():
+        await complete(context, "s", SYSTEM + "good".ljust(PREFIX_BLOCK_CHARS) + "tail")
+        prompt, block = suspect(context)
+        router = make_router(context.links, guard=context.guard)
+        calls = [
+            asyncio.ensure_future(timed(router, f"r-{n}", f"{prompt} {n}")) for n in range(count)
+        ]
+        await asyncio.sleep(seconds)
+        end_probe(context.guard.parts, block, ends)
+        await asyncio.gather(*calls)
+
+    run_virtual(run)
+
+
+@then("{kind} is the result of all within {seconds:f} s")
+def check_results(context, kind, seconds):
+    for result, late_s in context.results:
+        if kind == "an answer":
+            assert result == ["a ", "b ", "c "], context.results
+        else:
+            found = (result.kind.value, result.effective_outcome.value)
+            assert found == (kind, "not-run"), context.results
+        assert 0 <= late_s <= seconds, context.results
+
+
+@when("a request with a suspected block has {left_s:f} s left, and a probe elsewhere does not end")
+def request_with_deadline(context, left_s):
+    async def run():
+        prompt, _ = suspect(context)
+        began = now()
+        result = await complete(context, "r", prompt, timeout_s=left_s)
+        context.results.append((result, now() - began))
+
+    run_virtual(run)
+
+
+@then("it is refused as not run within {seconds:f} s")
+def check_not_run(context, seconds):
+    [(error, took_s)] = context.results
+    found = (error.kind.value, error.effective_outcome.value)
+    assert found == ("prompt-probed", "not-run"), context.results
+    assert took_s <= seconds, context.results
+
+
 @then("all requests without it are answered")
 def check_answered(context):
     assert all(sound == ["a ", "b ", "c "] for _, sound in context.results), context.results
--- a/packages/wasabilb-entry/src/wasabilb_entry/agent_attempts.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/agent_attempts.py
@@ -45,10 +45,10 @@
         self.has_data = False
         self.is_withdrawal_requested = False
         self.is_moved = False
-        # When the agent found its engine crashed, wall time in milliseconds, 0 if it did not.
+        # When the agent found its server crashed, wall time in milliseconds, 0 if it did not.
         self.crash_ms = 0
         self.head_at: float | None = None
-        # Parts of the prompt that this attempt probes.
+        # What this attempt probes of its request.
         self.probed: frozenset[int] = frozenset()
 
     @property
--- a/packages/wasabilb-entry/src/wasabilb_entry/model_requests.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/model_requests.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import json
-import math
 import random
 from collections.abc import AsyncGenerator, AsyncIterator
 
 import attrs
 from returns.result import Failure, Success
 from wasabilb_core.attempts import MAX_RESUME_PAUSE_S
-from wasabilb_core.crashing_parts import SURVIVED_S
 from wasabilb_core.errors import Error, ErrorKind, Outcome
 from wasabilb_core.membership import Membership
 from wasabilb_core.metric_names import Metric
@@ -25,8 +23,9 @@
 
 from wasabilb_entry.agent_attempts import Attempt, AttemptTable, Part
 from wasabilb_entry.attempt_watch import AttemptWatch, MovableRequest
-from wasabilb_entry.prompt_guard import CrashedAttempt, PromptGuard
+from wasabilb_entry.prompt_guard import PromptGuard
 from wasabilb_entry.prompts import ModelPrompt
+from wasabilb_entry.request_guard import RequestGuard
 from wasabilb_entry.request_state import MOVABLE, OVERLOADS, REFUSALS, AnswerPart, RequestState
 from wasabilb_entry.requests import CallerRequest, RequestFailedError, RequestRecord, new_error
 from wasabilb_entry.runner_selector import RunnerSelector
@@ -38,8 +37,6 @@
 # Below this number of predicted tokens a request counts as short work.
 SHORT_TOKENS = 64
 NO_RUNNER_RETRY_S = 1.0
-# Interval between checks whether a probe of a part of the prompt has ended, seconds.
-PROBE_CHECK_S = 0.05
 # The agent reports a silent engine after its own timeout; this longer one covers a silent agent.
 PROGRESS_TIMEOUT_FACTOR = 2.0
 _JSON_DECODER = json.JSONDecoder()
@@ -157,12 +154,12 @@
             route=route,
             movable=movable,
             cursor=cursor,
-            parts=prompt.shared_parts,
+            guard=RequestGuard(guard=self.guard, req=req, subjects=prompt.shared_parts),
         )
         return state
 
     async def _start_attempt(self, state: RequestState) -> Attempt:
-        """Send the call to the best runner; an answer that has begun waits for a probe's result."""
+        """Send the call to the best runner, after a probe of its prompt by another request."""
         while True:
             if state.req.left_s <= 0:
                 raise new_error(ErrorKind.DEADLINE_PASSED, "the deadline has passed")
@@ -172,16 +169,14 @@
             if chosen is None:
                 raise self._final_error(state)
             host, variant = chosen
-            probed = self.guard.begin(state.parts)
+            probed = state.guard.begin()
             if probed is None:
-                refusal = self.guard.refusal(state.parts)
-                if state.has_begun and _is_probed(refusal):
-                    await asyncio.sleep(PROBE_CHECK_S)
-                    continue
-                raise self._refusal(state, refusal)
+                may_have_run = state.may_have_run
+                await state.guard.wait(has_begun=state.has_begun, may_have_run=may_have_run)
+                continue
             attempt = self._attempts.start(host, self._to_call(state, variant))
             if attempt is None:
-                self.guard.on_probe_ended(probed)
+                state.guard.on_unsent(probed)
                 state.excluded.add(host)
                 continue
             attempt.probed = probed
@@ -263,7 +258,7 @@
 
     def _start_hedge(self, state: RequestState, first: Attempt) -> Attempt | None:
         """Send the second attempt to another runner of the same variant."""
-        if not self.guard.may_hedge(state.parts):
+        if not state.guard.may_hedge():
             return None
         pinned_variant, state.excluded = state.pinned_variant, state.excluded | {first.host}
         chosen = self._selector.choose(state)
@@ -291,7 +286,7 @@
                 self._record_times(attempt, last_at, moment)
                 last_at = moment
                 # Parts that wait together are combined into one event and one write.
-                self._check_survival(state, attempt, moment)
+                state.guard.on_data(attempt, moment)
                 parts = [part, *attempt.take_waiting_data()]
                 texts, error = self._accept_all(state, parts)
                 state.record.tokens = state.cursor.position
@@ -310,7 +305,7 @@
                 part = Error(kind=ErrorKind.STREAM_BROKEN, detail="the answer ended too early")
             if isinstance(part, End):
                 state.last_error = None
-                self.guard.on_answer_going_on(state.parts)
+                state.guard.on_survived()
                 yield AnswerPart(reason=part.finish_reason)
                 return
             state.last_error = attempt.error = self._to_error(state, part)
@@ -329,39 +324,6 @@
             texts += _JSON_DECODER.decode(part.payload.decode())[accepted.unwrap().skip :]
         return texts, None
 
-    def _check_survival(self, state: RequestState, attempt: Attempt, moment: float) -> None:
-        """Clear the parts of a prompt once its answer has gone on for long enough."""
-        if attempt.head_at is not None and moment - attempt.head_at >= SURVIVED_S:
-            attempt.head_at = math.inf
-            self.guard.on_answer_going_on(state.parts)
-
-    def _refusal(self, state: RequestState, error: Error | None) -> RequestFailedError:
-        """Return the error for a request whose prompt must not be sent now."""
-        if error is None:
-            # Another request became the probe of the part in this moment.
-            error = Error(kind=ErrorKind.PROMPT_PROBED, detail="a part of the prompt is probed")
-        if state.may_have_run:
-            error = Error(kind=ErrorKind.OUTCOME_UNKNOWN, detail=error.detail)
-        return RequestFailedError(error)
-
-    def _tell_guard(self, state: RequestState, attempt: Attempt) -> None:
-        """Report the end of an attempt."""
-        probed, attempt.probed = attempt.probed, frozenset()
-        if not attempt.crash_ms or not state.parts:
-            self.guard.on_probe_ended(probed)
-            return
-        self.guard.on_crash(
-            CrashedAttempt(
-                request_id=state.req.id,
-                runner_id=attempt.host,
-                born_ms=attempt.crash_ms,
-                parts=state.parts,
-                probed=probed,
-                progress=attempt.progress,
-            ),
-            now(),
-        )
-
     def _record_times(self, attempt: Attempt, last_at: float, moment: float) -> None:
         if not attempt.has_data:
             attempt.has_data = True
@@ -441,7 +403,7 @@
 
     def _finish_attempt(self, state: RequestState, attempt: Attempt) -> None:
         self._attempts.finish(attempt)
-        self._tell_guard(state, attempt)
+        state.guard.on_attempt_ended(attempt)
         if self._watch is not None:
             self._watch.remove(attempt)
         state.may_have_run = state.may_have_run or attempt.may_have_run
@@ -460,11 +422,6 @@
         )
 
 
-def _is_probed(refusal: Error | None) -> bool:
-    """Return whether a request must only wait for the result of a probe of its prompt."""
-    return refusal is None or refusal.kind is ErrorKind.PROMPT_PROBED
-
-
 async def _has_part_in_time(attempt: Attempt, timeout_s: float) -> bool:
     try:
         await asyncio.wait_for(attempt.ready(), timeout_s)
--- a/packages/wasabilb-entry/src/wasabilb_entry/request_state.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/request_state.py
@@ -8,6 +8,7 @@
 
 from wasabilb_entry.attempt_watch import MovableRequest
 from wasabilb_entry.prompts import ModelPrompt
+from wasabilb_entry.request_guard import RequestGuard
 from wasabilb_entry.requests import CallerRequest, RequestRecord
 
 # Errors after which another runner may succeed and no part of the answer is in doubt.
@@ -47,8 +48,7 @@
     route: RouteRequest
     movable: MovableRequest
     cursor: StreamCursor
-    # Parts of the prompt that other requests may share.
-    parts: tuple[int, ...] = ()
+    guard: RequestGuard
     pinned_variant: Variant | None = None
     excluded: set[str] = field(factory=set)
     # Hosts that refused to go on with the answer, and the number of such refusals.
--- a/packages/wasabilb-wire/src/wasabilb_wire/messages.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/messages.py
@@ -214,8 +214,8 @@
 class Fail(Message):
     """The attempt failed; `kind` and `outcome` are values of the core's enumerations.
 
-    `crash_ms` is the wall time in milliseconds at which the agent found its engine crashed, 0 if it
-    did not crash; it is the same for all attempts that one crash ended.
+    `crash_ms` is the wall time in milliseconds at which the agent found its engine or plain
+    service crashed, 0 if it did not; it is the same for all attempts that one crash ended.
     """
 
     id: int
