--- a/packages/wasabilb-entry/src/wasabilb_entry/request_guard.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/request_guard.py
@@ -9,7 +9,7 @@
 from wasabilb_node.clock import now
 
 from wasabilb_entry.agent_attempts import Attempt
-from wasabilb_entry.prompt_guard import CrashedAttempt, PromptGuard
+from wasabilb_entry.prompt_guard import BLOCKED_KINDS, CrashedAttempt, PromptGuard
 from wasabilb_entry.requests import CallerRequest, RequestFailedError
 
 # Interval between checks whether the probe of a subject has ended, seconds.
@@ -63,7 +63,7 @@
         error = self.guard.refusal(self.subjects)
         moment = now()
         self._wait_until = min(self._wait_until, moment + PROBE_WAIT_S, self.req.deadline)
-        is_blocked = error is not None and error.kind is ErrorKind.PROMPT_BLOCKED
+        is_blocked = error is not None and error.kind in BLOCKED_KINDS
         is_too_long = not has_begun and moment + PROBE_CHECK_S > self._wait_until
         if is_blocked or is_too_long:
             if error is None:
