Model of crashing calls: answers send tokens before a crash

In the simulated servers an answer came whole at its end, so that no answer had begun when a server crashed under another request.

--- a/features/steps/crashing_calls_model.py
+++ b/features/steps/crashing_calls_model.py
@@ -31,9 +31,11 @@
 LOG_FIELDS = ("process", "role", "host", "failure_domain", "incarnation")
 LOG = EventLog(**dict.fromkeys(LOG_FIELDS, "1"), logger=logging.Logger("silent", logging.CRITICAL))
 ACCOUNT = SimpleNamespace(name="a", weight=1.0)
-# Duration of a call, and time until a server crashes under it, seconds.
+# Duration of a call to a service, and time until a server crashes under it, seconds.
 RUN_S = 0.03
 CRASH_DELAY_S = 0.02
+# Tokens of an answer, and time between them, seconds: the first ones come before a crash.
+TOKENS, TOKEN_S = 5, 0.008
 CALLER_LEFT_S = 10.0
 
 
@@ -91,7 +93,10 @@
             if not crash.done():
                 self.crashes_under[(call.path, call.body)] += 1
                 self.crash(peer.host)
-        await asyncio.wait([crash], timeout=RUN_S)
+        if is_streamed:
+            await self.send_tokens(peer, call, crash)
+        else:
+            await asyncio.wait([crash], timeout=RUN_S)
         self.running[peer.host].discard(crash)
         if crash.done():
             kind = "outcome-unknown" if call.key else "stream-broken"
@@ -102,9 +107,19 @@
             return
         if not is_streamed:
             self.tell(peer, Head(id=call.id, status=200))
-        payload = json.dumps(["a "]).encode() if is_streamed else b"a"
-        self.tell(peer, StreamData(id=call.id, position=0, count=1, payload=payload))
-        self.tell(peer, End(id=call.id, position=1, finish_reason="stop"))
+            self.tell(peer, StreamData(id=call.id, position=0, count=1, payload=b"a"))
+        end = TOKENS if is_streamed else 1
+        self.tell(peer, End(id=call.id, position=end, finish_reason="stop"))
+
+    async def send_tokens(self, peer, call, crash):
+        """Send the tokens of an answer until its server crashes."""
+        payload = json.dumps(["a "]).encode()
+        for position in range(call.resume_from, TOKENS):
+            await asyncio.wait([crash], timeout=TOKEN_S)
+            if crash.done():
+                return
+            data = StreamData(id=call.id, position=position, count=1, payload=payload)
+            self.tell(peer, data)
 
     def crash(self, host):
         """End a server and all calls that run there; it is back after a while."""
@@ -119,7 +134,7 @@
 class OwnInterface:
     """One entry process with both routers of the product's own interface."""
 
-    def __init__(self, *, agents, seed):
+    def __init__(self, *, agents, seed, routing="least_in_flight"):
         self.agents = agents
         self.numbers = itertools.count(1)
         variant = Variant(model="m", adapter="", version="v1")
@@ -136,7 +151,7 @@
         shared |= {"guard": make_guard(LOG), "credit_bytes": 1000}
         self.models = ModelRouter(
             **shared,
-            routing=ROUTING.create("least_in_flight").unwrap(),
+            routing=ROUTING.create(routing).unwrap(),
             predictor=SizePredictor(),
             budget=RetryBudget(),
             hedging=None,
