--- a/features/crashing_parts.feature
+++ b/features/crashing_parts.feature
@@ -147,8 +147,43 @@
     Then 2 engines crash, and the other requests with the block are refused as not run
     And all requests without it are answered
 
+  Scenario Outline: A request of the product's own interface during the probe of another process
+    # Guards against sound requests that are refused because a probe's result is still under way.
+    Given two engines that crash on a block of the prompt, after answers to other prompts
+    When 3 requests with a suspected block come, and a probe elsewhere <ends> after <seconds> s
+    Then <kinds> is the result of all within 0.1 s
+
+    Examples:
+      | ends              | seconds | kinds          |
+      | is answered       | 0.2     | an answer      |
+      | crashes an engine | 0.2     | prompt-blocked |
+      | tells nothing     | 3.0     | an answer      |
+
+  Scenario: A request of the product's own interface whose deadline is before the probe's end
+    # Guards against an unknown outcome for a request that was never sent.
+    Given two engines that crash on a block of the prompt, after answers to other prompts
+    When a request with a suspected block has 0.3 s left, and a probe elsewhere does not end
+    Then it is refused as not run within 0.3 s
+
+  Scenario Outline: An agent tells crashes of its plain service
+    # Guards against services whose crashes nobody counts, since their agents do not tell them.
+    Given an agent beside a service that crashes for 0.2 seconds under a request
+    When <calls> with the request are sent twice, and a sound one before and after each
+    Then the agent tells two crashes with the broken calls, and none with the sound ones
+
+    Examples:
+      | calls             |
+      | calls             |
+      | calls under a key |
+
+  Scenario: A service that only closes a connection
+    # Guards against a broken connection that counts as a crash.
+    Given an agent beside a service that drops each connection
+    When a call is sent
+    Then the agent tells no crash with the broken call
+
   Scenario: An agent tells crashes of its engine
-    # Guards against one crash that counts once for each answer, and against a broken connection that
-    # counts as a crash.
-    When an engine ends under three answers, is back, and ends again
+    # Guards against one crash that counts once for each answer, two that count once because nothing
+    # was answered between them, and a broken connection that counts as a crash.
+    When an engine ends under three answers, is back, and ends again under the next ones
     Then its agent tells two crashes, each the same for all answers, and none before and after
--- a/packages/wasabilb-agent/src/wasabilb_agent/model_calls.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/model_calls.py
@@ -16,8 +16,8 @@
 
 from wasabilb_agent._http_stream import ExchangeStoppedError
 from wasabilb_agent.engine_client import EngineClient, Finished, Tokens
-from wasabilb_agent.engine_crashes import EngineCrashes
 from wasabilb_agent.outgoing_answer import OutgoingAnswer
+from wasabilb_agent.server_crashes import ServerCrashes
 
 # Largest size class of short work in `short_first`, in predicted tokens.
 SHORT_TOKENS = 128
@@ -54,7 +54,7 @@
         Returns whether the engine serves a variant that the tickets allow.
     progress_s : float
         Longest time without data from the engine within an answer, seconds.
-    crashes : EngineCrashes or None
+    crashes : ServerCrashes or None
         Tells whether the engine has crashed; None if nobody needs to know.
     """
 
@@ -66,7 +66,7 @@
         is_servable: Callable[[str], bool],
         progress_s: float,
         metrics: Metrics,
-        crashes: EngineCrashes | None = None,
+        crashes: ServerCrashes | None = None,
     ) -> None:
         self._engine = engine
         self._crashes = crashes
@@ -229,6 +229,7 @@
             "resume_from": run.job.produced,
         }
         deadline = run.job.deadline or now()
+        sent_at = now()
         try:
             result = await self._engine.complete(
                 body=body,
@@ -236,7 +237,7 @@
                 on_head=lambda variant: self._on_head(run, variant),
                 on_tokens=lambda tokens: self._on_tokens(run, tokens),
             )
-            await self._on_result(run, result)
+            await self._on_result(run, result, sent_at)
         except (ExchangeStoppedError, ValueError, KeyError, TypeError) as exc:
             self._on_aborted(run, exc)
         finally:
@@ -273,12 +274,12 @@
             self._metrics.count(Metric.PREEMPTIONS)
             raise ExchangeStoppedError
 
-    async def _on_result(self, run: _Run, result: Result[Finished, Error]) -> None:
+    async def _on_result(self, run: _Run, result: Result[Finished, Error], sent_at: float) -> None:
         if isinstance(result, Failure):
             error = result.failure()
             crash_ms = 0
-            if self._crashes is not None and error.kind is ErrorKind.STREAM_BROKEN:
-                crash_ms = await self._crashes.crash_ms()
+            if self._crashes is not None:
+                crash_ms = await self._crashes.crash_ms_of(error, sent_at)
             run.answer.fail(error, crash_ms=crash_ms)
         else:
             finished = result.unwrap()
--- a/packages/wasabilb-agent/src/wasabilb_agent/process.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/process.py
@@ -26,11 +26,11 @@
 from wasabilb_agent._participants import TicketParticipants
 from wasabilb_agent._store_client import StoreClient
 from wasabilb_agent.engine_client import EngineClient, EngineStatus
-from wasabilb_agent.engine_crashes import EngineCrashes
 from wasabilb_agent.model_calls import ModelCalls
 from wasabilb_agent.outgoing_answer import OutgoingAnswer
 from wasabilb_agent.ownership_exchange import OwnershipExchange
 from wasabilb_agent.reconciler import Reconciler
+from wasabilb_agent.server_crashes import ServerCrashes
 from wasabilb_agent.service_calls import ServiceCalls
 from wasabilb_agent.service_client import ServiceClient
 from wasabilb_agent.weight_transfers import WeightTransfers
@@ -160,14 +160,13 @@
             metrics=self.node.metrics,
             on_status=self._on_status,
         )
-        self._crashes = EngineCrashes.from_url(url)
         self._model_calls = ModelCalls(
             engine=engine,
             make_queue=self._make_queue,
             is_servable=self._reconciler.is_servable,
             progress_s=self._cfg.timeouts.progress_s,
             metrics=self.node.metrics,
-            crashes=self._crashes,
+            crashes=ServerCrashes.from_url(url),
         )
 
     def _build_service(self, url: str, name: str, incarnation: int) -> None:
@@ -196,6 +195,7 @@
             log=self.log,
             metrics=self.node.metrics,
             max_calls=self._cfg.limits.queue_jobs,
+            crashes=ServerCrashes.from_url(url),
         )
 
     def _make_queue(self, slots: int) -> QueuePolicy:
@@ -253,7 +253,6 @@
 
     def _on_status(self, status: EngineStatus) -> None:
         if self._model_calls is not None:
-            self._crashes.on_answering()
             self._model_calls.set_slots(status.slots)
             self._model_calls.start_waiting_calls()
         self._send_report(only_changed=True)
