Questions for the age of a version: all peers once, each reader once it announces the version

The scenario counted three questions to all peers. The merged mechanism asks all once and each reader that announces the version once; the scenario counts both, and that a reader which is behind is not asked.

--- a/features/steps/version_naming_steps.py
+++ b/features/steps/version_naming_steps.py
@@ -206,6 +206,15 @@
     assert asked == times, asked
 
 
+@then("it asks a reader that announces the version {times:d} times in 3 s")
+def step_asks_reader(context, times):
+    ages, newest = context.version_ages, StatePosition(era=9, revision=9)
+    moments = [MOMENT + number * 0.1 for number in range(30)]
+    assert not any(ages.take_reader("behind", StatePosition(), moment) for moment in moments)
+    asked = sum(ages.take_reader("reader", newest, moment) for moment in moments)
+    assert asked == times, asked
+
+
 @when("a request and an answer with the age of one version are encoded")
 def step_encoded(context):
     want = PublishedWant(after=123_456, sent_ms=30 * 24 * 3_600_000 + 123, asks_ages=True)
--- a/features/version_ages.feature
+++ b/features/version_ages.feature
@@ -136,12 +136,13 @@
     Guards against a version that the store lost and that counts as new when it is named again.
     When a process hears of version 2 in era <era>, with a proof that is <age> s old
     Then it asks its peers for an age <times> times in 3 s
+    And it asks a reader that announces the version <times> times in 3 s
 
     Examples:
       | era | age | times |
       | 0   | 1.0 | 0     |
-      | 0   | 2.0 | 3     |
-      | 1   | 0.1 | 3     |
+      | 0   | 2.0 | 1     |
+      | 1   | 0.1 | 1     |
 
   Scenario: Questions for ages stay small
     Guards against control frames that exceed the budget of 3 KB/s a node.
