Scenario: a sound request that moves along with one that crashes servers (known red)

A crash at the probe of a whole request counts as a started one (PROBE_WEIGHT), which is meant for plain services that send nothing before their end, and applies after tokens as well; with two probes at one server, the evidence against both stays equal.

--- a/features/crashing_calls.feature
+++ b/features/crashing_calls.feature
@@ -44,6 +44,12 @@
       | a GET                           |
       | a POST that may not be repeated |
 
+  @known_red
+  Scenario: A sound request moves along with the one that crashes servers
+    Guards against blocking both, though answers to the sound one had begun before two crashes.
+    When a request that crashes servers and a sound one are resent to the same server after each of 3 crashes
+    Then the request that crashes servers is blocked, and the sound one is not
+
   Scenario Outline: Sound requests that are the same by nature are with servers that crash
     Guards against refusing a status page, or holding it up, for being where servers crash.
     Given agents beside 6 servers that crash under a request, back after 1 s
--- a/features/steps/crashing_calls_steps.py
+++ b/features/steps/crashing_calls_steps.py
@@ -5,8 +5,12 @@
 from collections import Counter
 
 from behave import given, then, when
-from crashing_calls_model import RUN_S, CrashingAgents, OwnInterface
+from crashing_calls_model import LOG, RUN_S, CrashingAgents, OwnInterface
+from guard_factory import make_guard
 from memory_links import run_virtual
+from wasabilb_core.attempts import AnswerProgress
+from wasabilb_core.crash_subjects import request_subject
+from wasabilb_entry.prompt_guard import BLOCKED_KINDS, CrashedAttempt
 from wasabilb_node.clock import now
 
 SEED = 1
@@ -14,6 +18,8 @@
 # Pause between callers' requests, seconds.
 PAUSE_S = 0.5
 SOUND_PAUSE_S = 0.02
+# Time from a crash until its requests are resent, seconds.
+RESEND_S = 0.05
 
 _KEYS = itertools.count(1)
 
@@ -124,6 +130,48 @@
     run_virtual(run)
 
 
+@when(
+    "a request that crashes servers and a sound one are resent to the same server after each of "
+    "{count:d} crashes"
+)
+def resend_together(context, count):
+    subjects = {name: (request_subject(n),) for n, name in enumerate(("deadly", "sound"), 1)}
+
+    async def run():
+        guard = make_guard(LOG)
+        guard.on_answer_going_on((request_subject(3),))
+        for crash in range(1, count + 1):
+            probed = {name: guard.begin(found) for name, found in subjects.items()}
+            for name, found in subjects.items():
+                # Tokens of the sound answer had come before the second and the third crash.
+                has_begun = name == "sound" and crash > 1
+                if probed[name] is None:
+                    continue
+                guard.on_crash(
+                    CrashedAttempt(
+                        request_id=name,
+                        runner_id=f"h{crash}",
+                        born_ms=crash,
+                        parts=found,
+                        probed=probed[name],
+                        progress=AnswerProgress.BEGUN if has_begun else AnswerProgress.STARTED,
+                    ),
+                    now(),
+                )
+            await asyncio.sleep(RESEND_S)
+        # A request is blocked once all processes have told of their requests at its crashes.
+        await asyncio.sleep(1.0)
+        context.refusals = {name: guard.refusal(found) for name, found in subjects.items()}
+
+    run_virtual(run)
+
+
+@then("the request that crashes servers is blocked, and the sound one is not")
+def check_only_deadly(context):
+    kinds = {name: error and error.kind for name, error in context.refusals.items()}
+    assert kinds["deadly"] in BLOCKED_KINDS and kinds["sound"] not in BLOCKED_KINDS, kinds
+
+
 @then("at most {most:d} servers crash under each of them")
 def check_crashes_under(context, most):
     found = context.agents.crashes_under
