BUDGET: weigh only suspects with several crashes

What callers saw: nothing yet; found in review.

Cause: evidence was computed for all suspects, by a walk through all requests of their crashes, though one crash never gives enough for a block.

Change: only subjects with several crashes are weighed. When there are too many suspects, an eighth is dropped at once, so that not each further one sorts them all.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -81,6 +81,11 @@
     When a request with 3000 parts and a runner crash
     Then the request is suspected
 
+  Scenario: Reports of a mass crash
+    # Guards against entry processes that are busy for seconds with the reports of a mass crash.
+    When 40 runners crash with 24 requests each, and a process hears of each request
+    Then it weighs the evidence at most once for each report
+
   Scenario: A request with which one was taken for the cause
     # Guards against blocking a sound request whose report came first.
     When two requests crash with the same runners and the reports on one come first
--- a/features/steps/crashing_request_rules_steps.py
+++ b/features/steps/crashing_request_rules_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from types import SimpleNamespace
+from unittest.mock import patch
 
 from behave import given, then, when
 from crashing_part_steps import CrashingFleet, begun_share
@@ -13,9 +14,15 @@
 from hypothesis import given as property_given
 from hypothesis import strategies as st
 from memory_links import run_virtual
+from wasabilb_core._crash_evidence import CrashEvidence
 from wasabilb_core.attempts import AnswerProgress
 from wasabilb_core.crash_reports import crash_report
-from wasabilb_core.crash_subjects import is_whole_request, request_digest, whole_request
+from wasabilb_core.crash_subjects import (
+    is_whole_request,
+    request_digest,
+    request_subject,
+    whole_request,
+)
 from wasabilb_core.crashing_parts import CrashingParts, PartDecision
 from wasabilb_core.prompt_parts import prompt_part
 from wasabilb_entry.crash_exchange import CrashExchange
@@ -290,3 +297,20 @@
     statuses = [answer[0] for answer in sound if answer is not None]
     assert 400 not in statuses
     assert begun_share(sound) >= 0.9, begun_share(sound)
+
+
+@when("{runners:d} runners crash with {count:d} requests each, and a process hears of each request")
+def step_mass_crash(context, runners, count):
+    context.parts, context.reports = CrashingParts(), runners * count
+    score = CrashEvidence.score
+    with patch.object(CrashEvidence, "score", autospec=True, side_effect=score) as weighing:
+        for number in range(context.reports):
+            subject = request_subject(number + 1)
+            told = report(f"r-{number % runners}", subject=subject, has_started=False)
+            assert context.parts.on_crash(told, 100.0) == [subject]
+    context.weighings = weighing.call_count
+
+
+@then("it weighs the evidence at most once for each report")
+def step_weighings(context):
+    assert context.weighings <= context.reports, context.weighings
--- a/packages/wasabilb-core/src/wasabilb_core/_crash_evidence.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_crash_evidence.py
@@ -14,6 +14,8 @@
 MAX_CRASHES = 256
 # Suspects that are kept. Callers decide how many parts their prompts have.
 MAX_SUSPECTS = 4096
+# Suspects that are kept when there are more; not each further one sorts them again.
+KEPT_SUSPECTS = 3584
 # Weights of a crash for a subject whose answer had started, and for any other one that was there.
 STARTED_WEIGHT = 2
 WAITING_WEIGHT = 1
@@ -143,6 +145,8 @@
     def __init__(self) -> None:
         self._crashes: dict[RunnerIncarnation, Crash] = {}
         self._by_subject: dict[int, dict[RunnerIncarnation, Crash]] = {}
+        # Includes all subjects with several crashes. In a mass crash most requests have one.
+        self._repeated: set[int] = set()
 
     def __contains__(self, subject: int) -> bool:
         return subject in self._by_subject
@@ -187,7 +191,10 @@
         crash.at = min(crash.at, at)
         changed = crash.add(report, set(ignored))
         for subject in changed:
-            self._by_subject.setdefault(subject, {})[key] = crash
+            crashes = self._by_subject.setdefault(subject, {})
+            crashes[key] = crash
+            if len(crashes) > 1:
+                self._repeated.add(subject)
         self._drop_excess(now)
         return sorted(subject for subject in changed if subject in self._by_subject)
 
@@ -209,8 +216,9 @@
         return bool(crashes) and crashes < self._by_subject.get(other, {}).keys()
 
     def subjects_by_score(self, least: int) -> list[int]:
-        """Return the suspects with at least some score."""
-        return [subject for subject in self._by_subject if self.score(subject) >= least]
+        """Return the suspects with at least some score, which is more than one crash gives."""
+        self._repeated = {s for s in self._repeated if len(self._by_subject.get(s, ())) > 1}
+        return [subject for subject in self._repeated if self.score(subject) >= least]
 
     def companions(self, part: int) -> frozenset[int]:
         """Return the other suspected parts that were in all crashes under a part."""
@@ -241,7 +249,7 @@
         if len(self._by_subject) > MAX_SUSPECTS:
             # What crashes runners is in several crashes, an invented part only in one.
             by_score = sorted(self._by_subject, key=self.score)
-            for subject in by_score[: len(self._by_subject) - MAX_SUSPECTS]:
+            for subject in by_score[: len(self._by_subject) - KEPT_SUSPECTS]:
                 self.remove(subject)
 
     def _remove_crash(self, crash: Crash) -> None:
