BUDGET: a suspected request waits for a block only just after a crash

What callers saw: nothing yet; found in review. A request that was with two crashing runners while another runner ended beside it (a host that fails, a mass crash) got 503 request-probed for 10 minutes. No answer could clear it, as it was not sent, and neither an operator nor new weights lift what is not blocked.

Cause: the evidence became enough 10 s later, when the other crash no longer counted, and a request with enough evidence waits for the next update, which only follows crashes.

Evidence: in the scenario the request waited 12 s later, and until its evidence expired at 600 s. Now it is sent as a probe.

Change: a request waits for its block for 1 s after a crash; later it is probed. An answer clears it, and one more crash blocks it.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -86,6 +86,11 @@
     When 40 runners crash with 24 requests each, and a process hears of each request
     Then it weighs the evidence at most once for each report
 
+  Scenario: A suspected request after another fault
+    # Guards against a request that waits for 10 minutes for a probe which nobody may send.
+    When a request is with two runners that crash while another one ends without it
+    Then it is sent as a probe 12 s later
+
   Scenario: A request with which one was taken for the cause
     # Guards against blocking a sound request whose report came first.
     When two requests crash with the same runners and the reports on one come first
--- a/features/steps/crashing_request_rules_steps.py
+++ b/features/steps/crashing_request_rules_steps.py
@@ -314,3 +314,22 @@
 @then("it weighs the evidence at most once for each report")
 def step_weighings(context):
     assert context.weighings <= context.reports, context.weighings
+
+
+@when("a request is with two runners that crash while another one ends without it")
+def step_other_fault(context):
+    context.parts = parts = CrashingParts()
+    parts.on_answer_going_on([OTHER_REQUEST], 100.0)
+    parts.on_crash(report("r-0"), 100.0)
+    assert parts.begin([REQUEST], 101.0) == {REQUEST}
+    parts.on_runner_ended("r-1", 1, 101.2)
+    parts.on_crash(report("r-2", is_probe=True), 101.2)
+    for tenths in range(1, 6):
+        parts.update(101.2 + tenths / 10)
+
+
+@then("it is sent as a probe {seconds:g} s later")
+def step_probe_later(context, seconds):
+    moment = 101.2 + seconds
+    context.parts.on_answer_going_on([OTHER_REQUEST], moment)
+    assert context.parts.decide([REQUEST], moment) is PartDecision.PROBE
--- a/packages/wasabilb-core/src/wasabilb_core/crashing_parts.py
+++ b/packages/wasabilb-core/src/wasabilb_core/crashing_parts.py
@@ -44,6 +44,10 @@
 # for a crash takes up to 0.1 s, a message between regions as long. One of these requests may be the
 # cause in place of another.
 TOLD_S = 0.3
+# Time after a crash within which a request with enough evidence is blocked, seconds: `TOLD_S`, and
+# the delay of a busy process. Evidence that is enough only later, as an unrelated crash no longer
+# counts, needs a probe.
+SETTLED_S = 1.0
 # Longest time for which a probe excludes others, seconds: the longest wait for a first event, and
 # the time until the end is known elsewhere.
 PROBE_S = 3.0
@@ -288,6 +292,7 @@
         return (
             is_whole_request(part)
             and part not in self._blocked
+            and self._is_recent(part, now, SETTLED_S)
             and self._evidence.score(part) >= BLOCKING_SCORE
             and self._has_enough_evidence(part, self._evidence.rivals(part), now)
         )
@@ -302,8 +307,8 @@
             and self._evidence.score(part) >= BLOCKING_SCORE
         )
 
-    def _is_recent(self, part: int, now: float) -> bool:
-        return any(now - crash.at < TOLD_S for crash in self._evidence.crashes(part))
+    def _is_recent(self, part: int, now: float, within_s: float = TOLD_S) -> bool:
+        return any(now - crash.at < within_s for crash in self._evidence.crashes(part))
 
     def _suspects(self, parts: Collection[int], now: float) -> list[int]:
         return [
