Only suspects with a crash at their probe are weighed for a block

Cause: each report weighed all suspects with several crashes, and a part's weight goes through all requests of each crash.

Change: a block needs a crash at a probe, so only suspects with one are weighed.

--- a/packages/wasabilb-core/src/wasabilb_core/_crash_evidence.py
+++ b/packages/wasabilb-core/src/wasabilb_core/_crash_evidence.py
@@ -145,8 +145,10 @@
     def __init__(self) -> None:
         self._crashes: dict[RunnerIncarnation, Crash] = {}
         self._by_subject: dict[int, dict[RunnerIncarnation, Crash]] = {}
-        # Includes all subjects with several crashes. In a mass crash most requests have one.
+        # Include all subjects with several crashes, and all with a crash at their probe. In a mass
+        # crash most requests have one crash, and no part has a probe.
         self._repeated: set[int] = set()
+        self._probed: set[int] = set()
 
     def __contains__(self, subject: int) -> bool:
         return subject in self._by_subject
@@ -195,6 +197,7 @@
             crashes[key] = crash
             if len(crashes) > 1:
                 self._repeated.add(subject)
+        self._probed |= changed.intersection(report.probed_subjects)
         self._drop_excess(now)
         return sorted(subject for subject in changed if subject in self._by_subject)
 
@@ -215,10 +218,12 @@
         crashes = self._by_subject.get(subject, {}).keys()
         return bool(crashes) and crashes < self._by_subject.get(other, {}).keys()
 
-    def subjects_by_score(self, least: int) -> list[int]:
-        """Return the suspects with at least some score, which is more than one crash gives."""
+    def probed_by_score(self, least: int) -> list[int]:
+        """Return the suspects with a crash at a probe and more than one in all, by their score."""
         self._repeated = {s for s in self._repeated if len(self._by_subject.get(s, ())) > 1}
-        return [subject for subject in self._repeated if self.score(subject) >= least]
+        self._probed = {s for s in self._probed if s in self._by_subject}
+        candidates = self._repeated & self._probed
+        return [subject for subject in candidates if self.score(subject) >= least]
 
     def companions(self, part: int) -> frozenset[int]:
         """Return the other suspected parts that were in all crashes under a part."""
--- a/packages/wasabilb-core/src/wasabilb_core/crashing_parts.py
+++ b/packages/wasabilb-core/src/wasabilb_core/crashing_parts.py
@@ -363,7 +363,7 @@
 
     def _update_blocked(self, now: float) -> None:
         """Block the parts with enough evidence, and unblock those that another part explains."""
-        for part in sorted(self._evidence.subjects_by_score(BLOCKING_SCORE)):
+        for part in sorted(self._evidence.probed_by_score(BLOCKING_SCORE)):
             if is_whole_request(part):
                 companions = self._evidence.rivals(part)
                 is_known = part in self._blocked or self._is_recent(part, now)
