What is known of crashes is told to a new peer in messages of bounded size

What would be seen: after a mass crash of runners with requests of many common parts, the message to a new peer exceeds a frame (2 MiB), encoding raises ValueError for each new link for 10 minutes, and peers that start learn nothing; found by review (2,400 reports with 100 common parts).

Cause: one message for all reports, and one report for each request with its parts.

Change: reports are divided among messages of at most 1,000 reports and 50,000 subjects.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -81,11 +81,22 @@
     When a request with 3000 parts and a runner crash
     Then the request is suspected
 
-  Scenario: Reports of a mass crash
+  Scenario Outline: Reports of a mass crash
     # Guards against entry processes that are busy for seconds with the reports of a mass crash.
-    When 40 runners crash with 24 requests each, and a process hears of each request
+    When 40 runners crash with 24 requests of <parts> common parts each, and a process hears of each request
     Then it weighs the evidence at most once for each report
 
+    Examples:
+      | parts |
+      | 0     |
+      | 20    |
+
+  Scenario: A process that starts after a mass crash
+    # Guards against a message to a new peer that exceeds a frame, and so tells nothing.
+    When 40 runners crash with 24 requests of 200 common parts each, and a process hears of each request
+    And another process is linked
+    Then it has the same suspects
+
   Scenario: A suspected request after another fault
     # Guards against a request that waits for 10 minutes for a probe which nobody may send.
     When a request is with two runners that crash while another one ends without it
--- a/features/steps/crashing_request_rules_steps.py
+++ b/features/steps/crashing_request_rules_steps.py
@@ -299,18 +299,40 @@
     assert begun_share(sound) >= 0.9, begun_share(sound)
 
 
-@when("{runners:d} runners crash with {count:d} requests each, and a process hears of each request")
-def step_mass_crash(context, runners, count):
+@when(
+    "{runners:d} runners crash with {count:d} requests of {common:d} common parts each, and a "
+    "process hears of each request"
+)
+def step_mass_crash(context, runners, count, common):
     context.parts, context.reports = CrashingParts(), runners * count
+    parts = list(range(1, common + 1))
     score = CrashEvidence.score
     with patch.object(CrashEvidence, "score", autospec=True, side_effect=score) as weighing:
         for number in range(context.reports):
             subject = request_subject(number + 1)
-            told = report(f"r-{number % runners}", subject=subject, has_started=False)
-            assert context.parts.on_crash(told, 100.0) == [subject]
+            told = report(f"r-{number % runners}", subject=subject, parts=parts, has_started=False)
+            assert subject in context.parts.on_crash(told, 100.0)
     context.weighings = weighing.call_count
 
 
+@when("another process is linked")
+def step_linked_after_mass_crash(context):
+    async def script():
+        pair = WirePair()
+        pair.is_linked = False
+        for told in context.parts.reports(100.0)[0]:
+            pair.parts[0].on_crash(told, now())
+        pair.link_up()
+        context.suspects = [parts.suspected_count for parts in pair.parts]
+
+    run_virtual(script)
+
+
+@then("it has the same suspects")
+def check_same_suspects(context):
+    assert context.suspects[0] == context.suspects[1] > 0, context.suspects
+
+
 @then("it weighs the evidence at most once for each report")
 def step_weighings(context):
     assert context.weighings <= context.reports, context.weighings
--- a/packages/wasabilb-entry/src/wasabilb_entry/crash_exchange.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/crash_exchange.py
@@ -30,6 +30,10 @@
 # Range of delays after which processes of a large fleet correct a suspicion, seconds, so that
 # mostly one of them does.
 CORRECTION_SPREAD_S = 0.1
+# Crash reports and subjects in one message to a new peer; a frame holds 2 MiB, and a subject takes
+# up to 9 bytes.
+MAX_REPORTS = 1000
+MAX_REPORTED_SUBJECTS = 50_000
 
 
 class CrashExchange:
@@ -109,15 +113,15 @@
     def _on_link_up(self, peer: Peer) -> None:
         """Tell a new peer at once, so that it does not have to find out by crashes."""
         if peer.hello.role == "entry":
-            notice = self._full_notice()
-            if notice is not None:
+            for notice in self._full_notices():
                 peer.send(notice)
 
-    def _full_notice(self) -> CrashNotice | None:
+    def _full_notices(self) -> list[CrashNotice]:
         crashes, blocked = self._parts.reports(now())
         if not crashes and not blocked:
-            return None
-        return _notice(crashes=crashes, blocked=blocked, probes_begun=self._parts.probes(now()))
+            return []
+        notices = [_notice(crashes=batch) for batch in _batches(crashes)]
+        return [*notices, _notice(blocked=blocked, probes_begun=self._parts.probes(now()))]
 
     def _start_repeating(self) -> None:
         if not self._is_repeating:
@@ -244,6 +248,20 @@
     )
 
 
+def _batches(crashes: Iterable[CrashReport]) -> list[list[CrashReport]]:
+    """Divide reports among messages of bounded size."""
+    batches: list[list[CrashReport]] = []
+    left = 0
+    for report in crashes:
+        size = len(report.started) + len(report.waiting) + len(report.probes)
+        if not batches or size > left or len(batches[-1]) == MAX_REPORTS:
+            batches.append([])
+            left = MAX_REPORTED_SUBJECTS
+        batches[-1].append(report)
+        left -= size
+    return batches
+
+
 def _subjects(parts: list[int], digests: list[int]) -> list[int]:
     return parts + [request_subject(digest) for digest in digests]
 
