--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -317,7 +317,8 @@
 class Program:
     """One of the project's programs, started with the command of the deploy file."""
 
-    def __init__(self, folder, *, name, role, ip, zone, seeds, store, app="", service=""):
+    def __init__(self, folder, *, name, role, ip, zone, seeds, store, app="", service="",
+                 more=None):
         self.name, self.role, self.ip = name, role, ip
         is_entry = role == "entry"
         self.front, self.ready = f"{ip}:8005", f"{ip}:8002"
@@ -342,6 +343,7 @@
         }
         if not is_entry:
             settings |= {"app": app, "service": service}
+        settings |= more or {}
         self.settings = Path(folder) / f"{name}.json"
         self.settings.write_text(json.dumps(settings))
         self.log = Path(folder) / f"{name}.log"
@@ -371,8 +373,8 @@
             self.process.wait()
 
 
-async def request(address, method, path, *, id, timeout_s, headers=(), body=b"", conn=None,
-                  timeout_ms=None, on_data=None):
+async def request(address, method, path, *, id, timeout_s, headers=(), body=b"", timeout_ms=None,
+                  on_data=None, key=KEY):
     """Send one request and return status, headers, body and whether the answer is complete.
 
     Status 0 stands for no answer within the time.
@@ -380,7 +382,7 @@
     result = {"status": 0, "headers": {}, "body": b"", "complete": False, "id": id}
     try:
         await asyncio.wait_for(
-            _request(result, address, method, path, id, headers, body, timeout_ms, on_data),
+            _request(result, address, method, path, id, headers, body, timeout_ms, on_data, key),
             timeout_s,
         )
     except (TimeoutError, OSError, asyncio.IncompleteReadError, ValueError) as exc:
@@ -388,11 +390,11 @@
     return result
 
 
-async def _request(result, address, method, path, id, headers, body, timeout_ms, on_data):
+async def _request(result, address, method, path, id, headers, body, timeout_ms, on_data, key):
     ip, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(ip, int(port))
     try:
-        lines = [f"{method} {path} HTTP/1.1", "Host: jepu9.example", f"Authorization: Token {KEY}",
+        lines = [f"{method} {path} HTTP/1.1", "Host: jepu9.example", f"Authorization: Token {key}",
                  f"X-Wasabilb-Request-Id: {id}", "Connection: close"]
         if timeout_ms:
             lines.append(f"X-Wasabilb-Request-Timeout-Ms: {timeout_ms}")
