--- a/review/1/endless.py
+++ b/review/1/endless.py
@@ -37,8 +37,8 @@
     request = headers.get("x-wasabilb-request-id", "")
     print(f"got {request} {time.monotonic()}", flush=True)
     sock.sendall(
-        f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Wasabilb-Request-Id: {request}\r\n"
-        f"X-Wasabilb-Runner-Seal: {id}.1\r\n\r\n".encode()
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        f"X-Wasabilb-Request-Id: {request}\r\nX-Wasabilb-Runner-Seal: {id}.1\r\n\r\n".encode()
     )
     began, sent = time.monotonic(), 0
     try:
--- a/review/1/run.py
+++ b/review/1/run.py
@@ -31,7 +31,8 @@
         fleet.children.append(
             subprocess.Popen(
                 [sys.executable, str(HERE / "endless.py"), model.address, model.id, str(RATE)],
-                stdout=out, stdin=subprocess.DEVNULL,
+                stdout=out,
+                stdin=subprocess.DEVNULL,
             )
         )
         fleet.store.write(f"servers/{model.id}", model.entry())
@@ -47,8 +48,13 @@
         id = new_id()
         method = "GET" if kind == "lookup" else "POST"
         found = await request(
-            entry.front, method, f"/{kind}/1", id=id, timeout_s=TIMEOUT_S + 0.5,
-            timeout_ms=1528, body=b"" if method == "GET" else b"b" * 600,
+            entry.front,
+            method,
+            f"/{kind}/1",
+            id=id,
+            timeout_s=TIMEOUT_S + 0.5,
+            timeout_ms=1528,
+            body=b"" if method == "GET" else b"b" * 600,
         )
         took = time.monotonic() - record.began - sent
         record.line(f"{kind} {id} sent {sent:.3f}: status {found['status']} after {took:.3f} s")
@@ -62,8 +68,15 @@
 
         record.line(f"stream {id} sent")
         found = await request(
-            entry.front, "POST", "/draft/1", id=id, timeout_s=6.06, timeout_ms=6060,
-            headers=stream_headers(), body=b"p" * 670, on_data=on_data,
+            entry.front,
+            "POST",
+            "/draft/1",
+            id=id,
+            timeout_s=6.06,
+            timeout_ms=6060,
+            headers=stream_headers(),
+            body=b"p" * 670,
+            on_data=on_data,
         )
         record.line(
             f"stream {id}: status {found['status']}, {size[0]} bytes, complete {found['complete']}"
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -56,8 +56,13 @@
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         version = int(query.get("version", 2))
         if url.path.startswith("/v1/manifest/"):
-            value = {"model": MODEL, "version": version, "chunkBytes": PIECE_BYTES,
-                     "layers": LAYERS, "digests": DIGESTS[version]}
+            value = {
+                "model": MODEL,
+                "version": version,
+                "chunkBytes": PIECE_BYTES,
+                "layers": LAYERS,
+                "digests": DIGESTS[version],
+            }
             writer.write(answer(200, json.dumps(value).encode()))
         else:
             writer.write(answer(200, WEIGHTS[version][int(query["sampleSize"])]))
@@ -83,8 +88,9 @@
         return super().report() | {"busy": self.is_busy}
 
     def holds_whole(self, version):
-        return all(hashlib.sha256(self.staged[i]).hexdigest() == d
-                   for i, d in enumerate(DIGESTS[version]))
+        return all(
+            hashlib.sha256(self.staged[i]).hexdigest() == d for i, d in enumerate(DIGESTS[version])
+        )
 
     def spoil(self, indexes):
         for index in indexes:
@@ -125,7 +131,8 @@
             version = order["version"]
             now = time.monotonic()
             self.taken_bad = [
-                i for i, d in enumerate(DIGESTS[version])
+                i
+                for i, d in enumerate(DIGESTS[version])
                 if hashlib.sha256(self.staged[i]).hexdigest() != d
                 and now - self.bad_since.get(i, -1e9) > 3.0
             ]
@@ -146,7 +153,7 @@
 
     async def run(self, method, target, headers, body, writer):
         expected = headers.get("x-wasabilb-expect-version")
-        if expected is not None and int(expected) != self.version or self.is_busy:
+        if (expected is not None and int(expected) != self.version) or self.is_busy:
             writer.write(answer(421, b"", [("X-Wasabilb-Not-Executed", "1")]))
             return True
         if self.taken_bad:
@@ -162,8 +169,15 @@
     value = config()
     origin = Origin()
     await origin.start(f"{fleet.net}.12:8006")
-    value["services"].append({"name": "weights", "origin": origin.address, "zone": "dublin-a",
-                              "linkMbps": 15.0, "maxConnections": 48})
+    value["services"].append(
+        {
+            "name": "weights",
+            "origin": origin.address,
+            "zone": "dublin-a",
+            "linkMbps": 15.0,
+            "maxConnections": 48,
+        }
+    )
     fleet.store.write("op/config", value)
     fleet.store.write(f"op/version/{MODEL}", {"model": MODEL, "version": 1})
     runner = await fleet.start_server(Loader(record, id="m-1", service="models"), 11, 8001)
@@ -177,8 +191,14 @@
     async def stream():
         id = new_id()
         found = await request(
-            entry.front, "POST", "/draft/1", id=id, timeout_s=6.06, timeout_ms=6060,
-            headers=stream_headers(), body=b"p" * 670,
+            entry.front,
+            "POST",
+            "/draft/1",
+            id=id,
+            timeout_s=6.06,
+            timeout_ms=6060,
+            headers=stream_headers(),
+            body=b"p" * 670,
         )
         record.line(
             f"stream {id}: status {found['status']}, complete {found['complete']}, "
--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
@@ -176,7 +177,9 @@
             writer.write(answer(404))
             return True
         await asyncio.sleep(0.004)
-        writer.write(answer(200, json.dumps(value).encode(), [("Content-Type", "application/json")]))
+        writer.write(
+            answer(200, json.dumps(value).encode(), [("Content-Type", "application/json")])
+        )
         await writer.drain()
         return True
 
@@ -193,8 +196,15 @@
     def entry(self, state="ready"):
         """Return what it writes to the store about itself."""
         return {
-            "service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
-            "slots": self.slots, "state": state, "coldLeftMs": 0, "sequence": 1, "born": self.born,
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "coldLeftMs": 0,
+            "sequence": 1,
+            "born": self.born,
         }
 
     def seal(self, headers):
@@ -238,9 +248,16 @@
 
     def report(self):
         return {
-            **self.weights(), "busy": False, "sequence": self.orders, "waiting": 0,
-            "running": self.running, "kvUsed": 0, "kvTotal": 1180000, "handles": 0,
-            "born": self.born, "pace": 1.0,
+            **self.weights(),
+            "busy": False,
+            "sequence": self.orders,
+            "waiting": 0,
+            "running": self.running,
+            "kvUsed": 0,
+            "kvTotal": 1180000,
+            "handles": 0,
+            "born": self.born,
+            "pace": 1.0,
         }
 
     async def handle(self, method, target, headers, body, writer):
@@ -273,73 +290,182 @@
     """Return a configuration with a stream route, an idempotent and a non-idempotent one."""
     common = {"priority": 1, "anonymous": False}
     engine = {
-        "slots": 16, "kvCapacityTokens": 1180000, "kvTokenBytes": 163840, "linkMbps": 400000.0,
-        "stride": 5, "models": [{"name": MODEL, "pace": 1.0, "loadS": 4.0, "warmS": 0.3}],
-        "mb": 266000.0, "step_ms": 8.87, "per_seq_ms": 0.0388, "context_per_k": 0.0227,
-        "read_per_s": 19100.0, "pairs_per_m": 1.47, "chunk": 2048, "report_lag_ms": 200.0,
-        "usual": {"prompt": 977, "answer": 94}, "layers": 16, "layer_mb": 4540.0,
-        "act_bytes": 16384, "chunks": 48, "chunkBytes": 49152,
+        "slots": 16,
+        "kvCapacityTokens": 1180000,
+        "kvTokenBytes": 163840,
+        "linkMbps": 400000.0,
+        "stride": 5,
+        "models": [{"name": MODEL, "pace": 1.0, "loadS": 4.0, "warmS": 0.3}],
+        "mb": 266000.0,
+        "step_ms": 8.87,
+        "per_seq_ms": 0.0388,
+        "context_per_k": 0.0227,
+        "read_per_s": 19100.0,
+        "pairs_per_m": 1.47,
+        "chunk": 2048,
+        "report_lag_ms": 200.0,
+        "usual": {"prompt": 977, "answer": 94},
+        "layers": 16,
+        "layer_mb": 4540.0,
+        "act_bytes": 16384,
+        "chunks": 48,
+        "chunkBytes": 49152,
     }
     return {
         "version": version,
         "routes": [
-            {"name": "r-draft", "host": "jepu9.example", "prefix": "/draft/", "kind": "stream",
-             "timeoutMs": 6000, "targetLatencyMs": 505, "service": "models", "maxAttempts": 2,
-             "sticky": True, "resumable": True, "gapTargetMs": 400, **common},
-            {"name": "r-lookup", "host": "jepu9.example", "prefix": "/lookup/",
-             "kind": "idempotent", "timeoutMs": 800, "targetLatencyMs": 204,
-             "service": "bookings", "maxAttempts": 2, **common},
-            {"name": "r-booking", "host": "jepu9.example", "prefix": "/booking/",
-             "kind": "non_idempotent", "timeoutMs": 800, "targetLatencyMs": 205,
-             "service": "bookings", "maxAttempts": 1, **common},
+            {
+                "name": "r-draft",
+                "host": "jepu9.example",
+                "prefix": "/draft/",
+                "kind": "stream",
+                "timeoutMs": 6000,
+                "targetLatencyMs": 505,
+                "service": "models",
+                "maxAttempts": 2,
+                "sticky": True,
+                "resumable": True,
+                "gapTargetMs": 400,
+                **common,
+            },
+            {
+                "name": "r-lookup",
+                "host": "jepu9.example",
+                "prefix": "/lookup/",
+                "kind": "idempotent",
+                "timeoutMs": 800,
+                "targetLatencyMs": 204,
+                "service": "bookings",
+                "maxAttempts": 2,
+                **common,
+            },
+            {
+                "name": "r-booking",
+                "host": "jepu9.example",
+                "prefix": "/booking/",
+                "kind": "non_idempotent",
+                "timeoutMs": 800,
+                "targetLatencyMs": 205,
+                "service": "bookings",
+                "maxAttempts": 1,
+                **common,
+            },
         ],
         "services": [
-            {"name": "models", "healthPath": "/health", "maxConnections": 424, "protocol": "h1",
-             "tls": False, "engine": engine},
-            {"name": "bookings", "healthPath": "/health", "maxConnections": 100,
-             "protocol": "h1", "tls": False},
+            {
+                "name": "models",
+                "healthPath": "/health",
+                "maxConnections": 424,
+                "protocol": "h1",
+                "tls": False,
+                "engine": engine,
+            },
+            {
+                "name": "bookings",
+                "healthPath": "/health",
+                "maxConnections": 100,
+                "protocol": "h1",
+                "tls": False,
+            },
         ],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000,
-                   "idleTimeoutMs": 15000},
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 4194304,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
         "tenants": [{"name": "bozi300", "apiKeys": [KEY], "priority": 1}],
     }
 
 
 BOUNDS = {
-    "seedLagS": 3, "reuseAfterS": 2, "stableWindowMs": 3000, "ackMs": 4000, "catchUpS": 4,
-    "drainMs": 2000, "graceS": 8, "lossSlackMs": 200, "configMs": 2000, "backMs": 250,
-    "outerMs": 5000, "strictRevoke": False, "revokeMs": 5000, "retryBudgetRatio": 0.2,
-    "budgetWindowS": 10, "budgetSlack": 102, "recoveryS": 12, "passMs": 120, "retryAfterS": 0,
-    "version_ms": 8000, "version_all_ms": 0,
+    "seedLagS": 3,
+    "reuseAfterS": 2,
+    "stableWindowMs": 3000,
+    "ackMs": 4000,
+    "catchUpS": 4,
+    "drainMs": 2000,
+    "graceS": 8,
+    "lossSlackMs": 200,
+    "configMs": 2000,
+    "backMs": 250,
+    "outerMs": 5000,
+    "strictRevoke": False,
+    "revokeMs": 5000,
+    "retryBudgetRatio": 0.2,
+    "budgetWindowS": 10,
+    "budgetSlack": 102,
+    "recoveryS": 12,
+    "passMs": 120,
+    "retryAfterS": 0,
+    "version_ms": 8000,
+    "version_all_ms": 0,
 }
 
 
 class Program:
     """One of the project's programs, started with the command of the deploy file."""
 
-    def __init__(self, folder, *, name, role, ip, zone, seeds, store, app="", service="",
-                 more=None):
+    def __init__(
+        self, folder, *, name, role, ip, zone, seeds, store, app="", service="", more=None
+    ):
         self.name, self.role, self.ip = name, role, ip
         is_entry = role == "entry"
         self.front, self.ready = f"{ip}:8005", f"{ip}:8002"
         settings = {
-            "nodeName": name, "role": role, "machineClass": "front" if is_entry else "side",
-            "serves": ["front", "control"] if is_entry else ["side"], "ip": ip, "zone": zone,
+            "nodeName": name,
+            "role": role,
+            "machineClass": "front" if is_entry else "side",
+            "serves": ["front", "control"] if is_entry else ["side"],
+            "ip": ip,
+            "zone": zone,
             "region": zone.rpartition("-")[0],
             "zones": {"dublin-a": "dublin", "cork-a": "cork", "galway-a": "galway"},
-            "listen": {"front": self.front, "ready": self.ready, "control": f"{ip}:8000"}
-            if is_entry else {},
-            "internalPorts": [7700, 7715], "seeds": [f"{s}:8000" for s in seeds],
-            "bootstrap": True, "lossCounted": False,
-            "limits": {"cpuShare": 0.537, "cores": 2, "memoryMb": 300, "maxFds": 4100,
-                       "linkMbps": 1000.0 if is_entry else 9.4, "diskMb": 0},
-            "dataDir": None, "discovery": "platform", "entry": "vip", "heartbeatMs": 1200,
-            "contracts": ["base", "drain", "config", "cost", "retry", "recover", "engine",
-                          "stream", "tenants", "platform", "chunks"],
-            "faultTolerance": {"machines": 1, "zones": 1, "regions": 0}, "bounds": BOUNDS,
-            "platformStore": {"address": store, "form": "read", "writesPerS": 400,
-                              "readsPerS": 2000, "historyS": 20, "valueBytes": 1048576,
-                              "ttlMinMs": 1000},
+            "listen": (
+                {"front": self.front, "ready": self.ready, "control": f"{ip}:8000"}
+                if is_entry
+                else {}
+            ),
+            "internalPorts": [7700, 7715],
+            "seeds": [f"{s}:8000" for s in seeds],
+            "bootstrap": True,
+            "lossCounted": False,
+            "limits": {
+                "cpuShare": 0.537,
+                "cores": 2,
+                "memoryMb": 300,
+                "maxFds": 4100,
+                "linkMbps": 1000.0 if is_entry else 9.4,
+                "diskMb": 0,
+            },
+            "dataDir": None,
+            "discovery": "platform",
+            "entry": "vip",
+            "heartbeatMs": 1200,
+            "contracts": [
+                "base",
+                "drain",
+                "config",
+                "cost",
+                "retry",
+                "recover",
+                "engine",
+                "stream",
+                "tenants",
+                "platform",
+                "chunks",
+            ],
+            "faultTolerance": {"machines": 1, "zones": 1, "regions": 0},
+            "bounds": BOUNDS,
+            "platformStore": {
+                "address": store,
+                "form": "read",
+                "writesPerS": 400,
+                "readsPerS": 2000,
+                "historyS": 20,
+                "valueBytes": 1048576,
+                "ttlMinMs": 1000,
+            },
         }
         if not is_entry:
             settings |= {"app": app, "service": service}
@@ -352,11 +478,18 @@
     def start(self):
         """Start the program from the repository's root, with the build's libraries."""
         env = {k: v for k, v in os.environ.items() if k in ("PATH", "HOME", "LANG")}
-        env |= {"WASABILB_SETTINGS": str(self.settings), "PYTHONDONTWRITEBYTECODE": "1",
-                "PYTHONPATH": str(ROOT / "target/deps")}
+        env |= {
+            "WASABILB_SETTINGS": str(self.settings),
+            "PYTHONDONTWRITEBYTECODE": "1",
+            "PYTHONPATH": str(ROOT / "target/deps"),
+        }
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(
-                ["python3", f"platform/{self.role}.py"], cwd=ROOT, env=env, stdout=log, stderr=log,
+                ["python3", f"platform/{self.role}.py"],
+                cwd=ROOT,
+                env=env,
+                stdout=log,
+                stderr=log,
                 stdin=subprocess.DEVNULL,
             )
         return self
@@ -373,8 +506,19 @@
             self.process.wait()
 
 
-async def request(address, method, path, *, id, timeout_s, headers=(), body=b"", timeout_ms=None,
-                  on_data=None, key=KEY):
+async def request(
+    address,
+    method,
+    path,
+    *,
+    id,
+    timeout_s,
+    headers=(),
+    body=b"",
+    timeout_ms=None,
+    on_data=None,
+    key=KEY,
+):
     """Send one request and return status, headers, body and whether the answer is complete.
 
     Status 0 stands for no answer within the time.
@@ -394,8 +538,13 @@
     ip, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(ip, int(port))
     try:
-        lines = [f"{method} {path} HTTP/1.1", "Host: jepu9.example", f"Authorization: Token {key}",
-                 f"X-Wasabilb-Request-Id: {id}", "Connection: close"]
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            "Host: jepu9.example",
+            f"Authorization: Token {key}",
+            f"X-Wasabilb-Request-Id: {id}",
+            "Connection: close",
+        ]
         if timeout_ms:
             lines.append(f"X-Wasabilb-Request-Timeout-Ms: {timeout_ms}")
         lines += [f"{name}: {value}" for name, value in headers]
@@ -428,7 +577,8 @@
 
 
 STREAM_HEADERS = (
-    ("X-Wasabilb-Model", MODEL), ("X-Wasabilb-Token-Count", "977,100"),
+    ("X-Wasabilb-Model", MODEL),
+    ("X-Wasabilb-Token-Count", "977,100"),
     ("X-Wasabilb-Prompt-Prefix", "5c1e07a2:40,{part:x}:937"),
 )
 
@@ -476,8 +626,14 @@
 
     def program(self, name, role, host, zone="dublin-a", **fields):
         program = Program(
-            self.folder.name, name=name, role=role, ip=f"{self.net}.{host}", zone=zone,
-            seeds=[f"{self.net}.1"], store=f"{self.net}.200:8007", **fields,
+            self.folder.name,
+            name=name,
+            role=role,
+            ip=f"{self.net}.{host}",
+            zone=zone,
+            seeds=[f"{self.net}.1"],
+            store=f"{self.net}.200:8007",
+            **fields,
         )
         self.programs.append(program)
         return program
@@ -503,8 +659,12 @@
     try:
         code = asyncio.run(asyncio.wait_for(script(fleet), 110))
     except TimeoutError:
-        fleet.record.say("the script took too long")
+        fleet.record.say("something did not come in time")
+    except Exception:
+        # Status 1 is for broken rules only.
+        traceback.print_exc()
     finally:
         fleet.stop()
-    fleet.record.say({0: "the rule held", 1: "the rule was broken"}.get(code, "the case could not run"))
+    verdicts = {0: "the rule held", 1: "the rule was broken"}
+    fleet.record.say(verdicts.get(code, "the case could not run"))
     sys.exit(code)
