--- a/review/1/run.py
+++ b/review/1/run.py
@@ -12,14 +12,16 @@
 from stand import TROUBLE, Model, Plain, main, new_id, request, stream_headers, wait_ready
 
 RATE = 4e6  # bytes a second that the faulty runner sends: 32 Mbit/s
-TIMEOUT_S = 0.8  # timeoutMs of the routes of the other requests
+TIMEOUT_S = 0.8  # timeoutMs of the route of the other requests
+TIME_LIMIT_S = 1.54  # of their clients
+WORK_S = 0.3  # that a server works on each
 WATCH_S = 20.0
 
 
 async def script(fleet):
     record = fleet.record
     await fleet.start_store()
-    plain = [Plain(id=f"p-{n}", service="bookings") for n in range(2)]
+    plain = [Plain(id=f"p-{n}", service="bookings", work_s=WORK_S) for n in range(2)]
     for number, server in enumerate(plain):
         await fleet.start_server(server, 11 + number)
     entry = fleet.program("front-dublin-a-1", "entry", 1).start()
@@ -43,22 +45,23 @@
 
     results = []
 
-    async def ask(kind):
+    async def ask():
+        # Bookings: their clients wait until their time limit.
+        kind, method = "booking", "POST"
         sent = time.monotonic() - record.began
         id = new_id()
-        method = "GET" if kind == "lookup" else "POST"
         found = await request(
             entry.front,
             method,
             f"/{kind}/1",
             id=id,
-            timeout_s=TIMEOUT_S + 0.5,
-            timeout_ms=1528,
-            body=b"" if method == "GET" else b"b" * 600,
+            timeout_s=TIME_LIMIT_S,
+            timeout_ms=int(1000 * TIME_LIMIT_S),
+            body=b"b" * 600,
         )
         took = time.monotonic() - record.began - sent
         record.line(f"{kind} {id} sent {sent:.3f}: status {found['status']} after {took:.3f} s")
-        results.append((sent, found["status"], took))
+        results.append((id, found["status"], took))
 
     async def stream():
         id, size = new_id(), [0]
@@ -82,16 +85,17 @@
             f"stream {id}: status {found['status']}, {size[0]} bytes, complete {found['complete']}"
         )
 
-    tasks = [asyncio.ensure_future(ask("lookup")) for _ in range(3)]
+    tasks = [asyncio.ensure_future(ask()) for _ in range(3)]
     await asyncio.gather(*tasks)
     before = [status for _, status, _ in results]
     results.clear()
+    # Work that servers run already when the answer without end begins.
+    tasks = [asyncio.ensure_future(ask()) for _ in range(4)]
+    await asyncio.sleep(WORK_S / 3)
     began = time.monotonic()
     streaming = asyncio.ensure_future(stream())
-    tasks = []
     while time.monotonic() - began < WATCH_S:
-        tasks.append(asyncio.ensure_future(ask("lookup")))
-        tasks.append(asyncio.ensure_future(ask("booking")))
+        tasks.append(asyncio.ensure_future(ask()))
         await asyncio.sleep(0.2)
     await asyncio.gather(streaming, *tasks)
     ready = await request(entry.ready, "GET", "/v1/readiness", id="", timeout_s=2.0)
@@ -99,15 +103,18 @@
     if TROUBLE:
         out.seek(0)
         record.line("faulty runner: " + "; ".join(out.read().split("\n")))
-    late = [r for r in results if not r[1] and r[2] >= TIMEOUT_S + 0.45]
     overdue = [r for r in results if r[2] > TIMEOUT_S]
+    late = [r for r in overdue if r[2] > TIMEOUT_S + 0.5]
+    ran = {run[1] for server in plain for run in server.runs}
+    lost = [r for r in late if r[0] in ran]
     record.say(
         f"{len(results)} other requests; unanswered at their timeoutMs {len(overdue)}, "
-        f"of these without an answer half a second later {len(late)}; before: {before}"
+        f"of these without an answer half a second later {len(late)}, {len(lost)} of which a "
+        f"server had run; before: {before}"
     )
     if before != [200] * 3:
         return 2
     return 1 if len(overdue) >= 10 and len(late) > len(overdue) / 2 else 0
 
 
-main(script, HERE)
+main(script, HERE / "record.txt")
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 import time
+from functools import partial
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
@@ -31,11 +32,14 @@
 )
 
 PIECES, PIECE_BYTES = 48, 49152
-VERSIONS = 8  # named one after the other, until one is loaded with bad pieces
+MACHINES = 9  # side machines with a runner and an agent each, as on the site
+VERSIONS = 8  # named one after the other at most, until one is loaded with bad pieces
+NAMING_S = 70.0  # time after which none is named any more
+LOADED_S = 14.0  # longest wait for a version on all runners
 FREEZE_AFTER_S = (0.002, 0.02)  # from the first read of a check, at random
-FREEZE_S = 4.0  # `node_freeze` on `side`, for_s = 4.0
+FREEZE_S = 4.0  # `node_freeze` on `side`, for_s = 4.0, share = 0.12: one machine of nine
 BAD_AFTER_S = 0.2  # from the beginning of the freeze
-BAD_PIECES = (3, 11)  # `garble` with `rot`, x = 0.06 of 48
+BAD_PIECES = (3, 11)  # `garble` with `rot`, x = 0.06 of 48, share = 0.3: one runner of nine
 LAYERS = 16
 
 
@@ -73,15 +77,17 @@
 class Loader(Model):
     """A model runner that loads what is staged beside it, as it is when it accepts the order."""
 
-    def __init__(self, record, **fields):
+    def __init__(self, fleet, **fields):
         super().__init__(**fields)
-        self.record = record
+        self.fleet, self.record = fleet, fleet.record
+        # Cleared while its machine stands still.
+        self.awake = asyncio.Event()
+        self.awake.set()
         self.staged = dict(enumerate(WEIGHTS[1]))
         self.bad_since = {}
-        self.reads, self.is_busy, self.taken_bad = [], False, []
+        self.is_busy, self.taken_bad = False, []
         self.next_version = 2
-        self.first_check = asyncio.Event()
-        self.loaded = asyncio.Event()
+        self.on_check = lambda: None
         self.bad_tokens = 0
 
     def report(self):
@@ -98,9 +104,10 @@
             data[100] ^= 0xFF
             self.staged[index] = bytes(data)
             self.bad_since[index] = time.monotonic()
-            self.record.line(f"staged piece {index} turned bad")
+            self.record.line(f"{self.id}: staged piece {index} turned bad")
 
     async def handle(self, method, target, headers, body, writer):
+        await self.awake.wait()
         url = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         if url.path.startswith("/v1/stage-put/"):
@@ -114,10 +121,10 @@
                 writer.write(answer(200, json.dumps({"held": sorted(self.staged)}).encode()))
                 return True
             index = int(query["sampleSize"])
-            if index == 0 and not self.first_check.is_set():
+            if index == 0 and self.version < self.next_version and not self.is_busy:
                 if self.holds_whole(self.next_version):
-                    self.record.line("the check of the staged pieces begins")
-                    self.first_check.set()
+                    self.record.line(f"{self.id}: the check of the staged pieces begins")
+                    self.on_check()
             writer.write(answer(200, self.staged[index]))
             await writer.drain()
             return True
@@ -130,14 +137,14 @@
             self.is_busy = True
             version = order["version"]
             now = time.monotonic()
-            self.taken_bad = [
+            self.taken_bad += [
                 i
                 for i, d in enumerate(DIGESTS[version])
                 if hashlib.sha256(self.staged[i]).hexdigest() != d
                 and now - self.bad_since.get(i, -1e9) > 3.0
             ]
             ages = {i: round(now - at, 2) for i, at in self.bad_since.items()}
-            self.record.line(f"order accepted: {order}; pieces bad for (s): {ages}")
+            self.record.line(f"{self.id}: order accepted: {order}; pieces bad for (s): {ages}")
             asyncio.ensure_future(self.load(version))
             writer.write(answer(202))
             return True
@@ -148,27 +155,60 @@
             await asyncio.sleep(0.02)
         await asyncio.sleep(0.3)
         self.version, self.is_busy = version, False
-        self.record.line(f"version {version} loaded, with bad pieces {self.taken_bad}")
-        self.loaded.set()
+        self.fleet.store.write(f"servers/{self.id}", self.entry())
+        self.record.line(f"{self.id}: version {version} loaded, bad pieces {self.taken_bad}")
 
     async def run(self, method, target, headers, body, writer):
         expected = headers.get("x-wasabilb-expect-version")
-        if (expected is not None and int(expected) != self.version) or self.is_busy:
-            writer.write(answer(421, b"", [("X-Wasabilb-Not-Executed", "1")]))
+        is_other = expected is not None and int(expected) != self.version
+        if is_other or self.is_busy:
+            status = 421 if is_other else 503
+            writer.write(answer(status, b"", [("X-Wasabilb-Not-Executed", "1")]))
             return True
         if self.taken_bad:
             self.bad_tokens += self.events
             id = headers.get("x-wasabilb-request-id")
-            self.record.line(f"run of {id} makes tokens with bad pieces {self.taken_bad}")
+            self.record.line(f"{self.id}: run of {id} makes tokens with pieces {self.taken_bad}")
         return await super().run(method, target, headers, body, writer)
 
 
+class Freezer:
+    """Freezes the machine of an agent that checks what is staged, one machine at a time."""
+
+    def __init__(self, record):
+        self.record = record
+        self.frozen, self.freezes = None, 0
+
+    def on_check(self, runner, agent):
+        if TROUBLE and self.frozen is None:
+            self.frozen = runner
+            asyncio.ensure_future(self.freeze(runner, agent))
+
+    async def freeze(self, runner, agent):
+        try:
+            await asyncio.sleep(random.uniform(*FREEZE_AFTER_S))
+            if runner.is_busy:
+                return
+            agent.signal(signal.SIGSTOP)
+            runner.awake.clear()
+            self.freezes += 1
+            self.record.line(f"{runner.id}: its machine freezes")
+            await asyncio.sleep(BAD_AFTER_S)
+            runner.spoil(BAD_PIECES)
+            await asyncio.sleep(FREEZE_S - BAD_AFTER_S)
+            runner.awake.set()
+            agent.signal(signal.SIGCONT)
+            self.record.line(f"{runner.id}: its machine wakes")
+        finally:
+            self.frozen = None
+
+
 async def script(fleet):
     record = fleet.record
     await fleet.store.start(f"{fleet.net}.200:8007")
     value = config()
     origin = Origin()
-    await origin.start(f"{fleet.net}.12:8006")
+    await origin.start(f"{fleet.net}.30:8006")
     value["services"].append(
         {
             "name": "weights",
@@ -180,11 +220,20 @@
     )
     fleet.store.write("op/config", value)
     fleet.store.write(f"op/version/{MODEL}", {"model": MODEL, "version": 1})
-    runner = await fleet.start_server(Loader(record, id="m-1", service="models"), 11, 8001)
+    freezer = Freezer(record)
+    runners = []
     entry = fleet.program("front-dublin-a-1", "entry", 1).start()
-    agent = fleet.program(
-        "side-dublin-a-1", "agent", 11, app=runner.address, service="models"
-    ).start()
+    for number in range(MACHINES):
+        runner = Loader(fleet, id=f"m-{number}", service="models")
+        runners.append(await fleet.start_server(runner, 11 + number, 8001))
+        agent = fleet.program(
+            f"side-dublin-a-{number}",
+            "agent",
+            11 + number,
+            app=runner.address,
+            service="models",
+        ).start()
+        runner.on_check = partial(freezer.on_check, runner, agent)
     await wait_ready(entry)
     await asyncio.sleep(4.0)
 
@@ -204,46 +253,44 @@
             f"stream {id}: status {found['status']}, complete {found['complete']}, "
             f"version {found['headers'].get('x-wasabilb-weight-versions')}"
         )
-        return found
+        return found["status"] == 200 and found["complete"]
 
-    first = await stream()
-    if first["status"] != 200:
+    if not await stream():
         return 2
+    began = time.monotonic()
     for version in range(2, VERSIONS + 2):
-        await roll_out(fleet, runner, agent, version)
-        if runner.taken_bad:
+        await roll_out(fleet, runners, version)
+        if any(runner.taken_bad for runner in runners) or time.monotonic() - began > NAMING_S:
+            break
+    while freezer.frozen is not None:
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(2.0)
+    answered = 0
+    for _ in range(3):
+        answered += sum(await asyncio.gather(*(stream() for _ in range(3 * MACHINES))))
+        if any(runner.bad_tokens for runner in runners):
             break
-    await asyncio.sleep(1.5)
-    found = [await stream() for _ in range(3)]
+    bad = {runner.id: runner.taken_bad for runner in runners if runner.taken_bad}
     record.say(
-        f"pieces taken that had been bad for over 3 s: {runner.taken_bad}; events made with them: "
-        f"{runner.bad_tokens}; streams answered: {sum(f['status'] == 200 for f in found)} of 3"
+        f"{freezer.freezes} freezes; pieces taken that had been bad for over 3 s: {bad}; "
+        f"events made with them: {sum(r.bad_tokens for r in runners)}; streams answered whole: {answered}"
     )
-    if not any(f["status"] == 200 for f in found):
+    if not answered:
         return 2
-    return 1 if runner.bad_tokens else 0
+    return 1 if any(runner.bad_tokens for runner in runners) else 0
 
 
-async def roll_out(fleet, runner, agent, version):
-    """Name a version, and freeze the agent's machine while it checks what is staged."""
-    record = fleet.record
-    runner.next_version = version
-    runner.first_check.clear()
-    runner.loaded.clear()
-    record.line(f"version {version} is named")
+async def roll_out(fleet, runners, version):
+    """Name a version and wait until all runners hold it, or one has taken bad pieces."""
+    for runner in runners:
+        runner.next_version = version
+    fleet.record.line(f"version {version} is named")
     fleet.store.write(f"op/version/{MODEL}", {"model": MODEL, "version": version})
-    await asyncio.wait_for(runner.first_check.wait(), 30)
-    if TROUBLE:
-        await asyncio.sleep(random.uniform(*FREEZE_AFTER_S))
-        if not runner.is_busy:
-            agent.signal(signal.SIGSTOP)
-            record.line("the agent's machine freezes")
-            await asyncio.sleep(BAD_AFTER_S)
-            runner.spoil(BAD_PIECES)
-            await asyncio.sleep(FREEZE_S - BAD_AFTER_S)
-            agent.signal(signal.SIGCONT)
-            record.line("it wakes")
-    await asyncio.wait_for(runner.loaded.wait(), 20)
+    until = time.monotonic() + LOADED_S
+    while time.monotonic() < until and any(r.version < version for r in runners):
+        if any(runner.taken_bad for runner in runners):
+            return
+        await asyncio.sleep(0.1)
 
 
-main(script, HERE)
+main(script, HERE / "record.txt")
--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -30,7 +30,7 @@
     for _ in range(200):
         net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         try:
-            for host in (1, 2, 3, 11, 12, 13, 200):
+            for host in (1, 2, 3, *range(11, 20), 30, 200):
                 for port in PORTS:
                     with socket.socket() as sock:
                         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -608,9 +608,9 @@
 class Fleet:
     """The processes and stand-ins of one script, in a temporary folder."""
 
-    def __init__(self, here):
+    def __init__(self, record):
         self.net = free_net()
-        self.record = Record(Path(here) / "record.txt")
+        self.record = Record(record)
         self.folder = tempfile.TemporaryDirectory()
         self.programs, self.children = [], []
         self.store = Store()
@@ -652,9 +652,9 @@
         self.folder.cleanup()
 
 
-def main(script, here):
-    """Run a script's coroutine with a fleet, and exit as it says."""
-    fleet = Fleet(here)
+def main(script, record):
+    """Run a script's coroutine with a fleet and the file of its record, and exit as it says."""
+    fleet = Fleet(record)
     code = 2
     try:
         code = asyncio.run(asyncio.wait_for(script(fleet), 110))
