An answer without end does not hold the event loop

Cause: the reader of bodies without a length awaits reads that are complete already, which does not suspend the task; the library's reader with a length suspends every 256 KiB, which are 131,000 events of two bytes. A stream as a whole has no bound. So reading was bounded in bytes and never in the time for which it holds the loop.

Ruled out: the missing suspension alone, as the row with a length fails too.

Change: LoopShare decides the pause of a reader after a turn of 2 ms or more, so that all busy readers together use half of the loop. All answers that are read by wasabilb_node pass it. Reads have 16 KiB; events are counted without a step of the interpreter each and buffered bytes are searched once. A stream may have 2 MiB and 256 KiB a second since its head; beyond that the attempt is broken.

--- /dev/null
+++ b/features/endless_answers.feature
@@ -0,0 +1,53 @@
+Feature: Answers without end and the other callers
+  What other callers get while a backend server sends bytes of one answer without a pause.
+
+  Scenario Outline: The others are answered while a stream does not end
+    Guards against a process that answers nobody while bytes of one answer arrive: awaiting a read
+    that is already complete does not let the event loop continue.
+    Given a backend server that answers streams with <form> without end
+    When callers send requests for 1.5 s while a stream of 1 s is open there
+    Then each of these requests was answered within 0.5 s
+    And the stream and its connection to the server ended within 1.5 s
+
+    Examples:
+      | form                                |
+      | line feeds without a length         |
+      | line feeds with a length            |
+      | comments without a length           |
+      | small events without a length       |
+      | events of 16 KB without a length    |
+      | small events in small chunks        |
+
+  Scenario: Ten streams that do not end
+    Guards against readers that each leave the event loop in time and together still occupy it.
+    Given a backend server that answers streams with line feeds without a length without end
+    When callers send requests for 1.5 s while 10 streams of 1 s are open there
+    Then each of these requests was answered within 0.5 s
+    And the stream and its connection to the server ended within 1.5 s
+
+  Scenario Outline: Limits of one stream
+    Guards against sound streams that are cut, and against others that occupy a process until their
+    deadline.
+    When a stream receives <bytes> bytes in <seconds> s
+    Then the stream is <outcome> by its limit
+
+    Examples:
+      | bytes   | seconds | outcome  |
+      | 60000   | 0       | accepted |
+      | 2097152 | 0       | accepted |
+      | 2097153 | 0       | refused  |
+      | 600000  | 10      | accepted |
+      | 4000000 | 1       | refused  |
+
+  Scenario: Half of the event loop is left to others
+    Guards against busy readers that take all of the event loop, however many there are.
+    When 10 readers whose input is always ready share an event loop for 1 s
+    Then their turns took at most 0.5 s and one turn of each
+    And each of them had an equal number of turns, within 1
+    And a reader with turns of 1 ms never paused
+
+  Scenario: The cost of an event without end
+    Guards against a search of all buffered bytes for each part of one event that arrives.
+    When an event of 1 MB arrives in parts of 16 bytes
+    Then at most 10 MB were searched
+    And events that arrive in parts are the same as those that arrive at once
--- /dev/null
+++ b/features/steps/endless_answer_steps.py
@@ -0,0 +1,237 @@
+"""Steps about answers that do not end, and the requests of other callers meanwhile."""
+
+import asyncio
+import random
+import re
+import socket
+import threading
+import time
+
+from behave import given, then, when
+from direct_forwarding_steps import fetch, run_in_harness
+from forwarding_harness import PATHS, raw_request
+from wasabilb_core import event_stream
+from wasabilb_core.event_stream import EventBuffer, StreamAllowance
+from wasabilb_core.loop_share import LoopShare
+
+# A flood ends by itself, so that a process that it stops goes on and the scenario fails.
+FLOOD_S = 4.0
+BLOCKS = {
+    "line feeds": b"\n" * 16384,
+    "comments": b":\n\n" * 5000,
+    "small events": b"data: x\n\n" * 1800,
+    "events of 16 KB": b"data: " + b"x" * 16376 + b"\n\n",
+}
+LENGTHS = {
+    "without a length": b"",
+    "with a length": b"Content-Length: 15000000\r\n",
+    "in small chunks": b"Transfer-Encoding: chunked\r\n",
+}
+SMALL_CHUNKS = b"9\r\ndata: x\n\n\r\n" * 1200
+
+
+class FloodingServer:
+    """Backend server in threads that answers streams without end and other requests at once."""
+
+    def __init__(self, form):
+        name = next(name for name in BLOCKS if form.startswith(name))
+        length = form.removeprefix(name).strip()
+        self.block = SMALL_CHUNKS if length == "in small chunks" else BLOCKS[name]
+        self.headers = b"Content-Type: text/event-stream\r\n" + LENGTHS[length]
+        self.closed_at = []
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    async def start(self):
+        return self.address
+
+    async def stop(self):
+        self.listener.close()
+
+    def accept(self):
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock):
+        data = b""
+        with sock:
+            while True:
+                while b"\r\n\r\nhi" not in data:
+                    part = sock.recv(4096)
+                    if not part:
+                        return
+                    data += part
+                head, _, data = data.partition(b"\r\n\r\nhi")
+                request_id = re.search(rb"(?im)^request-id: (\S+)", head)[1]
+                start = b"HTTP/1.1 200 OK\r\nSeal: s\r\nRequest-Id: %s\r\n" % request_id
+                if b" /stream/" in head:
+                    self.flood(sock, start)
+                    return
+                sock.sendall(start + b"Content-Length: 2\r\n\r\nok")
+
+    def flood(self, sock, start):
+        until = time.monotonic() + FLOOD_S
+        try:
+            sock.sendall(start + self.headers + b"\r\n")
+            while time.monotonic() < until:
+                sock.sendall(self.block)
+        except OSError:
+            pass
+        self.closed_at.append(time.monotonic())
+
+
+async def read_stream(harness, number, timeout_s):
+    """Read a stream until it ends, and return how long it lasted."""
+    reader, writer = await harness.connect()
+    began = time.monotonic()
+    extra = f"Timeout: {timeout_s}\r\n"
+    writer.write(raw_request(PATHS["stream"], request_id=f"stream-{number}", extra=extra))
+    while await reader.read(1 << 16):
+        # A client of its own; this one must not hold the loop either.
+        await asyncio.sleep(0)
+    writer.close()
+    return time.monotonic() - began
+
+
+def send_beside(context, seconds, streams, timeout_s):
+    async def send_all(harness):
+        await fetch(harness, raw_request(PATHS["at-most-once"], request_id="q-0"))
+        context.began = time.monotonic()
+        open_streams = [
+            asyncio.ensure_future(read_stream(harness, n, timeout_s)) for n in range(streams)
+        ]
+        others = []
+        while time.monotonic() < context.began + seconds:
+            data = raw_request(PATHS["at-most-once"], request_id=f"q-{len(others) + 1}")
+            others.append(asyncio.ensure_future(timed_fetch(harness, data)))
+            await asyncio.sleep(0.05)
+        context.others = await asyncio.gather(*others)
+        context.streams = await asyncio.gather(*open_streams)
+
+    context.server = FloodingServer(context.form)
+    run_in_harness(context, send_all, runners=[context.server])
+
+
+async def timed_fetch(harness, data):
+    began = time.monotonic()
+    status = (await fetch(harness, data))[0]
+    return status, time.monotonic() - began
+
+
+@given("a backend server that answers streams with {form} without end")
+def given_flooding(context, form):
+    context.form = form
+    context.behaviours = []
+
+
+@when("callers send requests for {seconds:g} s while a stream of {timeout:g} s is open there")
+def step_beside_one(context, seconds, timeout):
+    send_beside(context, seconds, 1, timeout)
+
+
+@when("callers send requests for {seconds:g} s while {n:d} streams of {timeout:g} s are open there")
+def step_beside_many(context, seconds, n, timeout):
+    send_beside(context, seconds, n, timeout)
+
+
+@then("each of these requests was answered within {seconds:g} s")
+def step_answered(context, seconds):
+    late = [took for _, took in context.others if took > seconds]
+    assert len(context.others) >= 10 and not late, (len(context.others), late)
+    # Beside many streams a runner without a free slot may refuse, but the caller gets an answer.
+    assert {status for status, _ in context.others} <= {200, 503}, context.others
+
+
+@then("the stream and its connection to the server ended within {seconds:g} s")
+def step_ended(context, seconds):
+    assert max(context.streams) <= seconds, context.streams
+    ends = [at - context.began for at in context.server.closed_at]
+    assert ends and max(ends) <= seconds, ends
+
+
+@when("a stream receives {size:d} bytes in {seconds:g} s")
+def step_receives(context, size, seconds):
+    context.is_accepted = StreamAllowance().take(size, seconds)
+
+
+@then("the stream is {outcome} by its limit")
+def step_outcome(context, outcome):
+    assert context.is_accepted == (outcome == "accepted")
+
+
+@when("{count:d} readers whose input is always ready share an event loop for {seconds:g} s")
+def step_share(context, count, seconds):
+    share, turn_s, moment = LoopShare(), 0.005, 0.0
+    context.turns, ready_at = [0] * count, [0.0] * count
+    context.used_s, context.turn_s, context.longest_s = 0.0, turn_s, count * turn_s
+    context.short_pause_s = 0.0
+    while moment < seconds:
+        ready = [n for n in range(count) if ready_at[n] <= moment + 1e-9]
+        if not ready:
+            moment = min(ready_at)
+            continue
+        reader = min(ready, key=lambda n: ready_at[n])
+        moment += turn_s
+        context.used_s += turn_s
+        context.turns[reader] += 1
+        ready_at[reader] = moment + share.pause_s(turn_s, now=moment)
+        context.short_pause_s += share.pause_s(0.001, now=moment)
+
+
+@then("their turns took at most {seconds:g} s and one turn of each")
+def step_turns(context, seconds):
+    assert context.used_s <= seconds + context.longest_s, context.used_s
+
+
+@then("each of them had an equal number of turns, within {most:d}")
+def step_equal(context, most):
+    assert max(context.turns) - min(context.turns) <= most, context.turns
+
+
+@then("a reader with turns of 1 ms never paused")
+def step_short(context):
+    assert context.short_pause_s == 0.0
+
+
+@when("an event of {megabytes:d} MB arrives in parts of {size:d} bytes")
+def step_long_event(context, megabytes, size):
+    boundary = event_stream._BOUNDARY
+    context.searched = 0
+
+    class Counting:
+        def finditer(self, data, start=0):
+            context.searched += len(data) - start
+            return boundary.finditer(data, start)
+
+    event_stream._BOUNDARY = Counting()
+    try:
+        buffer = EventBuffer()
+        for _ in range(megabytes * 1_000_000 // size):
+            buffer.feed(b"x" * size)
+    finally:
+        event_stream._BOUNDARY = boundary
+
+
+@then("at most {megabytes:d} MB were searched")
+def step_searched(context, megabytes):
+    assert context.searched <= megabytes * 1e6, context.searched
+
+
+@then("events that arrive in parts are the same as those that arrive at once")
+def step_same(context):
+    rng = random.Random(43)
+    for _ in range(2000):
+        parts = [b"\n", b"\r", b"\r\n", b"id: 7", b"id:8", b"data: x", b":"]
+        data = b"".join(rng.choices(parts, k=rng.randrange(20)))
+        whole, split, found = EventBuffer(), EventBuffer(), b""
+        expected, start = whole.feed(data), 0
+        while start < len(data):
+            size = rng.randrange(1, 5)
+            found += split.feed(data[start : start + size])
+            start += size
+        assert (found, split.last_id, split.count) == (expected, whole.last_id, whole.count), data
--- a/packages/wasabilb-core/src/wasabilb_core/event_stream.py
+++ b/packages/wasabilb-core/src/wasabilb_core/event_stream.py
@@ -1,12 +1,44 @@
 """Extraction of complete server-sent events from a byte stream (WHATWG HTML, 9.2)."""
 
 import re
+from collections import deque
+
+from attrs import define
 
 _BOUNDARY = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_MAX_BOUNDARY_BYTES = 4
 _ID = re.compile(rb"(?:^|\n|\r)id: ?([^\r\n]*)")
 # Events of the known services are below 1 KiB; the limit keeps an endless line from filling the
 # memory.
 MAX_EVENT_BYTES = 1 << 20
+# A stream of the known services has at most 113 events of 0.5 KiB a second. A stored answer may
+# arrive at once.
+STREAM_BYTES_PER_S = 256 << 10
+STREAM_BURST_BYTES = 2 * MAX_EVENT_BYTES
+
+
+@define(kw_only=True)
+class StreamAllowance:
+    """Limit on the bytes of one event stream, which has no length of its own.
+
+    A sound server cannot exceed it. One that does sends bytes that are no answer, each of which
+    would look like progress.
+    """
+
+    received_bytes: int = 0
+
+    def take(self, size: int, elapsed_s: float) -> bool:
+        """Count received bytes; return whether the stream is within its limit.
+
+        Parameters
+        ----------
+        size : int
+            Bytes that were received now.
+        elapsed_s : float
+            Time since the head of the answer, seconds.
+        """
+        self.received_bytes += size
+        return self.received_bytes <= STREAM_BURST_BYTES + STREAM_BYTES_PER_S * elapsed_s
 
 
 class EventBuffer:
@@ -34,27 +66,29 @@
 
     def would_complete(self, data: bytes) -> bool:
         """Return whether received bytes complete an event."""
-        return _BOUNDARY.search(bytes(self._buffer) + data) is not None
+        tail = bytes(self._buffer[self._unsearched_from() :])
+        return _BOUNDARY.search(tail + data) is not None
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the events that are now complete.
 
+        The cost depends on the received bytes alone: what is buffered is not searched again.
+
         Raises
         ------
         ValueError
             When an event exceeds `MAX_EVENT_BYTES`.
         """
+        start = self._unsearched_from()
         self._buffer += data
-        end = 0
-        for found in _BOUNDARY.finditer(self._buffer):
-            event = bytes(self._buffer[end : found.end()])
-            end = found.end()
-            self.count += 1
-            ids = _ID.findall(event)
-            if ids:
-                self.last_id = ids[-1].decode("latin-1")
+        count, end = _search_boundaries(self._buffer, start)
+        self.count += count
         events = bytes(self._buffer[:end])
         del self._buffer[:end]
+        if b"id:" in events:
+            ids = _ID.findall(events)
+            if ids:
+                self.last_id = ids[-1].decode("latin-1")
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError(f"event of more than {MAX_EVENT_BYTES} bytes")
         return events
@@ -62,3 +96,19 @@
     def drop_partial(self) -> None:
         """Drop an incomplete event, as another runner sends it again."""
         self._buffer.clear()
+
+    def _unsearched_from(self) -> int:
+        """Return where a boundary may begin that the buffered bytes do not complete."""
+        return max(0, len(self._buffer) - _MAX_BOUNDARY_BYTES + 1)
+
+
+def _search_boundaries(data: bytearray, start: int) -> tuple[int, int]:
+    """Return the number of boundaries from a position on, and where the last one ends.
+
+    The interpreter takes no step for each of them, as a read may hold thousands.
+    """
+    last = deque(enumerate(_BOUNDARY.finditer(data, start), start=1), maxlen=1)
+    if not last:
+        return 0, 0
+    count, boundary = last.pop()
+    return count, boundary.end()
--- a/packages/wasabilb-entry/src/wasabilb_entry/relay.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/relay.py
@@ -7,7 +7,7 @@
 from tornado.httputil import HTTPHeaders
 from wasabilb_core.attempts import AnswerProgress
 from wasabilb_core.crashing_parts import SURVIVED_S
-from wasabilb_core.event_stream import EventBuffer
+from wasabilb_core.event_stream import EventBuffer, StreamAllowance
 from wasabilb_core.forwarding_metadata import AnswerMetadata
 from wasabilb_node.clock import now
 from wasabilb_node.http_client import AnswerHead, AnswerRefusedError
@@ -84,6 +84,7 @@
     _on_going_on: Callable[[], None] | None = None
     _head_at: float = 0.0
     _parts: list[bytes] = field(factory=list)
+    _allowance: StreamAllowance = field(factory=StreamAllowance)
     _size: int = 0
     _size_at_progress: int = 0
     _is_streaming: bool = False
@@ -190,6 +191,7 @@
         self._events_before = self.events.count
         self._parts.clear()
         self._is_streaming = False
+        self._allowance = StreamAllowance()
         self.progress_at = now()
 
     @property
@@ -252,6 +254,10 @@
         if not self._is_streaming:
             self._buffer(data)
             return None
+        elapsed_s = now() - self._head_at
+        if not self._allowance.take(len(data), elapsed_s):
+            size = self._allowance.received_bytes
+            raise AnswerRefusedError(f"a stream of {size} bytes in {elapsed_s:.2f} s")
         if not self.is_writer:
             # Kept back until another runner had taken over.
             return None
--- a/packages/wasabilb-node/src/wasabilb_node/_http_connection.py
+++ b/packages/wasabilb-node/src/wasabilb_node/_http_connection.py
@@ -15,6 +15,7 @@
     ResponseStartLine,
 )
 from tornado.iostream import IOStream, StreamClosedError
+from wasabilb_wire.read_turns import ReadTurn
 
 # Servers that announce no idle timeout close after 10 s or more.
 DEFAULT_IDLE_LIMIT_S = 5.0
@@ -23,7 +24,8 @@
 IDLE_FRACTION = 0.7
 MAX_BODY_BYTES = 16 << 20
 MAX_HEADER_BYTES = 64 << 10
-READ_BYTES = 64 << 10
+# Processing a block of events takes less than 1 ms, so that a turn of the event loop stays short.
+READ_BYTES = 16 << 10
 # Limits on the answers to earlier requests that are discarded before the awaited one. A server
 # answers a request at most twice; one that exceeds the limits is broken.
 MAX_UNMATCHED_ANSWERS = 4
@@ -57,20 +59,6 @@
     return True
 
 
-class _StreamingHTTP1Connection(HTTP1Connection):
-    """Streams a body without a length, which the library would read as a whole."""
-
-    async def _read_body_until_close(self, delegate: HTTPMessageDelegate) -> None:
-        while True:
-            try:
-                chunk = await self.stream.read_bytes(READ_BYTES, partial=True)
-            except StreamClosedError:
-                return
-            pending = delegate.data_received(chunk)
-            if pending is not None:
-                await pending
-
-
 @frozen(kw_only=True)
 class AnswerHead:
     """Status line and headers of an answer."""
@@ -138,10 +126,10 @@
         if self.stream.closed():
             raise StreamClosedError
         params = HTTP1ConnectionParameters(
-            max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_BODY_BYTES
+            max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_BODY_BYTES, chunk_size=READ_BYTES
         )
         self.request_count += 1
-        http = _StreamingHTTP1Connection(self.stream, True, params)
+        http = HTTP1Connection(self.stream, True, params)
         self._http = http
         written = http.write_headers(RequestStartLine(method, target, ""), headers, body or None)
         written.add_done_callback(_consume_exception)
@@ -152,9 +140,10 @@
         if self._http is None:
             raise RuntimeError("no request was sent on this connection")
         unmatched_bytes = 0
+        turn = ReadTurn(reader=self.address)
         for _ in range(MAX_UNMATCHED_ANSWERS + 1):
             delegate = _ReceiverDelegate(
-                receiver=receiver, stream=self.stream, unmatched_bytes=unmatched_bytes
+                receiver=receiver, stream=self.stream, unmatched_bytes=unmatched_bytes, turn=turn
             )
             try:
                 is_open = await self._http.read_response(delegate)
@@ -212,9 +201,17 @@
 class _ReceiverDelegate(HTTPMessageDelegate):
     """Passes one answer from the library to a receiver."""
 
-    def __init__(self, *, receiver: AnswerReceiver, stream: IOStream, unmatched_bytes: int) -> None:
+    def __init__(
+        self,
+        *,
+        receiver: AnswerReceiver,
+        stream: IOStream,
+        unmatched_bytes: int,
+        turn: ReadTurn,
+    ) -> None:
         self._receiver = receiver
         self._stream = stream
+        self._turn = turn
         self.unmatched_bytes = unmatched_bytes
         self.abort_reason = ""
         self.headers = HTTPHeaders()
@@ -236,6 +233,17 @@
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         if self.abort_reason:
             return None
+        self._turn.begin()
+        pending = self._pass_on(chunk)
+        return self._turn.pause() if pending is None else self._wait_for_receiver(pending)
+
+    async def _wait_for_receiver(self, pending: Awaitable[None]) -> None:
+        await pending
+        pause = self._turn.pause()
+        if pause is not None:
+            await pause
+
+    def _pass_on(self, chunk: bytes) -> Awaitable[None] | None:
         if not self.is_unmatched:
             try:
                 return self._receiver.on_data(chunk)
--- /dev/null
+++ b/packages/wasabilb-wire/src/wasabilb_wire/read_turns.py
@@ -0,0 +1,86 @@
+"""Pauses of readers whose input is always ready.
+
+Awaiting a read that is already complete does not suspend a task, so a loop of such reads keeps
+every timer, deadline and other connection of the process waiting.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from weakref import WeakKeyDictionary
+
+from wasabilb_core.loop_share import MAX_TURN_S, LoopShare
+
+
+class _LoopState:
+    """Share and number of the current iteration of one event loop."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._call_soon = loop.call_soon
+        self._is_marked = False
+        self._number = 0
+        self.share = LoopShare()
+
+    def iteration(self) -> int:
+        """Return a number that differs between iterations."""
+        if not self._is_marked:
+            self._is_marked = True
+            self._number += 1
+            # Runs in the next iteration, before whatever the current one makes ready from now on.
+            self._call_soon(self._end_iteration)
+        return self._number
+
+    def _end_iteration(self) -> None:
+        self._is_marked = False
+
+
+_STATES: "WeakKeyDictionary[asyncio.AbstractEventLoop, _LoopState]" = WeakKeyDictionary()
+
+
+def _state_of(loop: asyncio.AbstractEventLoop) -> _LoopState:
+    state = _STATES.get(loop)
+    if state is None:
+        state = _STATES[loop] = _LoopState(loop)
+    return state
+
+
+def current_share() -> LoopShare:
+    """Return the share that the busy readers of the running event loop have."""
+    return _state_of(asyncio.get_running_loop()).share
+
+
+class ReadTurn:
+    """Limits how long one reader holds the event loop.
+
+    A reader calls `begin` before it processes a part of its input and awaits what `pause` returns
+    after it.
+
+    Parameters
+    ----------
+    reader : str
+        Name of the reader for the log.
+    """
+
+    def __init__(self, *, reader: str = "") -> None:
+        self._reader = reader
+        self._loop = asyncio.get_running_loop()
+        self._state = _state_of(self._loop)
+        self._iteration = 0
+        self._began_at = 0.0
+
+    def begin(self) -> None:
+        """Note the begin of a turn, unless this iteration of the loop has one of this reader."""
+        iteration = self._state.iteration()
+        if iteration != self._iteration:
+            self._iteration, self._began_at = iteration, self._loop.time()
+
+    def pause(self) -> Awaitable[None] | None:
+        """Return the pause that is due, None if the reader has suspended or may continue."""
+        if self._state.iteration() != self._iteration:
+            return None
+        moment = self._loop.time()
+        used_s = moment - self._began_at
+        pause_s = self._state.share.pause_s(used_s, now=moment, reader=self._reader)
+        return asyncio.sleep(pause_s) if pause_s > 0 else None
+
+
+__all__ = ["MAX_TURN_S", "ReadTurn", "current_share"]
