--- a/packages/wasabilb-agent/src/wasabilb_agent/_version_loader.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_version_loader.py
@@ -5,7 +5,7 @@
 
 from returns.result import Failure, Result
 from wasabilb_core.assembly import ChunkAssembly
-from wasabilb_core.errors import Error
+from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.reload_waves import is_easing, may_reload
 from wasabilb_core.seeding import versions_to_seed
 from wasabilb_core.tickets import Variant
@@ -29,6 +29,8 @@
 
 # An order that was not accepted is sent again after this time.
 ORDER_RETRY_S = 0.3
+# The runner's state and the decision to load are obtained again after a check that took longer.
+MAX_STATE_AGE_S = 0.5
 
 
 class VersionLoader:
@@ -108,20 +110,25 @@
 
     async def reconcile(self, state: RunnerState, transfers: WeightTransfers) -> None:
         """Order the load of the next version if the runner may load it now."""
-        self._held_version = state.version if state.has_all_layers(self._fleet.layers) else 0
         self._load_inputs.on_state(state)
+        number = self._version_due(state, transfers)
         self._log_confirmed_load()
-        versions = self._load_inputs.versions(transfers, above=self._held_version)
-        steps = self._steps(versions)
-        number = version_to_load(versions, steps) if steps is not None else None
-        if number is None or state.is_busy or self._staging_lock.locked():
+        if number is None or self._staging_lock.locked():
             return
         target = self._fleet.variant(number)
         is_recent = self._ordered == target and now() - self._ordered_at < ORDER_RETRY_S
         assembly = transfers.assembly(target)
         if assembly is not None and not is_recent and self._may_reload(number, state):
             async with self._staging_lock:
-                await self._load(target, assembly, state)
+                await self._load(target, assembly, state, transfers)
+
+    def _version_due(self, state: RunnerState, transfers: WeightTransfers) -> int | None:
+        """Return the version that the runner should load now, None for none."""
+        self._held_version = state.version if state.has_all_layers(self._fleet.layers) else 0
+        versions = self._load_inputs.versions(transfers, above=self._held_version)
+        steps = self._steps(versions)
+        number = version_to_load(versions, steps) if steps is not None else None
+        return None if state.is_busy else number
 
     def is_easing(self, state: RunnerState) -> bool:
         """Return whether the runner should get fewer requests, as its load order is due soon."""
@@ -174,19 +181,32 @@
             bound_s=self._version_s,
         )
 
-    async def _load(self, target: Variant, assembly: ChunkAssembly, state: RunnerState) -> None:
+    async def _load(
+        self,
+        target: Variant,
+        assembly: ChunkAssembly,
+        state: RunnerState,
+        transfers: WeightTransfers,
+    ) -> None:
         fields: dict[str, Any] = {"model": target.model, "version": target.version, "order": "load"}
         self._ordered, self._ordered_at = target, now()
-        intact = await self._staging.verify_and_repair(assembly)
-        if isinstance(intact, Failure):
-            self._log.event("order_refused", **fields, detail=intact.failure().detail)
+        checked = await self._staging.verify_and_repair(assembly)
+        if isinstance(checked, Failure):
+            self._log.event("order_refused", **fields, detail=checked.failure().detail)
             return
+        if now() - self._ordered_at > MAX_STATE_AGE_S:
+            refreshed = await self._refreshed_state(target, transfers)
+            if isinstance(refreshed, Failure):
+                self._log.event("order_refused", **fields, detail=refreshed.failure().detail)
+                return
+            state = refreshed.unwrap()
         self._ordered_at = now()
         answer = await self._runner.load(
             target.model,
             int(target.version),
             fence=self._published.position.fence,
             orders=state.orders,
+            send_by=checked.unwrap(),
         )
         if isinstance(answer, Failure):
             self._log.event("order_refused", **fields, detail=answer.failure().detail)
@@ -195,6 +215,23 @@
         else:
             self._log.event("order_refused", **fields, detail=answer.unwrap().value)
 
+    async def _refreshed_state(
+        self, target: Variant, transfers: WeightTransfers
+    ) -> Result[RunnerState, Error]:
+        """Return the runner's current state if it should still load this version."""
+        result = await self._runner.state()
+        if isinstance(result, Failure):
+            return result
+        state = result.unwrap()
+        number = self._version_due(state, transfers)
+        if number is None or self._fleet.variant(number) != target:
+            detail = "the version is no longer due after the check of its staged chunks"
+            return Failure(Error(kind=ErrorKind.NOT_READY, detail=detail))
+        if not self._may_reload(number, state):
+            detail = "it is no longer the runner's turn to load"
+            return Failure(Error(kind=ErrorKind.NOT_READY, detail=detail))
+        return result
+
     def _log_confirmed_load(self) -> None:
         if self._ordered is not None and self._held_version >= int(self._ordered.version):
             self._log.event(
--- a/packages/wasabilb-agent/src/wasabilb_agent/model_runner.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/model_runner.py
@@ -65,6 +65,10 @@
         """Return a staged chunk, None when there is none."""
 
     async def load(
-        self, model: str, version: int, *, fence: int, orders: int
+        self, model: str, version: int, *, fence: int, orders: int, send_by: float
     ) -> Result[OrderAnswer, Error]:
-        """Order the runner to load the staged version if it has begun `orders` orders so far."""
+        """Order the runner to load the staged version if it has begun `orders` orders so far.
+
+        The order is not sent from `send_by` on, seconds on the process's clock, as what is known
+        of the staged chunks is too old then.
+        """
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -122,6 +122,10 @@
         "A staged chunk is missing or changed and is written again.",
         "model version chunk is_missing",
     ),
+    "staged_check_outdated": _spec(
+        "Reads of staged chunks became too old during their check and are repeated.",
+        "model version chunks pass_ms",
+    ),
     "seed_started": _spec(
         "The host reads its share of a version that is not fetched yet.", "ticket model version"
     ),
--- a/packages/wasabilb-node/src/wasabilb_node/http_client.py
+++ b/packages/wasabilb-node/src/wasabilb_node/http_client.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 
 from attrs import define, field, frozen
 from returns.result import Result, Success
@@ -27,6 +28,7 @@
     has_pending_input,
 )
 from wasabilb_node._numeric_resolver import NumericResolver
+from wasabilb_node.clock import now
 
 __all__ = [
     "CONNECT_TIMEOUT_S",
@@ -89,15 +91,17 @@
     headers: dict[str, str] | None = None,
     timeout_s: float,
     connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    send_by: float = math.inf,
 ) -> Result[CompleteAnswer, Error]:
     """Send one request and return its complete answer, whatever its status.
 
     Fails with `PLATFORM_UNAVAILABLE` if no complete answer arrived in time; the request may have
-    been executed nevertheless.
+    been executed nevertheless. From `send_by` on, seconds on the process's clock, it fails without
+    sending the request: the reason for it may no longer hold once a connection is open.
     """
     try:
         return await asyncio.wait_for(
-            _fetch(pool, address, target, method, body, headers or {}, connect_timeout_s),
+            _fetch(pool, address, target, method, body, headers or {}, connect_timeout_s, send_by),
             timeout_s,
         )
     except TimeoutError:
@@ -115,8 +119,13 @@
     body: bytes,
     extra: dict[str, str],
     connect_timeout_s: float,
+    send_by: float,
 ) -> Result[CompleteAnswer, Error]:
     conn = await pool.acquire(address, timeout_s=connect_timeout_s)
+    late_s = now() - send_by
+    if late_s >= 0:
+        pool.release(conn)
+        return unavailable(f"{method} {target}: not sent, as it came {late_s:.2f} s too late")
     receiver = _CompleteAnswerReceiver()
     try:
         headers = HTTPHeaders({"Host": address, **extra})
