Small chunks without end do not hold an agent's event loop

What callers saw: an engine or service that sends small chunks without a pause keeps the agent beside it from everything else; a call with a timeout of 1 s ended after 5.01 s, when the sender of the test stopped by itself.

Cause: the agent replaces the library's reader of chunks by a loop whose reads are complete already while bytes arrive, as in the entry process. Bodies without a length and with a length were passed on in time (the library's readers): the rows of these forms passed before, too.

Change: the reader and the callback of an exchange take turns of 2 ms as all reads of answers do; reads have 16 KiB. The decoder of an engine's events uses EventBuffer, which searches received bytes once and knows all line ends, and an engine's stream has the same allowance as one at an entry process.

Test: features/endless_answers.feature, "An agent reads from a backend server that does not end": on 1 of 5 rows failed; after, all pass.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -10,13 +10,13 @@
     And the stream and its connection to the server ended within 1.5 s
 
     Examples:
-      | form                                |
-      | line feeds without a length         |
-      | line feeds with a length            |
-      | comments without a length           |
-      | small events without a length       |
-      | events of 16 KB without a length    |
-      | small events in small chunks        |
+      | form                             |
+      | line feeds without a length      |
+      | line feeds with a length         |
+      | comments without a length        |
+      | small events without a length    |
+      | events of 16 KB without a length |
+      | small events in small chunks     |
 
   Scenario: Ten streams that do not end
     Guards against readers that each leave the event loop in time and together still occupy it.
@@ -25,6 +25,20 @@
     Then each of these requests was answered within 0.5 s
     And the stream and its connection to the server ended within 1.5 s
 
+  Scenario Outline: An agent reads from a backend server that does not end
+    Guards against an agent whose own reader of chunks does not let the event loop continue, so that
+    not even the deadline of the call is kept.
+    When an agent <call> from a backend server that sends <form> without end, for at most 1 s
+    Then the call ended within 1.5 s, and nothing else waited for more than 0.5 s
+
+    Examples:
+      | call                | form                         |
+      | passes on an answer | small events in small chunks |
+      | passes on an answer | line feeds without a length  |
+      | passes on an answer | line feeds with a length     |
+      | reads tokens        | line feeds without a length  |
+      | reads tokens        | comments without a length    |
+
   Scenario Outline: Limits of one stream
     Guards against sound streams that are cut, and against others that occupy a process until their
     deadline.
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -1,6 +1,7 @@
 """Steps about answers that do not end, and the requests of other callers meanwhile."""
 
 import asyncio
+import contextlib
 import random
 import re
 import socket
@@ -10,6 +11,9 @@
 from behave import given, then, when
 from direct_forwarding_steps import fetch, run_in_harness
 from forwarding_harness import PATHS, raw_request
+from tornado.httputil import HTTPHeaders
+from wasabilb_agent._http_stream import new_client, stream_exchange
+from wasabilb_agent.engine_client import EngineClient
 from wasabilb_core import event_stream
 from wasabilb_core.event_stream import EventBuffer, StreamAllowance
 from wasabilb_core.loop_share import LoopShare
@@ -31,9 +35,13 @@
 
 
 class FloodingServer:
-    """Backend server in threads that answers streams without end and other requests at once."""
+    """Backend server in threads that answers streams without end and other requests at once.
 
-    def __init__(self, form):
+    With `is_engine`, every request is one for a stream, of a client without identifiers.
+    """
+
+    def __init__(self, form, *, is_engine=False):
+        self.is_engine, self.sent_bytes = is_engine, 0
         name = next(name for name in BLOCKS if form.startswith(name))
         length = form.removeprefix(name).strip()
         self.block = SMALL_CHUNKS if length == "in small chunks" else BLOCKS[name]
@@ -60,6 +68,10 @@
     def serve(self, sock):
         data = b""
         with sock:
+            if self.is_engine:
+                sock.recv(4096)
+                self.flood(sock, b"HTTP/1.1 200 OK\r\nEngine-Model: m\r\nEngine-Version: 1\r\n")
+                return
             while True:
                 while b"\r\n\r\nhi" not in data:
                     part = sock.recv(4096)
@@ -80,6 +92,7 @@
             sock.sendall(start + self.headers + b"\r\n")
             while time.monotonic() < until:
                 sock.sendall(self.block)
+                self.sent_bytes += len(self.block)
         except OSError:
             pass
         self.closed_at.append(time.monotonic())
@@ -154,6 +167,68 @@
     assert ends and max(ends) <= seconds, ends
 
 
+@when(
+    "an agent {call} from a backend server that sends {form} without end, for at most {timeout:g} s"
+)
+def step_agent_call(context, call, form, timeout):
+    context.server = FloodingServer(form, is_engine=True)
+    context.longest_wait_s = 0.0
+
+    async def watch_loop():
+        while True:
+            due = time.monotonic() + 0.01
+            await asyncio.sleep(0.01)
+            context.longest_wait_s = max(context.longest_wait_s, time.monotonic() - due)
+
+    async def main():
+        watch = asyncio.ensure_future(watch_loop())
+        context.began = time.monotonic()
+        await AGENT_CALLS[call](f"http://{context.server.address}", timeout)
+        context.took_s = time.monotonic() - context.began
+        watch.cancel()
+        # The server notices the end of its connection.
+        await asyncio.sleep(0.2)
+        await context.server.stop()
+
+    asyncio.run(main())
+
+
+async def pass_on_bytes(url, timeout_s):
+    async def on_bytes(data):
+        pass
+
+    exchange = {"method": "GET", "headers": HTTPHeaders(), "body": None, "timeout_s": timeout_s}
+    client = new_client()
+    await stream_exchange(
+        http=client, url=url, **exchange, on_head=lambda *_: None, on_bytes=on_bytes
+    )
+    client.close()
+
+
+async def read_tokens(url, timeout_s):
+    async def on_tokens(tokens):
+        pass
+
+    engine = EngineClient(url=url, orders_token="")
+    # A malformed answer ends the call.
+    with contextlib.suppress(ValueError):
+        await engine.complete(
+            body={}, timeout_s=timeout_s, on_head=lambda _: None, on_tokens=on_tokens
+        )
+    engine.close()
+
+
+AGENT_CALLS = {"passes on an answer": pass_on_bytes, "reads tokens": read_tokens}
+
+
+@then("the call ended within {seconds:g} s, and nothing else waited for more than {wait:g} s")
+def step_call_ended(context, seconds, wait):
+    assert context.took_s <= seconds and context.longest_wait_s <= wait, (
+        context.took_s,
+        context.longest_wait_s,
+    )
+
+
 @when("a stream receives {size:d} bytes in {seconds:g} s")
 def step_receives(context, size, seconds):
     context.is_accepted = StreamAllowance().take(size, seconds)
--- a/packages/wasabilb-agent/src/wasabilb_agent/_http_chunked_coding.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_http_chunked_coding.py
@@ -10,8 +10,10 @@
 from tornado.httputil import HTTPInputError, HTTPMessageDelegate
 from tornado.iostream import IOStream
 from tornado.simple_httpclient import SimpleAsyncHTTPClient, _HTTPConnection
+from wasabilb_wire.read_turns import ReadTurn
 
-READ_BYTES = 1 << 16
+# Decoding a block of the smallest chunks takes some milliseconds.
+READ_BYTES = 16 << 10
 MAX_LENGTH_LINE_BYTES = 64
 CRLF = b"\r\n"
 
@@ -85,6 +87,7 @@
 class _Connection(_HTTPConnection):
     def _create_connection(self, stream: IOStream) -> HTTP1Connection:
         conn = super()._create_connection(stream)
+        conn.params.chunk_size = READ_BYTES
         conn._read_chunked_body = partial(_read_chunked, conn)  # type: ignore[method-assign]
         return conn
 
@@ -92,11 +95,17 @@
 async def _read_chunked(conn: HTTP1Connection, delegate: HTTPMessageDelegate) -> None:
     """Deliver the content of a chunked body; a connection serves a single request."""
     decoder = ChunkDecoder()
+    turn = ReadTurn(reader="response")
     size = 0
     while not decoder.is_ended:
-        data = decoder.feed(await conn.stream.read_bytes(READ_BYTES, partial=True))
+        received = await conn.stream.read_bytes(READ_BYTES, partial=True)
+        turn.begin()
+        data = decoder.feed(received)
         size += len(data)
         if size > conn._max_body_size:
             raise HTTPInputError("chunked body too large")
         if data:
             await conn._deliver_body(delegate, data)
+        pause = turn.pause()
+        if pause is not None:
+            await pause
--- a/packages/wasabilb-agent/src/wasabilb_agent/engine_client.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/engine_client.py
@@ -9,8 +9,10 @@
 from tornado.httpclient import HTTPClientError
 from tornado.httputil import HTTPHeaders
 from wasabilb_core.errors import Error, ErrorKind
+from wasabilb_core.event_stream import StreamAllowance
 from wasabilb_core.orders import EngineReport, Order
 from wasabilb_core.tickets import Variant
+from wasabilb_node.clock import now
 from wasabilb_wire.messages import Header
 
 from wasabilb_agent._http_stream import CONNECT_TIMEOUT_S, new_client, stream_exchange
@@ -70,6 +72,8 @@
     events: EventStreamDecoder = field(factory=EventStreamDecoder)
     finished: Finished | None = None
     status: int = 0
+    head_at: float = field(factory=now)
+    allowance: StreamAllowance = field(factory=StreamAllowance)
 
 
 class EngineClient:
@@ -162,10 +166,13 @@
 
         def on_answer_head(status: int, headers: list[Header]) -> None:
             completion.status = status
+            completion.head_at = now()
             if status == HTTP_OK:
                 on_head(_to_variant({h.name.lower(): h.value for h in headers}))
 
         async def on_bytes(data: bytes) -> None:
+            if not completion.allowance.take(len(data), now() - completion.head_at):
+                raise ValueError(f"a stream of {completion.allowance.received_bytes} bytes")
             if completion.status == HTTP_OK:
                 await _process_events(completion, data, on_tokens)
 
--- a/packages/wasabilb-agent/src/wasabilb_agent/server_sent_events.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/server_sent_events.py
@@ -3,14 +3,14 @@
 Source: HTML Living Standard, section 9.2 "Server-sent events". Engines send only `data` fields.
 """
 
-from wasabilb_core.event_stream import MAX_EVENT_BYTES
+from wasabilb_core.event_stream import EventBuffer
 
 
 class EventStreamDecoder:
     """Decoder that returns the data of each complete event of a byte stream."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._events = EventBuffer()
 
     def feed(self, data: bytes) -> list[str]:
         """Add received bytes; return the data of events that are now complete and have data.
@@ -20,10 +20,10 @@
         ValueError
             If an event exceeds `MAX_EVENT_BYTES`.
         """
-        *events, self._buffer = (self._buffer + data.replace(b"\r\n", b"\n")).split(b"\n\n")
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise ValueError(f"event of more than {MAX_EVENT_BYTES} bytes")
-        return [text for event in events if (text := _data_of(event))]
+        events = self._events.feed(data)
+        if b"\r" in events:
+            events = events.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+        return [text for event in events.split(b"\n\n") if (text := _data_of(event))]
 
 
 def _data_of(event: bytes) -> str:
