A peer that sends without a pause does not hold the event loop

A link awaits reads that are complete already while a peer sends, and processes all messages of a read, up to a thousand, in one turn.

Evidence: features/endless_answers.feature, "A peer that sends messages without a pause", on: nothing else ran for 1.83 s, as long as the peer sent. The watch of the scenarios now counts a wait that lasts until the end, without which the row for small chunks showed only the late call.

Change: a link lets other work run after 2 ms of messages. It does not pause for longer, as what the system's own processes send is work to do. Messages that were received before this side closed the link are dropped.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -39,6 +39,11 @@
       | reads tokens        | line feeds without a length  |
       | reads tokens        | comments without a length    |
 
+  Scenario: A peer that sends messages without a pause
+    Guards against a link whose messages keep all other work of a process waiting.
+    When a peer sends messages without a pause for 1.5 s
+    Then all its messages were received, and nothing else waited for more than 0.5 s
+
   Scenario Outline: Limits of one stream
     Guards against sound streams that are cut, and against others that occupy a process until their
     deadline.
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -12,11 +12,15 @@
 from direct_forwarding_steps import fetch, run_in_harness
 from forwarding_harness import PATHS, raw_request
 from tornado.httputil import HTTPHeaders
+from tornado.iostream import IOStream
 from wasabilb_agent._http_stream import new_client, stream_exchange
 from wasabilb_agent.engine_client import EngineClient
 from wasabilb_core import event_stream
 from wasabilb_core.event_stream import EventBuffer, StreamAllowance
 from wasabilb_core.loop_share import LoopShare
+from wasabilb_wire.codec import encode
+from wasabilb_wire.link import Link
+from wasabilb_wire.messages import SendNotice
 
 # A flood ends by itself, so that a process that it stops goes on and the scenario fails.
 FLOOD_S = 4.0
@@ -111,6 +115,17 @@
     return time.monotonic() - began
 
 
+async def watch_loop(context):
+    """Note how long another task of the event loop waits at most."""
+    while True:
+        due = time.monotonic() + 0.01
+        try:
+            await asyncio.sleep(0.01)
+        finally:
+            # Also when it is cancelled before the loop has come back to it.
+            context.longest_wait_s = max(context.longest_wait_s, time.monotonic() - due)
+
+
 def send_beside(context, seconds, streams, timeout_s):
     async def send_all(harness):
         await fetch(harness, raw_request(PATHS["at-most-once"], request_id="q-0"))
@@ -174,14 +189,8 @@
     context.server = FloodingServer(form, is_engine=True)
     context.longest_wait_s = 0.0
 
-    async def watch_loop():
-        while True:
-            due = time.monotonic() + 0.01
-            await asyncio.sleep(0.01)
-            context.longest_wait_s = max(context.longest_wait_s, time.monotonic() - due)
-
     async def main():
-        watch = asyncio.ensure_future(watch_loop())
+        watch = asyncio.ensure_future(watch_loop(context))
         context.began = time.monotonic()
         await AGENT_CALLS[call](f"http://{context.server.address}", timeout)
         context.took_s = time.monotonic() - context.began
@@ -193,6 +202,40 @@
     asyncio.run(main())
 
 
+@when("a peer sends messages without a pause for {seconds:g} s")
+def step_busy_peer(context, seconds):
+    frames = encode(SendNotice(runners=["r"], prompt_tokens=[1])) * 1000
+    context.longest_wait_s, context.messages = 0.0, 0
+
+    def on_message(link, message):
+        context.messages += 1
+
+    def send(sock):
+        until = time.monotonic() + seconds
+        with sock:
+            while time.monotonic() < until:
+                sock.sendall(frames)
+
+    async def main():
+        ends = socket.socketpair()
+        ends[0].setblocking(False)
+        watch = asyncio.ensure_future(watch_loop(context))
+        link = Link(stream=IOStream(ends[0]), on_message=on_message)
+        sender = threading.Thread(target=send, args=(ends[1],), daemon=True)
+        sender.start()
+        await asyncio.sleep(0)
+        await link.run()
+        watch.cancel()
+
+    asyncio.run(main())
+
+
+@then("all its messages were received, and nothing else waited for more than {wait:g} s")
+def step_peer_heard(context, wait):
+    assert context.messages and context.messages % 1000 == 0, context.messages
+    assert context.longest_wait_s <= wait, context.longest_wait_s
+
+
 async def pass_on_bytes(url, timeout_s):
     async def on_bytes(data):
         pass
--- a/packages/wasabilb-wire/src/wasabilb_wire/link.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/link.py
@@ -10,6 +10,7 @@
 
 from wasabilb_wire.codec import FrameBuffer, encode, read_frame
 from wasabilb_wire.messages import Message
+from wasabilb_wire.read_turns import ReadTurn
 
 READ_BYTES = 1 << 16
 # A peer with a larger backlog of unread data is treated as silent.
@@ -35,6 +36,7 @@
         self._buffer = FrameBuffer()
         self._unsent_bytes = 0
         self._outgoing: list[bytes] = []
+        self._is_closed_here = False
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -77,24 +79,31 @@
         return True
 
     async def run(self) -> Error | None:
-        """Receive messages until the link closes and return the error that closed it, if any."""
-        while True:
+        """Receive messages until the link closes and return the error that closed it, if any.
+
+        Other work continues between two messages of a peer that sends without a pause.
+        """
+        turn = ReadTurn(reader="link", is_trusted=True)
+        while not self._is_closed_here:
             try:
                 data = await self._stream.read_bytes(READ_BYTES, partial=True)
             except StreamClosedError:
                 return None
             self.bytes_received += len(data)
-            error = self._receive(data)
+            error = await self._receive(data, turn)
             if error is not None:
                 self._stream.close()
                 return error
+        return None
 
     def close(self) -> None:
         """Close the connection after an attempt to write the queued messages."""
+        self._is_closed_here = True
         self._flush()
         self._stream.close()
 
-    def _receive(self, data: bytes) -> Error | None:
+    async def _receive(self, data: bytes, turn: ReadTurn) -> Error | None:
+        turn.begin()
         frames = self._buffer.feed(data)
         if isinstance(frames, Failure):
             bad_length: Error = frames.failure()
@@ -108,6 +117,12 @@
             except Exception as exc:
                 # An error in a handler must close only this link, not stop the process.
                 return Error(kind=ErrorKind.INTERNAL, detail=f"{type(exc).__name__}: {exc}")
+            pause = turn.pause()
+            if pause is not None:
+                await pause
+                if self._is_closed_here:
+                    return None
+                turn.begin()
         return None
 
     def _flush(self) -> None:
--- a/packages/wasabilb-wire/src/wasabilb_wire/read_turns.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/read_turns.py
@@ -58,10 +58,13 @@
     ----------
     reader : str
         Name of the reader for the log.
+    is_trusted : bool
+        Whether the reader lets others run after a turn but does not pause: what other processes of
+        the system send is work to do, even when it fills the loop.
     """
 
-    def __init__(self, *, reader: str = "") -> None:
-        self._reader = reader
+    def __init__(self, *, reader: str = "", is_trusted: bool = False) -> None:
+        self._reader, self._is_trusted = reader, is_trusted
         self._loop = asyncio.get_running_loop()
         self._state = _state_of(self._loop)
         self._iteration = 0
@@ -79,6 +82,8 @@
             return None
         moment = self._loop.time()
         used_s = moment - self._began_at
+        if self._is_trusted:
+            return asyncio.sleep(0) if used_s >= MAX_TURN_S else None
         pause_s = self._state.share.pause_s(used_s, now=moment, reader=self._reader)
         return asyncio.sleep(pause_s) if pause_s > 0 else None
 
