A stream is limited by its events, not its bytes

Cause: the cost of a stream grows with the number of its events, and the limit counted bytes. Change: 8,192 events and 2,000 a second since the head; engines send 113 a second at most.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -47,16 +47,16 @@
   Scenario Outline: Limits of one stream
     Guards against sound streams that are cut, and against others that occupy a process until their
     deadline.
-    When a stream receives <bytes> bytes in <seconds> s
+    When a stream receives <events> events in <seconds> s
     Then the stream is <outcome> by its limit
 
     Examples:
-      | bytes   | seconds | outcome  |
-      | 60000   | 0       | accepted |
-      | 2097152 | 0       | accepted |
-      | 2097153 | 0       | refused  |
-      | 600000  | 10      | accepted |
-      | 4000000 | 1       | refused  |
+      | events | seconds | outcome  |
+      | 8192   | 0       | accepted |
+      | 8193   | 0       | refused  |
+      | 1130   | 10      | accepted |
+      | 12000  | 1       | refused  |
+      | 28000  | 10      | accepted |
 
   Scenario: Half of the event loop is left to others
     Guards against busy readers that take all of the event loop, however many there are.
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -272,7 +272,7 @@
     )
 
 
-@when("a stream receives {size:d} bytes in {seconds:g} s")
+@when("a stream receives {size:d} events in {seconds:g} s")
 def step_receives(context, size, seconds):
     context.is_accepted = StreamAllowance().take(size, seconds)
 
--- a/packages/wasabilb-agent/src/wasabilb_agent/engine_client.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/engine_client.py
@@ -171,8 +171,6 @@
                 on_head(_to_variant({h.name.lower(): h.value for h in headers}))
 
         async def on_bytes(data: bytes) -> None:
-            if not completion.allowance.take(len(data), now() - completion.head_at):
-                raise ValueError(f"a stream of {completion.allowance.received_bytes} bytes")
             if completion.status == HTTP_OK:
                 await _process_events(completion, data, on_tokens)
 
@@ -221,7 +219,11 @@
 async def _process_events(completion: _Completion, data: bytes, on_tokens: OnTokens) -> None:
     texts: list[str] = []
     position = 0
-    for event in completion.events.feed(data):
+    count = completion.events.count
+    events = completion.events.feed(data)
+    if not completion.allowance.take(completion.events.count - count, now() - completion.head_at):
+        raise ValueError(f"a stream of {completion.allowance.events} events")
+    for event in events:
         if event == "[DONE]":
             continue
         item = json.loads(event)
--- a/packages/wasabilb-agent/src/wasabilb_agent/server_sent_events.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/server_sent_events.py
@@ -12,6 +12,11 @@
     def __init__(self) -> None:
         self._events = EventBuffer()
 
+    @property
+    def count(self) -> int:
+        """Return the number of complete events so far, those without data included."""
+        return self._events.count
+
     def feed(self, data: bytes) -> list[str]:
         """Add received bytes; return the data of events that are now complete and have data.
 
--- a/packages/wasabilb-core/src/wasabilb_core/event_stream.py
+++ b/packages/wasabilb-core/src/wasabilb_core/event_stream.py
@@ -11,34 +11,34 @@
 # Events of the known services are below 1 KiB; the limit keeps an endless line from filling the
 # memory.
 MAX_EVENT_BYTES = 1 << 20
-# A stream of the known services has at most 113 events of 0.5 KiB a second. A stored answer may
-# arrive at once.
-STREAM_BYTES_PER_S = 256 << 10
-STREAM_BURST_BYTES = 2 * MAX_EVENT_BYTES
+# Engines of the known services send at most 113 events a second. A stored answer may arrive at
+# once.
+STREAM_EVENTS_PER_S = 2000
+STREAM_BURST_EVENTS = 8192
 
 
 @define(kw_only=True)
 class StreamAllowance:
-    """Limit on the bytes of one event stream, which has no length of its own.
+    """Limit on the events of one stream, as the cost of a stream grows with their number.
 
-    A sound server cannot exceed it. One that does sends bytes that are no answer, each of which
-    would look like progress.
+    A sound server cannot exceed it. One that does sends bytes that are no answer, such as line
+    feeds, each pair of which ends an event and would look like progress.
     """
 
-    received_bytes: int = 0
+    events: int = 0
 
-    def take(self, size: int, elapsed_s: float) -> bool:
-        """Count received bytes; return whether the stream is within its limit.
+    def take(self, events: int, elapsed_s: float) -> bool:
+        """Count received events; return whether the stream is within its limit.
 
         Parameters
         ----------
-        size : int
-            Bytes that were received now.
+        events : int
+            Events that were received now, those without data included.
         elapsed_s : float
             Time since the head of the answer, seconds.
         """
-        self.received_bytes += size
-        return self.received_bytes <= STREAM_BURST_BYTES + STREAM_BYTES_PER_S * elapsed_s
+        self.events += events
+        return self.events <= STREAM_BURST_EVENTS + STREAM_EVENTS_PER_S * elapsed_s
 
 
 class EventBuffer:
--- a/packages/wasabilb-entry/src/wasabilb_entry/relay.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/relay.py
@@ -254,17 +254,18 @@
         if not self._is_streaming:
             self._buffer(data)
             return None
-        elapsed_s = now() - self._head_at
-        if not self._allowance.take(len(data), elapsed_s):
-            size = self._allowance.received_bytes
-            raise AnswerRefusedError(f"a stream of {size} bytes in {elapsed_s:.2f} s")
         if not self.is_writer:
             # Kept back until another runner had taken over.
             return None
+        count = self.events.count
         try:
             whole = self.events.feed(data)
         except ValueError as exc:
             raise AnswerRefusedError(str(exc)) from exc
+        elapsed_s = now() - self._head_at
+        if not self._allowance.take(self.events.count - count, elapsed_s):
+            detail = f"a stream of {self._allowance.events} events in {elapsed_s:.2f} s"
+            raise AnswerRefusedError(detail)
         if not whole:
             return None
         self.progress_at = now()
