The answers of all requests together are bounded

Cause: a buffered answer has a limit (4 MiB) and the sum of all has none; an entry host has 200 MB, 48 such answers take 192.

Change: AnswerMemory bounds all buffered answers to 48 MiB, beyond 16 KiB of each. Where there is no room the largest unfinished answer is given up, and what it held is freed at once, so that a faulty server does not end the answers of others. An answer counts until its caller has taken it or left.

--- a/packages/wasabilb-entry/src/wasabilb_entry/caller_connection.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/caller_connection.py
@@ -75,11 +75,12 @@
         """Set the function to call when the caller disconnects."""
         self._on_caller_gone = callback
 
-    def answer(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
-        """Send a whole answer."""
+    def answer(self, status: int, headers: HTTPHeaders, body: bytes) -> "asyncio.Future[None]":
+        """Send a whole answer; the future completes when the connection has taken it or ended."""
         headers["Content-Length"] = str(len(body))
-        self.start(status, headers, body)
+        written = self.start(status, headers, body)
         self.finish()
+        return written
 
     def start(self, status: int, headers: HTTPHeaders, data: bytes) -> "asyncio.Future[None]":
         """Send the head and the first part of an answer."""
--- a/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/forwarder.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from tornado.httputil import HTTPHeaders
+from wasabilb_core.answer_memory import AnswerMemory
 from wasabilb_core.attempts import (
     AttemptEnd,
     final_error,
@@ -97,6 +98,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._contexts: set[RequestContext] = set()
         self._run_times = RunTimes()
+        self._answer_memory = AnswerMemory()
         self._drain: DrainSchedule | None = None
 
     @property
@@ -137,6 +139,8 @@
                 await self._forward(ctx)
             finally:
                 self._contexts.discard(ctx)
+                if not ctx.relay.share.is_sending:
+                    ctx.relay.share.close()
         except Exception as exc:
             # A bug must only end this request; the error reports that it may have run.
             self._log.event("internal_error", where="forwarder", detail=repr(exc))
@@ -167,6 +171,7 @@
             protocol=self._protocol,
             is_stream=route.kind is RequestKind.STREAM,
         )
+        relay.limit_memory(self._answer_memory)
         ctx = RequestContext(
             req=req,
             metadata=metadata,
@@ -233,7 +238,7 @@
     def _finish(self, ctx: RequestContext) -> None:
         buffered_answer = ctx.relay.buffered_answer()
         if buffered_answer is not None and not ctx.req.is_caller_gone:
-            send_buffered_answer(ctx.req, buffered_answer)
+            send_buffered_answer(ctx.req, buffered_answer, ctx.relay.share)
         self._run_times.observe((ctx.service, ctx.route.kind), now() - ctx.req.arrived_at)
         self._log_done(ctx, outcome="answered")
 
@@ -249,7 +254,7 @@
             )
             return
         if ctx.failed_answer is not None:
-            send_buffered_answer(ctx.req, ctx.failed_answer)
+            send_buffered_answer(ctx.req, ctx.failed_answer, ctx.relay.share)
             self._log_done(ctx, outcome="failed-by-runner", reason=reason)
             return
         if ctx.history.may_have_run or error is None:
--- a/packages/wasabilb-entry/src/wasabilb_entry/relay.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/relay.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 from tornado.httputil import HTTPHeaders
+from wasabilb_core.answer_memory import AnswerMemory, AnswerShare
 from wasabilb_core.attempts import AnswerProgress
 from wasabilb_core.crashing_parts import SURVIVED_S
 from wasabilb_core.event_stream import EventBuffer, StreamAllowance
@@ -39,6 +40,8 @@
 
     writer: "Relay | None" = None
     is_whole: bool = False
+    # Buffered bytes of the request, those of its later relays included.
+    share: AnswerShare = field(factory=lambda: AnswerMemory().open())
 
 
 @define(kw_only=True, eq=False)
@@ -95,6 +98,15 @@
         if self._answer.writer is None:
             self._answer.writer = self
 
+    def limit_memory(self, memory: AnswerMemory) -> None:
+        """Count what the request buffers in a memory that it shares with other requests."""
+        self._answer.share = memory.open()
+
+    @property
+    def share(self) -> AnswerShare:
+        """Return the buffered bytes of the request."""
+        return self._answer.share
+
     def successor(self, on_taken_over: Callable[[], None]) -> "Relay":
         """Return a relay that may take over the answer after its last whole event.
 
@@ -192,6 +204,7 @@
         self._parts.clear()
         self._is_streaming = False
         self._allowance = StreamAllowance()
+        self.share.begin_attempt(self._parts.clear)
         self.progress_at = now()
 
     @property
@@ -278,7 +291,10 @@
         self._size += len(data)
         if self._size > MAX_BUFFERED_BYTES:
             self._parts.clear()
+            self.share.revoke()
             raise AnswerRefusedError(f"an answer of more than {MAX_BUFFERED_BYTES} bytes")
+        if not self.share.take(len(data)):
+            raise AnswerRefusedError(f"the memory for answers is full; this one has {self._size}")
         self._parts.append(data)
         if self._size - self._size_at_progress >= PROGRESS_BYTES:
             self._size_at_progress, self.progress_at = self._size, now()
@@ -321,7 +337,12 @@
         return self.req.start(self.head.status, end_to_end(self.head.headers), data)
 
 
-def send_buffered_answer(req: ReceivedRequest, buffered_answer: BufferedAnswer) -> None:
-    """Send a whole answer unchanged."""
+def send_buffered_answer(
+    req: ReceivedRequest, buffered_answer: BufferedAnswer, share: AnswerShare
+) -> None:
+    """Send a whole answer unchanged; it counts as held until the caller has taken it."""
     headers: HTTPHeaders = end_to_end(buffered_answer.head.headers)
-    req.answer(buffered_answer.head.status, headers, buffered_answer.body)
+    share.keep()
+    share.is_sending = True
+    written = req.answer(buffered_answer.head.status, headers, buffered_answer.body)
+    written.add_done_callback(lambda _: share.close())
--- a/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
@@ -264,6 +264,9 @@
     def _to_end(self, read: ReadOutcome) -> AttemptEnd:
         if read is not ReadOutcome.COMPLETE or self.relay.head is None:
             return AttemptEnd.BROKEN
+        if self.relay.share.is_revoked:
+            self.abort_reason = "the memory for answers is full"
+            return AttemptEnd.BROKEN
         head, metadata = self.relay.head, self.relay.metadata
         if metadata.is_not_run:
             return AttemptEnd.REFUSED
