No call keeps more of an answer than it can use

Cause: clients of the library had its limit of 100 MB, or that of streamed answers (1 GiB), for answers that they keep whole; a chunk of the store had 64 MiB where its manifest gives the length; up to 32 staged chunks are read at once since the check of staged chunks, 6 MiB each. At an endless head the library raises UnsatisfiableReadError, which calls did not expect.

Evidence: features/endless_answers.feature, "A call whose answer does not end", on: 10 of 19 rows failed; a server could send 1,074 MB to an agent that asked its engine for its state, 105 MB to the client of the configuration service, 67 MB for a manifest of the store.

Change: every call names the most it can use: a report 64 KiB, a manifest 512 KiB, a chunk its own length, an engine's call 1 MiB, the configuration service 4 MiB. An endless head is an error of the call.

After: all 19 rows pass.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -44,6 +44,36 @@
     When a peer sends messages without a pause for 1.5 s
     Then all its messages were received, and nothing else waited for more than 0.5 s
 
+  Scenario Outline: A call whose answer does not end
+    Guards against a process that keeps what it receives until its memory ends.
+    When a process <call> and gets <form> without end
+    Then the call failed, and the server could send at most <bound> MB beside what sockets hold
+
+    Examples: bodies
+      | call                           | form                             | bound |
+      | reads the index of tickets     | line feeds without a length      | 5     |
+      | reads the index of tickets     | small events in small chunks     | 15    |
+      | reads the state of an engine   | line feeds without a length      | 2     |
+      | reads the state of an engine   | events of 16 KB without a length | 2     |
+      | reads a manifest of the store  | events of 16 KB without a length | 1     |
+      | reads a chunk of the store     | events of 16 KB without a length | 1     |
+      | reads the state of a runner    | events of 16 KB without a length | 1     |
+      | reads a staged chunk           | events of 16 KB without a length | 1     |
+      | orders a load                  | events of 16 KB without a length | 1     |
+      | reads a manifest of the origin | events of 16 KB without a length | 1     |
+      | reads a chunk of the origin    | events of 16 KB without a length | 7     |
+
+    Examples: heads
+      | call                         | form         | bound |
+      | reads the index of tickets   | header lines | 1     |
+      | reads the index of tickets   | one header   | 1     |
+      | reads the state of an engine | header lines | 1     |
+      | reads the state of an engine | one header   | 1     |
+      | reads a chunk of the store   | header lines | 1     |
+      | reads the state of a runner  | header lines | 1     |
+      | reads a staged chunk         | one header   | 1     |
+      | reads a chunk of the origin  | one header   | 1     |
+
   Scenario Outline: Limits of one stream
     Guards against sound streams that are cut, and against others that occupy a process until their
     deadline.
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -2,35 +2,55 @@
 
 import asyncio
 import contextlib
+import logging
+import math
 import random
 import re
 import socket
 import threading
 import time
+from functools import partial
 
+import platform_examples  # noqa: F401  Makes the platform's adapter importable.
 from behave import given, then, when
 from direct_forwarding_steps import fetch, run_in_harness
 from forwarding_harness import PATHS, raw_request
+from returns.result import Failure
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import IOStream
 from wasabilb_agent._http_stream import new_client, stream_exchange
+from wasabilb_agent._store_client import StoreClient
 from wasabilb_agent.engine_client import EngineClient
 from wasabilb_core import event_stream
 from wasabilb_core.event_stream import EventBuffer, StreamAllowance
 from wasabilb_core.loop_share import LoopShare
+from wasabilb_core.manifest import Manifest
+from wasabilb_core.tickets import Variant
+from wasabilb_node.http_client import ConnectionPool
+from wasabilb_node.logs import EventLog
+from wasabilb_node.metrics import Metrics
+from wasabilb_node.platform_client import PlatformClient
+from wasabilb_platform.origin_client import OriginClient
+from wasabilb_platform.runner_client import RunnerClient
 from wasabilb_wire.codec import encode
 from wasabilb_wire.link import Link
 from wasabilb_wire.messages import SendNotice
 
 # A flood ends by itself, so that a process that it stops goes on and the scenario fails.
 FLOOD_S = 4.0
+# Bytes that the buffers of two sockets on loopback hold at most, by the kernel's usual limits.
+SOCKET_BYTES = 12 << 20
 BLOCKS = {
     "line feeds": b"\n" * 16384,
     "comments": b":\n\n" * 5000,
     "small events": b"data: x\n\n" * 1800,
+    "header lines": b"X: y\r\n" * 2700,
+    "one header": b"X: " + b"y" * 16384,
     "events of 16 KB": b"data: " + b"x" * 16376 + b"\n\n",
 }
+HEADS = ("header lines", "one header")
 LENGTHS = {
+    "": b"",
     "without a length": b"",
     "with a length": b"Content-Length: 15000000\r\n",
     "in small chunks": b"Transfer-Encoding: chunked\r\n",
@@ -48,6 +68,7 @@
         self.is_engine, self.sent_bytes = is_engine, 0
         name = next(name for name in BLOCKS if form.startswith(name))
         length = form.removeprefix(name).strip()
+        self.is_head = name in HEADS
         self.block = SMALL_CHUNKS if length == "in small chunks" else BLOCKS[name]
         self.headers = b"Content-Type: text/event-stream\r\n" + LENGTHS[length]
         self.closed_at = []
@@ -93,7 +114,7 @@
     def flood(self, sock, start):
         until = time.monotonic() + FLOOD_S
         try:
-            sock.sendall(start + self.headers + b"\r\n")
+            sock.sendall(start + self.headers + (b"" if self.is_head else b"\r\n"))
             while time.monotonic() < until:
                 sock.sendall(self.block)
                 self.sent_bytes += len(self.block)
@@ -202,6 +223,77 @@
     asyncio.run(main())
 
 
+async def call_platform(address):
+    log = EventLog(process="t", role="t", host="t", failure_domain="a", incarnation="1")
+    metrics = Metrics(address="", role="entry", host="t", log=log)
+    url = f"http://{address}"
+    return await PlatformClient(config_service=url, host_list=url, metrics=metrics).index()
+
+
+async def call_runner(address, make_call):
+    pool = ConnectionPool(max_idle=1)
+    return await make_call(RunnerClient(pool=pool, address=address))
+
+
+async def call_origin(address, make_call):
+    pool = ConnectionPool(max_idle=1)
+    return await make_call(OriginClient(pool=pool, address=lambda: address))
+
+
+VARIANT = Variant(model="m", adapter="", version="2")
+MANIFEST = Manifest(
+    model="m", version="2", adapter="", size=64, chunk_size=64, chunks=("a" * 64,), digest=""
+)
+ORDER = {"fence": 1, "orders": 1, "send_by": math.inf}
+CALLS = {
+    "reads the index of tickets": call_platform,
+    "reads the state of an engine": lambda address: EngineClient(
+        url=f"http://{address}", orders_token=""
+    ).status(),
+    "reads a manifest of the store": lambda address: StoreClient(url=f"http://{address}").manifest(
+        VARIANT
+    ),
+    "reads a chunk of the store": lambda address: StoreClient(url=f"http://{address}").chunk(
+        MANIFEST, 0
+    ),
+    "reads the state of a runner": partial(call_runner, make_call=lambda c: c.state()),
+    "reads a staged chunk": partial(
+        call_runner, make_call=lambda c: c.staged_chunk("m", 0, max_bytes=1 << 17)
+    ),
+    "orders a load": partial(call_runner, make_call=lambda c: c.load("m", 2, **ORDER)),
+    "reads a manifest of the origin": partial(call_origin, make_call=lambda c: c.manifest(VARIANT)),
+    "reads a chunk of the origin": partial(call_origin, make_call=lambda c: c.chunk(MANIFEST, 0)),
+}
+
+
+@when("a process {call} and gets {form} without end")
+def step_endless_call(context, call, form):
+    context.server = FloodingServer(form, is_engine=True)
+
+    async def main():
+        context.answer = await asyncio.wait_for(CALLS[call](context.server.address), 10)
+        await asyncio.sleep(0.2)
+        await context.server.stop()
+
+    # The library logs malformed answers.
+    logger = logging.getLogger("tornado")
+    level = logger.level
+    logger.setLevel(logging.CRITICAL)
+    try:
+        asyncio.run(main())
+    finally:
+        logger.setLevel(level)
+
+
+@then(
+    "the call failed, and the server could send at most {megabytes:g} MB beside what sockets hold"
+)
+def step_call_failed(context, megabytes):
+    assert isinstance(context.answer, Failure), context.answer
+    sent = context.server.sent_bytes - SOCKET_BYTES
+    assert sent <= megabytes * 1e6, context.server.sent_bytes
+
+
 @when("a peer sends messages without a pause for {seconds:g} s")
 def step_busy_peer(context, seconds):
     frames = encode(SendNotice(runners=["r"], prompt_tokens=[1])) * 1000
--- a/features/steps/staged_check_steps.py
+++ b/features/steps/staged_check_steps.py
@@ -46,7 +46,7 @@
         while now() < self.awake_at:
             await asyncio.sleep(self.awake_at - now())
 
-    async def staged_chunk(self, model, index):
+    async def staged_chunk(self, model, index, *, max_bytes=math.inf):
         self.reads += 1
         if self.reads == PAUSE_AT_READ:
             if self.moment == "during the check":
--- a/packages/wasabilb-agent/src/wasabilb_agent/_http_stream.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_http_stream.py
@@ -47,11 +47,19 @@
     callback_error: Exception | None = None
 
 
-def new_client() -> AsyncHTTPClient:
-    """Return a client that opens one connection for each request."""
-    return ChunkedClient(
-        force_instance=True, max_clients=MAX_CLIENTS, max_body_size=MAX_RESPONSE_BYTES
-    )
+def new_client(
+    *, max_bytes: int = MAX_RESPONSE_BYTES, max_clients: int = MAX_CLIENTS
+) -> AsyncHTTPClient:
+    """Return a client that opens one connection for each request.
+
+    Parameters
+    ----------
+    max_bytes : int
+        Longest body. One that is not streamed is kept until it is whole.
+    max_clients : int
+        Requests at once; further ones wait.
+    """
+    return ChunkedClient(force_instance=True, max_clients=max_clients, max_body_size=max_bytes)
 
 
 async def stream_exchange(
--- a/packages/wasabilb-agent/src/wasabilb_agent/_store_client.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_store_client.py
@@ -1,16 +1,19 @@
 """HTTP client that reads manifests and chunks from the weight store."""
 
 from returns.result import Failure, Result, Success
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError
+from tornado.httputil import HTTPHeaders
 from wasabilb_core.errors import Error, ErrorKind
-from wasabilb_core.manifest import MAX_CHUNK_BYTES, Manifest, parse_manifest
+from wasabilb_core.manifest import MAX_MANIFEST_BYTES, Manifest, parse_manifest
 from wasabilb_core.tickets import Variant
 
+from wasabilb_agent._http_stream import ExchangeStoppedError, new_client, stream_exchange
+
 MANIFEST_TIMEOUT_S = 10.0
 # The planner cancels unusually slow requests; this bound covers those that it cannot see.
 CHUNK_TIMEOUT_S = 600.0
-CONNECT_TIMEOUT_S = 3.0
-HTTP_NOT_FOUND = 404
+# Further requests wait in the client.
+MAX_REQUESTS = 10
+HTTP_OK, HTTP_NOT_FOUND = 200, 404
 
 
 class StoreClient:
@@ -24,13 +27,13 @@
 
     def __init__(self, *, url: str) -> None:
         self._url = url.rstrip("/")
-        self._http = AsyncHTTPClient(force_instance=True, max_body_size=MAX_CHUNK_BYTES)
+        self._http = new_client(max_clients=MAX_REQUESTS)
 
     async def manifest(self, variant: Variant) -> Result[Manifest, Error]:
         """Return the manifest of a variant; one that names another variant is refused."""
         path = f"/v1/manifests/{variant.model}/{variant.version}"
         query = f"?adapter={variant.adapter}" if variant.adapter else ""
-        body = await self._get(path + query, MANIFEST_TIMEOUT_S)
+        body = await self._get(path + query, MANIFEST_TIMEOUT_S, MAX_MANIFEST_BYTES)
         if isinstance(body, Failure):
             return body
         result = parse_manifest(body.unwrap())
@@ -41,19 +44,44 @@
 
     async def chunk(self, manifest: Manifest, index: int) -> Result[bytes, Error]:
         """Return a chunk, unverified; `NOT_FOUND` when the store does not have it."""
-        return await self._get(f"/v1/chunks/{manifest.chunks[index]}", CHUNK_TIMEOUT_S)
+        path = f"/v1/chunks/{manifest.chunks[index]}"
+        return await self._get(path, CHUNK_TIMEOUT_S, manifest.chunk_length(index))
 
     def close(self) -> None:
         """Release the client."""
         self._http.close()
 
-    async def _get(self, path: str, timeout_s: float) -> Result[bytes, Error]:
+    async def _get(self, path: str, timeout_s: float, max_bytes: int) -> Result[bytes, Error]:
+        body = bytearray()
+
+        async def on_bytes(data: bytes) -> None:
+            if len(body) + len(data) > max_bytes:
+                raise ExchangeStoppedError
+            body.extend(data)
+
         try:
-            response = await self._http.fetch(
-                self._url + path, connect_timeout=CONNECT_TIMEOUT_S, request_timeout=timeout_s
+            result = await stream_exchange(
+                http=self._http,
+                url=self._url + path,
+                method="GET",
+                headers=HTTPHeaders(),
+                body=None,
+                timeout_s=timeout_s,
+                on_head=lambda status, headers: None,
+                on_bytes=on_bytes,
             )
-        except (HTTPClientError, OSError, ValueError) as exc:
-            is_missing = isinstance(exc, HTTPClientError) and exc.code == HTTP_NOT_FOUND
-            kind = ErrorKind.NOT_FOUND if is_missing else ErrorKind.PLATFORM_UNAVAILABLE
-            return Failure(Error(kind=kind, detail=f"store {path.partition('?')[0]}: {exc}"))
-        return Success(response.body)
+        except ExchangeStoppedError:
+            return _failure(path, f"more than {max_bytes} bytes")
+        if isinstance(result, Failure):
+            return _failure(path, result.failure().detail)
+        status = result.unwrap()
+        if status == HTTP_OK:
+            return Success(bytes(body))
+        kind = ErrorKind.NOT_FOUND if status == HTTP_NOT_FOUND else ErrorKind.PLATFORM_UNAVAILABLE
+        return _failure(path, f"status {status}", kind)
+
+
+def _failure(
+    path: str, reason: str, kind: ErrorKind = ErrorKind.PLATFORM_UNAVAILABLE
+) -> Failure[Error]:
+    return Failure(Error(kind=kind, detail=f"store {path.partition('?')[0]}: {reason}"))
--- a/packages/wasabilb-agent/src/wasabilb_agent/engine_client.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/engine_client.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 from tornado.httpclient import HTTPClientError
 from tornado.httputil import HTTPHeaders
+from tornado.iostream import UnsatisfiableReadError
 from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.event_stream import StreamAllowance
 from wasabilb_core.orders import EngineReport, Order
@@ -21,6 +22,8 @@
 REPORT_TIMEOUT_S = 3.0
 ORDER_TIMEOUT_S = 30.0
 CHUNK_TIMEOUT_S = 30.0
+# Reports have a few KiB, other calls an empty answer.
+MAX_CALL_BYTES = 1 << 20
 HTTP_OK = 200
 
 
@@ -93,6 +96,7 @@
         if orders_token:
             self._orders_headers["Authorization"] = f"Bearer {orders_token}"
         self._http = new_client()
+        self._calls = new_client(max_bytes=MAX_CALL_BYTES)
 
     async def status(self) -> Result[EngineStatus, Error]:
         """Return a report with a fresh model state."""
@@ -197,12 +201,13 @@
     def close(self) -> None:
         """Release the client."""
         self._http.close()
+        self._calls.close()
 
     async def _call(
         self, method: str, path: str, *, timeout_s: float, body: bytes | None = None
     ) -> Result[bytes, Error]:
         try:
-            response = await self._http.fetch(
+            response = await self._calls.fetch(
                 self._url + path,
                 method=method,
                 headers=self._orders_headers,
@@ -210,7 +215,8 @@
                 connect_timeout=CONNECT_TIMEOUT_S,
                 request_timeout=timeout_s,
             )
-        except (HTTPClientError, OSError) as exc:
+        except (HTTPClientError, OSError, UnsatisfiableReadError) as exc:
+            # The last one: a head that does not end.
             detail = f"{method} {path.partition('?')[0]}: {exc}"
             return _failure(detail)
         return Success(response.body)
--- a/packages/wasabilb-agent/src/wasabilb_agent/model_runner.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/model_runner.py
@@ -61,8 +61,10 @@
     async def put_chunk(self, model: str, index: int, data: bytes) -> Result[None, Error]:
         """Stage a chunk beside the runner, in place of an earlier one."""
 
-    async def staged_chunk(self, model: str, index: int) -> Result[bytes | None, Error]:
-        """Return a staged chunk, None when there is none."""
+    async def staged_chunk(
+        self, model: str, index: int, *, max_bytes: int
+    ) -> Result[bytes | None, Error]:
+        """Return a staged chunk, None when there is none; fails above `max_bytes`."""
 
     async def load(
         self, model: str, version: int, *, fence: int, orders: int, send_by: float
--- a/packages/wasabilb-agent/src/wasabilb_agent/staging.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/staging.py
@@ -18,7 +18,9 @@
 MAX_REPAIRS = 3
 # Passes of one check: all chunks, then those whose read has become too old.
 MAX_PASSES = 4
-# Bytes that the reads at once may return together.
+# A staged chunk that has changed may be longer than it was, up to twice as long and this.
+STAGED_SLACK_BYTES = 16 << 10
+# Bytes that the reads at once may return together, were all chunks as long as they should be.
 MAX_BYTES_AT_ONCE = 8 << 20
 
 
@@ -45,7 +47,7 @@
         manifest = transfer.manifest
         self._select_manifest(manifest)
         for index in range(len(manifest.chunks)):
-            result = await self._runner.staged_chunk(manifest.model, index)
+            result = await self._read_staged(manifest, index)
             if isinstance(result, Failure):
                 return
             data = result.unwrap()
@@ -131,7 +133,7 @@
         manifest = assembly.manifest
         for _ in range(MAX_REPAIRS):
             sent_at = now()
-            result = await self._runner.staged_chunk(manifest.model, index)
+            result = await self._read_staged(manifest, index)
             if isinstance(result, Failure):
                 return Failure(result.failure())
             data = result.unwrap()
@@ -150,6 +152,10 @@
         detail = f"staged chunk {index} of {manifest.variant} does not stay intact"
         return Failure(Error(kind=ErrorKind.BAD_CHUNK, detail=detail))
 
+    async def _read_staged(self, manifest: Manifest, index: int) -> Result[bytes | None, Error]:
+        most = 2 * manifest.chunk_size + STAGED_SLACK_BYTES
+        return await self._runner.staged_chunk(manifest.model, index, max_bytes=most)
+
     async def _stage_chunk(self, assembly: ChunkAssembly, index: int) -> Result[None, Error]:
         data = assembly.chunk(assembly.transfer, index)
         if data is None:
--- a/packages/wasabilb-node/src/wasabilb_node/http_client.py
+++ b/packages/wasabilb-node/src/wasabilb_node/http_client.py
@@ -32,6 +32,7 @@
 
 __all__ = [
     "CONNECT_TIMEOUT_S",
+    "MAX_ANSWER_BYTES",
     "AnswerHead",
     "AnswerReceiver",
     "AnswerRefusedError",
@@ -57,6 +58,7 @@
 class _CompleteAnswerReceiver:
     """Collects a complete answer."""
 
+    max_bytes: int
     head: AnswerHead | None = None
     parts: list[bytes] = field(factory=list)
     size: int = 0
@@ -67,8 +69,9 @@
 
     def on_data(self, data: bytes) -> None:
         self.size += len(data)
-        if self.size > MAX_ANSWER_BYTES:
-            raise AnswerRefusedError(f"an answer of more than {MAX_ANSWER_BYTES} bytes")
+        if self.size > self.max_bytes:
+            self.parts.clear()
+            raise AnswerRefusedError(f"an answer of more than {self.max_bytes} bytes")
         self.parts.append(data)
 
 
@@ -92,8 +95,9 @@
     timeout_s: float,
     connect_timeout_s: float = CONNECT_TIMEOUT_S,
     send_by: float = math.inf,
+    max_bytes: int = MAX_ANSWER_BYTES,
 ) -> Result[CompleteAnswer, Error]:
-    """Send one request and return its complete answer, whatever its status.
+    """Send one request and return its complete answer, whatever its status, of `max_bytes` at most.
 
     Fails with `PLATFORM_UNAVAILABLE` if no complete answer arrived in time; the request may have
     been executed nevertheless. From `send_by` on, seconds on the process's clock, it fails without
@@ -101,7 +105,17 @@
     """
     try:
         return await asyncio.wait_for(
-            _fetch(pool, address, target, method, body, headers or {}, connect_timeout_s, send_by),
+            _fetch(
+                pool,
+                address,
+                target,
+                method,
+                body,
+                headers or {},
+                connect_timeout_s,
+                send_by,
+                max_bytes,
+            ),
             timeout_s,
         )
     except TimeoutError:
@@ -120,13 +134,14 @@
     extra: dict[str, str],
     connect_timeout_s: float,
     send_by: float,
+    max_bytes: int,
 ) -> Result[CompleteAnswer, Error]:
     conn = await pool.acquire(address, timeout_s=connect_timeout_s)
     late_s = now() - send_by
     if late_s >= 0:
         pool.release(conn)
         return unavailable(f"{method} {target}: not sent, as it came {late_s:.2f} s too late")
-    receiver = _CompleteAnswerReceiver()
+    receiver = _CompleteAnswerReceiver(max_bytes=max_bytes)
     try:
         headers = HTTPHeaders({"Host": address, **extra})
         if body or method in ("POST", "PUT"):
--- a/packages/wasabilb-node/src/wasabilb_node/platform_client.py
+++ b/packages/wasabilb-node/src/wasabilb_node/platform_client.py
@@ -2,6 +2,7 @@
 
 from returns.result import Failure, Result, Success
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
+from tornado.iostream import UnsatisfiableReadError
 from wasabilb_core.errors import Error, unavailable
 from wasabilb_core.metric_names import Metric
 from wasabilb_core.tickets import MAX_TICKET_BYTES
@@ -31,7 +32,7 @@
         self._config_service = config_service.rstrip("/")
         self._host_list = host_list.rstrip("/")
         self._metrics = metrics
-        self._http = AsyncHTTPClient(force_instance=True)
+        self._http = AsyncHTTPClient(force_instance=True, max_body_size=MAX_ANSWER_BYTES)
 
     @property
     def has_host_list(self) -> bool:
@@ -82,7 +83,8 @@
             response = await self._http.fetch(
                 url, connect_timeout=CALL_TIMEOUT_S, request_timeout=timeout_s
             )
-        except (HTTPClientError, OSError) as exc:
+        except (HTTPClientError, OSError, UnsatisfiableReadError) as exc:
+            # The last one: a head that does not end.
             return unavailable(f"{url}: {exc}")
         if len(response.body) > MAX_ANSWER_BYTES:
             return unavailable(f"{url}: {len(response.body)} bytes, at most {MAX_ANSWER_BYTES}")
