The delay of the event loop is served and logged with what held it

What operators saw: a process that answers late, and no trace of the answer that held it; the product's own interface sent LOOP_DELAY to statsd, the metrics address served nothing.

Change: wasabilb_loop_delay_seconds and wasabilb_reader_turn_seconds, once a heartbeat; a line loop_delayed from 0.1 s on, one a heartbeat at most, with the longest turn of a reader meanwhile and its name.

--- a/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/runner_agent.py
@@ -13,6 +13,7 @@
 from wasabilb_core.tickets import HostRole, HostSpec
 from wasabilb_node.clock import now
 from wasabilb_node.http_client import ConnectionPool
+from wasabilb_node.loop_delay import LoopDelayMonitor
 from wasabilb_node.metrics import Metrics
 from wasabilb_node.published_node import HEARTBEAT_S, NodePlace, PublishedNode
 from wasabilb_node.published_source import PublishedDecoder, PublishedSource
@@ -108,6 +109,7 @@
             pool=self._pool,
         )
         self.log, self._links = self._node.log, self._node.links
+        self._loop_delay = LoopDelayMonitor(log=self.log)
         self._published = self._node.published
         self._fleet = ModelFleet(
             published=self._published,
@@ -190,7 +192,7 @@
         self._node.tick(self._targets())
         self._transfers.on_tick()
         self._pool.sweep()
-        await asyncio.sleep(HEARTBEAT_S)
+        await self._loop_delay.sleep(HEARTBEAT_S)
 
     def _targets(self) -> dict[str, str]:
         """Return the peers to link with: other agents, and entry processes if none is linked.
--- a/packages/wasabilb-core/src/wasabilb_core/events.py
+++ b/packages/wasabilb-core/src/wasabilb_core/events.py
@@ -65,6 +65,10 @@
     "plaintext_allowed": _spec("A listener beyond loopback has no TLS.", "detail"),
     "metrics_unavailable": _spec("The statsd address cannot be used.", "detail"),
     "log_field_refused": _spec("A field was omitted from a line.", "in_event field"),
+    "loop_delayed": _spec(
+        "The event loop was late by 0.1 s or more; the longest turn of a reader meanwhile.",
+        "delay_ms turn_ms reader",
+    ),
     "internal_error": _spec("An exception reached the event loop.", "where detail"),
     # Links
     "link_up": _spec("A link to a process is up.", "peer address"),
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway.py
@@ -18,6 +18,7 @@
 from wasabilb_node.clock import now
 from wasabilb_node.http_client import ConnectionPool
 from wasabilb_node.links import Peer
+from wasabilb_node.loop_delay import LoopDelayMonitor
 from wasabilb_node.published_node import HEARTBEAT_S, NodePlace, PublishedNode
 from wasabilb_node.published_source import PublishedDecoder, PublishedSource
 from wasabilb_node.resilient_loop import run_loop
@@ -186,6 +187,7 @@
             log=self.log,
             on_dropped=self._metrics.on_dropped,
         )
+        self._loop_delay = LoopDelayMonitor(log=self.log, on_delay=self._metrics.on_loop_delay)
         self._is_draining = False
         # Called once per heartbeat, for checks of state that changes without a signal.
         self.on_tick: list[Callable[[], None]] = []
@@ -260,7 +262,7 @@
         self._callers.sweep()
         for callback in self.on_tick:
             callback()
-        await asyncio.sleep(HEARTBEAT_S)
+        await self._loop_delay.sleep(HEARTBEAT_S)
 
     def _select_targets(self) -> dict[str, str]:
         """Choose the runners to follow and return the processes to link with."""
--- a/packages/wasabilb-entry/src/wasabilb_entry/gateway_metrics.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/gateway_metrics.py
@@ -7,6 +7,9 @@
 # Upper bounds in seconds, around the latency objectives of 0.15 to 0.5 s and timeouts of 6 s.
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 2.0, 4.0, 6.0)
 
+# Around the 2 ms after which a reader pauses, seconds.
+TURN_BUCKETS_S = (0.001, 0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.128)
+
 
 class GatewayMetrics:
     """Metrics of one entry process."""
@@ -77,6 +80,18 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._loop_delay = Histogram(
+            "wasabilb_loop_delay_seconds",
+            "Delay of the event loop, measured once a heartbeat.",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._reader_turn = Histogram(
+            "wasabilb_reader_turn_seconds",
+            "Longest time between two heartbeats for which one reader held the event loop.",
+            buckets=TURN_BUCKETS_S,
+            registry=self._registry,
+        )
         self._connections = Counter(
             "wasabilb_runner_connections",
             "Connections that were opened to runners.",
@@ -100,6 +115,11 @@
         if first_byte_s is not None:
             self._first_byte.labels(service).observe(first_byte_s)
 
+    def on_loop_delay(self, delay_s: float, turn_s: float) -> None:
+        """Record a delay of the event loop and the longest turn of a reader meanwhile."""
+        self._loop_delay.observe(delay_s)
+        self._reader_turn.observe(turn_s)
+
     def on_refused(self, kind: ErrorKind) -> None:
         """Count a request that was not forwarded."""
         self._refused.labels(kind.value).inc()
