A staged chunk that is too long is replaced

Change: an answer above the limit of its call is TOO_LARGE, and such a staged chunk counts as spoilt.

--- a/features/staged_check.feature
+++ b/features/staged_check.feature
@@ -25,6 +25,20 @@
       | 0.1   | never                    |
       | 0.25  | never                    |
 
+  Scenario: A staged chunk that is much longer than it should be
+    Guards against a runner that never gets an order, as the answer with its chunk exceeds the limit
+    of the call each time.
+    Given a runner that answers a read of a staged chunk after 0.001 s
+    And a staged chunk has grown to 200000 bytes
+    When the agent brings the runner to the next version
+    Then the runner holds it after at most 8 s
+    And the log names the chunk as spoilt once
+
+  Scenario: An answer that is longer than the call allows
+    Guards against a caller that cannot tell a server without an answer from one with too long a one.
+    When a call asks for 1000 bytes at most of an answer of 1001
+    Then it fails as too-large
+
   Scenario: A runner that is too slow for any check
     Guards against an order that relies on an old check because no newer one succeeds.
     Given a runner that answers a read of a staged chunk after 1.5 s
--- a/features/steps/staged_check_steps.py
+++ b/features/steps/staged_check_steps.py
@@ -14,7 +14,7 @@
 from wasabilb_agent.model_runner import OrderAnswer, RunnerState
 from wasabilb_agent.staging import Staging
 from wasabilb_core.catalog import Catalog, EngineSpec, OriginSpec, Service
-from wasabilb_core.errors import unavailable
+from wasabilb_core.errors import Error, ErrorKind, unavailable
 from wasabilb_core.manifest import Manifest
 from wasabilb_core.named_versions import NamedVersions, Naming
 from wasabilb_core.origin_uptime import OriginUptime
@@ -54,6 +54,8 @@
             if self.is_ordered_elsewhere:
                 self.busy_until, self.orders = now() + 3.0, 1
         data = self.staged[index]
+        if len(data) > max_bytes:
+            return Failure(Error(kind=ErrorKind.TOO_LARGE, detail="longer than asked for"))
         if self.spoils and index in BAD_CHUNKS and index not in self.bad_since:
             self.bad_since[index] = math.inf
             asyncio.get_running_loop().call_later(0.25, self.spoil, index)
@@ -147,6 +149,11 @@
     context.runner.moment = moment
 
 
+@given("a staged chunk has grown to {size:d} bytes")
+def given_grown(context, size):
+    context.runner.staged[3] = b"x" * size
+
+
 @given("the runner begins another order during the check")
 def given_other_order(context):
     context.runner.is_ordered_elsewhere = True
@@ -190,6 +197,35 @@
     assert not [age for age in context.runner.loaded_ages if age > 3.0], context.runner.loaded_ages
 
 
+@then("the log names the chunk as spoilt once")
+def step_named_once(context):
+    spoilt = [fields for name, fields in context.log.lines if name == "staged_chunk_spoilt"]
+    assert [fields["chunk"] for fields in spoilt] == [3], spoilt
+
+
+@when("a call asks for {most:d} bytes at most of an answer of {size:d}")
+def step_bounded_call(context, most, size):
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + b"x" * size)
+        writer.close()
+
+    async def main():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        pool = ConnectionPool(max_idle=1)
+        context.answer = await fetch(pool, address, "/", timeout_s=1.0, max_bytes=most)
+        pool.close()
+        server.close()
+
+    asyncio.run(main())
+
+
+@then("it fails as {kind}")
+def step_fails_as(context, kind):
+    assert context.answer.failure().kind.value == kind, context.answer
+
+
 @then("no order was sent, and the log names the slow check")
 def step_no_order(context):
     assert not context.runner.sent_orders
--- a/packages/wasabilb-agent/src/wasabilb_agent/model_runner.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/model_runner.py
@@ -64,7 +64,7 @@
     async def staged_chunk(
         self, model: str, index: int, *, max_bytes: int
     ) -> Result[bytes | None, Error]:
-        """Return a staged chunk, None when there is none; fails above `max_bytes`."""
+        """Return a staged chunk, None when there is none; `TOO_LARGE` above `max_bytes`."""
 
     async def load(
         self, model: str, version: int, *, fence: int, orders: int, send_by: float
--- a/packages/wasabilb-agent/src/wasabilb_agent/staging.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/staging.py
@@ -154,7 +154,11 @@
 
     async def _read_staged(self, manifest: Manifest, index: int) -> Result[bytes | None, Error]:
         most = 2 * manifest.chunk_size + STAGED_SLACK_BYTES
-        return await self._runner.staged_chunk(manifest.model, index, max_bytes=most)
+        result = await self._runner.staged_chunk(manifest.model, index, max_bytes=most)
+        if isinstance(result, Failure) and result.failure().kind is ErrorKind.TOO_LARGE:
+            # It cannot be the chunk, so that its content does not matter.
+            return Success(b"")
+        return result
 
     async def _stage_chunk(self, assembly: ChunkAssembly, index: int) -> Result[None, Error]:
         data = assembly.chunk(assembly.transfer, index)
--- a/packages/wasabilb-node/src/wasabilb_node/http_client.py
+++ b/packages/wasabilb-node/src/wasabilb_node/http_client.py
@@ -8,10 +8,10 @@
 import math
 
 from attrs import define, field, frozen
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
-from wasabilb_core.errors import Error, unavailable
+from wasabilb_core.errors import Error, ErrorKind, unavailable
 
 from wasabilb_node._connection_pool import (
     CONNECT_TIMEOUT_S,
@@ -63,13 +63,17 @@
     parts: list[bytes] = field(factory=list)
     size: int = 0
 
+    @property
+    def is_too_large(self) -> bool:
+        return self.size > self.max_bytes
+
     def on_head(self, head: AnswerHead) -> bool:
         self.head = head
         return True
 
     def on_data(self, data: bytes) -> None:
         self.size += len(data)
-        if self.size > self.max_bytes:
+        if self.is_too_large:
             self.parts.clear()
             raise AnswerRefusedError(f"an answer of more than {self.max_bytes} bytes")
         self.parts.append(data)
@@ -99,9 +103,10 @@
 ) -> Result[CompleteAnswer, Error]:
     """Send one request and return its complete answer, whatever its status, of `max_bytes` at most.
 
-    Fails with `PLATFORM_UNAVAILABLE` if no complete answer arrived in time; the request may have
-    been executed nevertheless. From `send_by` on, seconds on the process's clock, it fails without
-    sending the request: the reason for it may no longer hold once a connection is open.
+    Fails with `TOO_LARGE` above `max_bytes`, and with `PLATFORM_UNAVAILABLE` if no complete answer
+    arrived in time; the request may have been executed nevertheless. From `send_by` on, seconds on
+    the process's clock, it fails without sending the request: the reason for it may no longer hold
+    once a connection is open.
     """
     try:
         return await asyncio.wait_for(
@@ -153,7 +158,10 @@
         raise
     if end is not ReadOutcome.COMPLETE or receiver.head is None:
         reason = conn.abort_reason or "the connection broke"
-        return unavailable(f"{method} {target.partition('?')[0]}: {reason}")
+        detail = f"{method} {target.partition('?')[0]}: {reason}"
+        if receiver.is_too_large:
+            return Failure(Error(kind=ErrorKind.TOO_LARGE, detail=detail))
+        return unavailable(detail)
     pool.release(conn)
     head = receiver.head
     return Success(
