Memory of an answer that cannot be written is given up

Cause: an answer was marked as being sent before it was written; an error there ends the request, and a request whose answer is being sent keeps its share until a callback that never comes.

--- a/features/answer_memory.feature
+++ b/features/answer_memory.feature
@@ -28,3 +28,8 @@
     Given backend servers that answer with 3 MB
     When a caller that does not read its answer leaves after 0.3 s
     Then the process held the answer until then, and holds nothing afterwards
+
+  Scenario: An answer that cannot be written
+    Guards against memory that stays counted after an error while an answer is written.
+    When a whole answer cannot be written to its caller
+    Then its memory is given up at the end of the request
--- a/features/steps/answer_memory_steps.py
+++ b/features/steps/answer_memory_steps.py
@@ -1,13 +1,18 @@
 """Steps about the memory that answers take until they are whole."""
 
 import asyncio
+import contextlib
 import re
 import socket
 
 from behave import given, then, when
 from direct_forwarding_steps import run_in_harness
 from forwarding_harness import PATHS, raw_request
+from tornado.httputil import HTTPHeaders
 from wasabilb_core.answer_memory import UNCOUNTED_BYTES, AnswerMemory
+from wasabilb_core.forwarding_metadata import AnswerMetadata
+from wasabilb_entry.relay import BufferedAnswer, send_buffered_answer
+from wasabilb_node.http_client import AnswerHead
 
 SAMPLE_S = 0.002
 
@@ -169,3 +174,25 @@
     assert not begun_share(context, "early").take(size) and context.given_up == ["early"]
     context.shares[0].close()
     assert begun_share(context, "late").take(size)
+
+
+class FailingRequest:
+    """Request whose answer cannot be written."""
+
+    def answer(self, status, headers, body):
+        raise ValueError("illegal characters in header")
+
+
+@when("a whole answer cannot be written to its caller")
+def step_unwritable(context):
+    context.share = AnswerMemory().open()
+    head = AnswerHead(status=200, reason="OK", headers=HTTPHeaders())
+    answer = BufferedAnswer(head=head, metadata=AnswerMetadata(), body=b"x")
+    with contextlib.suppress(ValueError):
+        send_buffered_answer(FailingRequest(), answer, context.share)
+
+
+@then("its memory is given up at the end of the request")
+def step_not_sending(context):
+    # The forwarder closes a share at the end of its request unless its answer is being sent.
+    assert not context.share.is_sending
