One place for the turns and errors of the library's clients

Cause, found in the last reading: an agent's exchange and its reader of chunks each took turns of their own, so that a chunked exchange had two, and whole answers with a length none; two clients listed the library's errors with the same special case; a loop's state referred to its loop, which kept every loop of the tests alive. Test servers and the set-up of a loader stood twice.

Change: bodies of all framings are delivered through one turn, named after the server for the log; LIBRARY_CALL_ERRORS; ReadTurn.rest; the loop is an argument; LargeAnswerServer is a ScriptedRunner, make_version_loader serves both features; the sockets of the flooding server have a fixed buffer, so that the bound on what it can send does not hang on the machine's.

--- a/features/steps/answer_memory_steps.py
+++ b/features/steps/answer_memory_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from direct_forwarding_steps import run_in_harness
 from forwarding_harness import PATHS, raw_request
+from scripted_runner import ScriptedRunner
 from tornado.httputil import HTTPHeaders
 from wasabilb_core.answer_memory import UNCOUNTED_BYTES, AnswerMemory
 from wasabilb_core.forwarding_metadata import AnswerMetadata
@@ -17,22 +18,12 @@
 SAMPLE_S = 0.002
 
 
-class LargeAnswerServer:
+class LargeAnswerServer(ScriptedRunner):
     """Backend server that sends some bytes of an answer of a stated length."""
 
     def __init__(self, *, length, sent):
+        super().__init__([])
         self.length, self.sent = length, sent
-        self.writers, self.server, self.address = [], None, None
-
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
-
-    async def stop(self):
-        self.server.close()
-        for writer in self.writers:
-            writer.close()
-        await asyncio.sleep(0.01)
 
     async def serve(self, reader, writer):
         self.writers.append(writer)
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -41,8 +41,10 @@
 
 # A flood ends by itself, so that a process that it stops goes on and the scenario fails.
 FLOOD_S = 4.0
-# Bytes that the buffers of two sockets on loopback hold at most, by the kernel's usual limits.
+# Bytes that two sockets on loopback hold at most: the server's buffer is fixed, and the other one
+# grows only as its process reads.
 SOCKET_BYTES = 12 << 20
+SEND_BUFFER_BYTES = 64 << 10
 BLOCKS = {
     "line feeds": b"\n" * 16384,
     "comments": b":\n\n" * 5000,
@@ -76,6 +78,8 @@
         self.headers = b"Content-Type: text/event-stream\r\n" + LENGTHS[length]
         self.closed_at = []
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        # Accepted sockets have the same.
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         threading.Thread(target=self.accept, daemon=True).start()
 
--- a/features/steps/published_state_steps.py
+++ b/features/steps/published_state_steps.py
@@ -472,15 +472,8 @@
         self.wanted, self.seeds = wanted, seeds
 
 
-@given("an agent whose host has {share:g} of version 2 and whose runner holds version 1")
-def step_agent_between(context, share):
-    lines = context.lines = []
-    logger = logging.Logger("load-steps")
-    logger.addHandler(logging.Handler())
-    logger.handlers[0].emit = lines.append
-    log = EventLog(
-        process="t", role="agent", host="t", failure_domain="a", incarnation="1", logger=logger
-    )
+def make_version_loader(log, *, runner=None, staging=None):
+    """Return a loader of an agent, and the named versions that it follows."""
     engine = EngineSpec(model="m", slots=16, step_s=0.01, chunks=48, chunk_bytes=49152)
     origin = OriginSpec(address="127.0.0.1:8", failure_domain="a", bytes_per_s=15e6 / 8)
     state = PublishedView(items=PublishedState(), decoder=LookupDecoder({}), log=log)
@@ -489,12 +482,25 @@
         "weights": Service(name="weights", origin=origin),
     }
     state.catalog = Catalog(version=1, routes=(), services=services)
-    state.version_ages._models["m"] = context.named = NamedVersions()
+    state.version_ages._models["m"] = named = NamedVersions()
     names = {"published": state, "fleet": model_fleet(state)}
     inputs = LoadInputs(**names, origin=OriginUptime(), link_bytes_per_s=4.7e6 / 8, version_s=8.0)
-    context.loads = VersionLoader(
-        **names, runner=None, staging=None, inputs=inputs, version_s=8.0, log=log
+    loader = VersionLoader(
+        **names, runner=runner, staging=staging, inputs=inputs, version_s=8.0, log=log
+    )
+    return loader, named
+
+
+@given("an agent whose host has {share:g} of version 2 and whose runner holds version 1")
+def step_agent_between(context, share):
+    lines = context.lines = []
+    logger = logging.Logger("load-steps")
+    logger.addHandler(logging.Handler())
+    logger.handlers[0].emit = lines.append
+    log = EventLog(
+        process="t", role="agent", host="t", failure_domain="a", incarnation="1", logger=logger
     )
+    context.loads, context.named = make_version_loader(log)
     context.chunks = HostChunks({2: share})
 
 
--- a/features/steps/staged_check_steps.py
+++ b/features/steps/staged_check_steps.py
@@ -5,24 +5,18 @@
 import math
 
 from behave import given, then, when
-from forwarding_harness import LookupDecoder, RecordingLog
+from forwarding_harness import RecordingLog
 from memory_links import VirtualLoop, run_virtual
-from published_state_steps import HostChunks, model_fleet
+from published_state_steps import HostChunks, make_version_loader
 from returns.result import Failure, Success
-from wasabilb_agent._load_inputs import LoadInputs
-from wasabilb_agent._version_loader import VersionLoader
 from wasabilb_agent.model_runner import OrderAnswer, RunnerState
 from wasabilb_agent.staging import Staging
-from wasabilb_core.catalog import Catalog, EngineSpec, OriginSpec, Service
 from wasabilb_core.errors import Error, ErrorKind, unavailable
 from wasabilb_core.manifest import Manifest
-from wasabilb_core.named_versions import NamedVersions, Naming
-from wasabilb_core.origin_uptime import OriginUptime
-from wasabilb_core.published import PublishedState
+from wasabilb_core.named_versions import Naming
 from wasabilb_core.state_position import StatePosition
 from wasabilb_node.clock import now
 from wasabilb_node.http_client import ConnectionPool, fetch
-from wasabilb_node.published_view import PublishedView
 
 CHUNKS = [bytes([n]) * 64 for n in range(48)]
 PAUSE_S = 4.0
@@ -112,26 +106,9 @@
 
 
 def make_loader(runner, log):
-    engine = EngineSpec(model="m", slots=16, step_s=0.01, chunks=48, chunk_bytes=64)
-    origin = OriginSpec(address="127.0.0.1:8", failure_domain="a", bytes_per_s=15e6 / 8)
-    published = PublishedView(items=PublishedState(), decoder=LookupDecoder({}), log=log)
-    services = {
-        "models": Service(name="models", engine=engine),
-        "weights": Service(name="weights", origin=origin),
-    }
-    published.catalog = Catalog(version=1, routes=(), services=services)
-    named = published.version_ages._models["m"] = NamedVersions()
+    loader, named = make_version_loader(log, runner=runner, staging=Staging(runner=runner, log=log))
     named.on_named(2, Naming(position=StatePosition(revision=2), after=now()))
-    names = {"published": published, "fleet": model_fleet(published)}
-    inputs = LoadInputs(**names, origin=OriginUptime(), link_bytes_per_s=1e6, version_s=8.0)
-    return VersionLoader(
-        **names,
-        runner=runner,
-        staging=Staging(runner=runner, log=log),
-        inputs=inputs,
-        version_s=8.0,
-        log=log,
-    )
+    return loader
 
 
 @given("a runner that answers a read of a staged chunk after {seconds:g} s")
--- a/packages/wasabilb-agent/src/wasabilb_agent/_http_chunked_coding.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_http_chunked_coding.py
@@ -4,6 +4,7 @@
 takes several reads and changes of the poll set.
 """
 
+from collections.abc import Awaitable, Callable
 from functools import partial
 
 from tornado.http1connection import HTTP1Connection, parse_hex_int
@@ -88,24 +89,33 @@
     def _create_connection(self, stream: IOStream) -> HTTP1Connection:
         conn = super()._create_connection(stream)
         conn.params.chunk_size = READ_BYTES
+        turn = ReadTurn(reader=self.parsed.netloc)
+        # All readers of bodies deliver through it, whatever the framing.
+        deliver = partial(_deliver_in_turn, turn, conn._deliver_body)
+        conn._deliver_body = deliver  # type: ignore[method-assign]
         conn._read_chunked_body = partial(_read_chunked, conn)  # type: ignore[method-assign]
         return conn
 
 
+async def _deliver_in_turn(
+    turn: ReadTurn,
+    deliver: Callable[[HTTPMessageDelegate, bytes], Awaitable[None]],
+    delegate: HTTPMessageDelegate,
+    data: bytes,
+) -> None:
+    turn.begin()
+    await deliver(delegate, data)
+    await turn.rest()
+
+
 async def _read_chunked(conn: HTTP1Connection, delegate: HTTPMessageDelegate) -> None:
     """Deliver the content of a chunked body; a connection serves a single request."""
     decoder = ChunkDecoder()
-    turn = ReadTurn(reader="response")
     size = 0
     while not decoder.is_ended:
-        received = await conn.stream.read_bytes(READ_BYTES, partial=True)
-        turn.begin()
-        data = decoder.feed(received)
+        data = decoder.feed(await conn.stream.read_bytes(READ_BYTES, partial=True))
         size += len(data)
         if size > conn._max_body_size:
             raise HTTPInputError("chunked body too large")
         if data:
             await conn._deliver_body(delegate, data)
-        pause = turn.pause()
-        if pause is not None:
-            await pause
--- a/packages/wasabilb-agent/src/wasabilb_agent/_http_stream.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/_http_stream.py
@@ -11,7 +11,6 @@
 from wasabilb_core.errors import Error, ErrorKind, Outcome
 from wasabilb_node.http_client import MAX_HEADER_BYTES
 from wasabilb_wire.messages import Header
-from wasabilb_wire.read_turns import ReadTurn
 
 from wasabilb_agent._http_chunked_coding import ChunkedClient
 
@@ -101,18 +100,12 @@
         elif state.status >= 200:
             _run_callback(state, lambda: on_head(state.status, state.headers))
 
-    turn = ReadTurn(reader="exchange")
-
     async def on_chunk(data: bytes) -> None:
-        turn.begin()
         try:
             await on_bytes(data)
         except Exception as exc:
             state.callback_error = exc
             raise ExchangeStoppedError from exc
-        pause = turn.pause()
-        if pause is not None:
-            await pause
 
     request = HTTPRequest(
         url,
--- a/packages/wasabilb-agent/src/wasabilb_agent/engine_client.py
+++ b/packages/wasabilb-agent/src/wasabilb_agent/engine_client.py
@@ -6,14 +6,13 @@
 
 from attrs import define, field, frozen
 from returns.result import Failure, Result, Success
-from tornado.httpclient import HTTPClientError
 from tornado.httputil import HTTPHeaders
-from tornado.iostream import UnsatisfiableReadError
 from wasabilb_core.errors import Error, ErrorKind
 from wasabilb_core.event_stream import StreamAllowance
 from wasabilb_core.orders import EngineReport, Order
 from wasabilb_core.tickets import Variant
 from wasabilb_node.clock import now
+from wasabilb_node.http_client import LIBRARY_CALL_ERRORS
 from wasabilb_wire.messages import Header
 
 from wasabilb_agent._http_stream import CONNECT_TIMEOUT_S, new_client, stream_exchange
@@ -215,8 +214,7 @@
                 connect_timeout=CONNECT_TIMEOUT_S,
                 request_timeout=timeout_s,
             )
-        except (HTTPClientError, OSError, UnsatisfiableReadError) as exc:
-            # The last one: a head that does not end.
+        except LIBRARY_CALL_ERRORS as exc:
             detail = f"{method} {path.partition('?')[0]}: {exc}"
             return _failure(detail)
         return Success(response.body)
--- a/packages/wasabilb-node/src/wasabilb_node/_http_connection.py
+++ b/packages/wasabilb-node/src/wasabilb_node/_http_connection.py
@@ -246,9 +246,7 @@
 
     async def _wait_for_receiver(self, pending: Awaitable[None]) -> None:
         await pending
-        pause = self._turn.pause()
-        if pause is not None:
-            await pause
+        await self._turn.rest()
 
     def _pass_on(self, chunk: bytes) -> Awaitable[None] | None:
         if not self.is_unmatched:
--- a/packages/wasabilb-node/src/wasabilb_node/http_client.py
+++ b/packages/wasabilb-node/src/wasabilb_node/http_client.py
@@ -9,8 +9,9 @@
 
 from attrs import define, field, frozen
 from returns.result import Failure, Result, Success
+from tornado.httpclient import HTTPClientError
 from tornado.httputil import HTTPHeaders
-from tornado.iostream import StreamClosedError
+from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 from wasabilb_core.errors import Error, ErrorKind, unavailable
 
 from wasabilb_node._connection_pool import (
@@ -33,6 +34,7 @@
 
 __all__ = [
     "CONNECT_TIMEOUT_S",
+    "LIBRARY_CALL_ERRORS",
     "MAX_ANSWER_BYTES",
     "MAX_HEADER_BYTES",
     "AnswerHead",
@@ -50,6 +52,9 @@
 ]
 
 
+# What a call of the library's own client raises for a server without a usable answer; the last one
+# for a head that does not end.
+LIBRARY_CALL_ERRORS = (HTTPClientError, OSError, UnsatisfiableReadError)
 # The platform holds values up to 1 MiB and lists them in pages of that size, in an encoding that
 # adds a third; chunks of the known deployments have 48 KiB. Chunks above this limit cannot be read
 # from an origin.
--- a/packages/wasabilb-node/src/wasabilb_node/platform_client.py
+++ b/packages/wasabilb-node/src/wasabilb_node/platform_client.py
@@ -1,13 +1,12 @@
 """Read-only client of the configuration service and the host list."""
 
 from returns.result import Failure, Result, Success
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError
-from tornado.iostream import UnsatisfiableReadError
+from tornado.httpclient import AsyncHTTPClient
 from wasabilb_core.errors import Error, unavailable
 from wasabilb_core.metric_names import Metric
 from wasabilb_core.tickets import MAX_TICKET_BYTES
 
-from wasabilb_node.http_client import MAX_HEADER_BYTES
+from wasabilb_node.http_client import LIBRARY_CALL_ERRORS, MAX_HEADER_BYTES
 from wasabilb_node.metrics import Metrics
 from wasabilb_node.platform_answers import (
     MAX_ANSWER_BYTES,
@@ -86,8 +85,7 @@
             response = await self._http.fetch(
                 url, connect_timeout=CALL_TIMEOUT_S, request_timeout=timeout_s
             )
-        except (HTTPClientError, OSError, UnsatisfiableReadError) as exc:
-            # The last one: a head that does not end.
+        except LIBRARY_CALL_ERRORS as exc:
             return unavailable(f"{url}: {exc}")
         if len(response.body) > MAX_ANSWER_BYTES:
             return unavailable(f"{url}: {len(response.body)} bytes, at most {MAX_ANSWER_BYTES}")
--- a/packages/wasabilb-wire/src/wasabilb_wire/read_turns.py
+++ b/packages/wasabilb-wire/src/wasabilb_wire/read_turns.py
@@ -12,21 +12,20 @@
 
 
 class _LoopState:
-    """Share and number of the current iteration of one event loop."""
+    """Share and number of the current iteration of one event loop, which it does not refer to."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self._call_soon = loop.call_soon
+    def __init__(self) -> None:
         self._is_marked = False
         self._number = 0
         self.share = LoopShare()
 
-    def iteration(self) -> int:
+    def iteration(self, loop: asyncio.AbstractEventLoop) -> int:
         """Return a number that differs between iterations."""
         if not self._is_marked:
             self._is_marked = True
             self._number += 1
             # Runs in the next iteration, before whatever the current one makes ready from now on.
-            self._call_soon(self._end_iteration)
+            loop.call_soon(self._end_iteration)
         return self._number
 
     def _end_iteration(self) -> None:
@@ -39,7 +38,7 @@
 def _state_of(loop: asyncio.AbstractEventLoop) -> _LoopState:
     state = _STATES.get(loop)
     if state is None:
-        state = _STATES[loop] = _LoopState(loop)
+        state = _STATES[loop] = _LoopState()
     return state
 
 
@@ -74,14 +73,14 @@
 
     def begin(self) -> None:
         """Note the begin of a turn, unless this iteration of the loop has one of this reader."""
-        iteration = self._state.iteration()
+        iteration = self._state.iteration(self._loop)
         if iteration != self._iteration:
             self._iteration, self._began_at, self._parts = iteration, self._loop.time(), 0
         self._parts += 1
 
     def pause(self) -> Awaitable[None] | None:
         """Return the pause that is due, None if the reader has suspended or may continue."""
-        if self._state.iteration() != self._iteration:
+        if self._state.iteration(self._loop) != self._iteration:
             return None
         moment = self._loop.time()
         used_s = moment - self._began_at
@@ -95,5 +94,8 @@
         pause_s = share.pause_s(used_s, now=moment)
         return asyncio.sleep(pause_s) if pause_s > 0 else None
 
-
-__all__ = ["MAX_TURN_S", "ReadTurn", "current_share"]
+    async def rest(self) -> None:
+        """Pause if a pause is due."""
+        pause = self.pause()
+        if pause is not None:
+            await pause
