Scenarios begin once processes that were told to end have ended

Cause: the scenario before it ends an entry process by two signals and does not wait for its end. The next one puts the fleet in order: it starts the processes that have ended, and that one still ran. It then ended, and nobody started it again. A fault of the test's harness, not of the product: the process ends as it should.

Change: the harness waits for the processes that it told to end. No check is changed.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -32,6 +32,12 @@
     And every caller learns through another entry host that its booking ran
     And no promise is broken
 
+  Scenario: The fleet is put in order while a process ends
+    Guards against scenarios on a fleet without a process that still ran when they began, and ended
+    a moment later.
+    When an entry process gets SIGTERM and the fleet is put in order at once
+    Then all entry processes run and are ready
+
   Scenario: A prompt crashes the engines that begin an answer on it
     Guards against a request, its retries and the repeats of callers that end one engine after the
     other, at all entry processes.
--- a/features/steps/fleet_harness.py
+++ b/features/steps/fleet_harness.py
@@ -40,6 +40,8 @@
         engine.settings = evolve(engine.settings, fencing=False)
         self.number = 0
         self.versions = ["v0"]
+        # Processes that were told to end since the fleet was put in order.
+        self.ending = []
         self.sent = []
 
     def run(self, awaitable, timeout_s=120.0):
@@ -64,6 +66,12 @@
             for standin in filter(None, (host.engine, host.service)):
                 standin.clear_faults()
             fleet.signal(host, signal.SIGCONT)
+        # A process that was told to end may still run now and end during the next scenario.
+        ending, self.ending = self.ending, []
+        await self.until(
+            lambda: all(process.poll() is not None for process in ending), "processes end"
+        )
+        for host in fleet.hosts.values():
             if host.process.poll() is not None:
                 fleet.start_process(host)
         self.observer = Observer(fleet=fleet)
@@ -142,6 +150,8 @@
     def interrupt(self, host, number):
         """Send a signal to a process and exempt it from the bounds."""
         self.observer.interrupted_hosts.add(host.name)
+        if number in (signal.SIGTERM, signal.SIGKILL):
+            self.ending.append(host.process)
         self.fleet.signal(host, number)
 
     async def shut_down(self, host):
--- a/features/steps/processes_steps.py
+++ b/features/steps/processes_steps.py
@@ -61,6 +61,24 @@
     run_bookings(context, count, signals=(signal.SIGTERM, signal.SIGTERM))
 
 
+@when("an entry process gets SIGTERM and the fleet is put in order at once")
+def step_order_at_once(context):
+    context.harness.interrupt(context.harness.fleet.entry_hosts[0], signal.SIGTERM)
+    context.harness.run(context.harness.reset())
+
+
+@then("all entry processes run and are ready")
+def step_all_ready(context):
+    fleet = context.harness.fleet
+
+    async def states():
+        found = await asyncio.gather(*(fleet.status(host) for host in fleet.entry_hosts))
+        return [status and status["state"] for status in found]
+
+    assert [host.process.poll() for host in fleet.entry_hosts] == [None] * len(fleet.entry_hosts)
+    assert set(context.harness.run(states())) == {"ready"}
+
+
 @then("none of them is told by it that it succeeded")
 def step_none_succeeded(context):
     harness = context.harness
