A stream that exceeds its limit is continued without a gap

Cause: the events of the read that exceeded the limit were counted as received, also as the position after which the next runner goes on, and then dropped with the refusal.

Change: the events are forwarded, and the stream is refused after them. Ruled out: the same at an event that is too long; a read that completes events leaves no more than itself incomplete.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -25,6 +25,12 @@
     Then each of these requests was answered within 0.5 s
     And the stream and its connection to the server ended within 1.5 s
 
+  Scenario: A stream that exceeds its limit is continued without a gap
+    Guards against events that are dropped with the refusal although the next runner continues after
+    them.
+    When a server sends 12000 events with ids at once, more than a stream may have
+    Then the caller has all events up to the one after which another runner would continue
+
   Scenario Outline: Several long heads that arrive together
     Guards against a process that parses the heads of one connection without a pause.
     When a server sends 4 <answers> with heads of 12 KB together before its answer
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -1,13 +1,15 @@
 """Steps about relays of two attempts that write one answer."""
 
 import asyncio
+import contextlib
+import re
 
 from behave import given, then, when
 from forwarding_harness import PlainProtocol
 from scripted_runner import EVENTS
 from tornado.httputil import HTTPHeaders
 from wasabilb_entry.relay import Relay
-from wasabilb_node.http_client import AnswerHead
+from wasabilb_node.http_client import AnswerHead, AnswerRefusedError
 
 STREAM_HEAD = AnswerHead(
     status=200,
@@ -77,3 +79,29 @@
 def step_second_only(context):
     assert context.answer.body == b"".join(EVENTS), context.answer.body
     assert context.answer.is_finished
+
+
+@when("a server sends {count:d} events with ids at once, more than a stream may have")
+def step_too_many(context, count):
+    context.answer = RecordingRequest()
+    events = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, count + 1))
+
+    async def run():
+        relay = context.relay = begun(
+            Relay(req=context.answer, request_id="q-1", protocol=PlainProtocol(), is_stream=True)
+        )
+        relay.on_head(STREAM_HEAD)
+        size = 16 << 10
+        with contextlib.suppress(AnswerRefusedError):
+            for start in range(0, len(events), size):
+                relay.on_data(events[start : start + size])
+            raise AssertionError("the stream was not refused")
+
+    asyncio.run(run())
+
+
+@then("the caller has all events up to the one after which another runner would continue")
+def step_has_all(context):
+    ids = [int(found) for found in re.findall(rb"id: (\d+)", context.answer.body)]
+    last = int(context.relay.events.last_id)
+    assert ids == list(range(1, last + 1)), (len(ids), last)
--- a/packages/wasabilb-entry/src/wasabilb_entry/relay.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/relay.py
@@ -275,12 +275,15 @@
             whole = self.events.feed(data)
         except ValueError as exc:
             raise AnswerRefusedError(str(exc)) from exc
+        pending = self._forward_progress(whole) if whole else None
         elapsed_s = now() - self._head_at
         if not self._allowance.take(self.events.count - count, elapsed_s):
+            # Another runner would continue after these events, so that the caller has them.
             detail = f"a stream of {self._allowance.events} events in {elapsed_s:.2f} s"
             raise AnswerRefusedError(detail)
-        if not whole:
-            return None
+        return pending
+
+    def _forward_progress(self, whole: bytes) -> "asyncio.Future[None] | None":
         self.progress_at = now()
         if self._on_going_on is not None and self.progress_at - self._head_at >= SURVIVED_S:
             on_going_on, self._on_going_on = self._on_going_on, None
