An answer that is whole is not given up for another one

Cause: an answer could be given up for another one from its end until it was written; in between the crash guard is told, which may suspend.

Evidence: features/answer_memory.feature, "An answer that is whole is not given up for another one": with another answer that needs the memory just then, the caller got 0 of 900,000 bytes before; the row of status 500, whose answer was kept at once, passed.

Change: an attempt that ends with a usable answer excludes it from being given up in the same step in which it decides so; the two later places go.

After: both rows pass; answer_memory, direct_forwarding and continued_streams.feature pass.

--- a/features/answer_memory.feature
+++ b/features/answer_memory.feature
@@ -29,6 +29,18 @@
     When a caller that does not read its answer leaves after 0.3 s
     Then the process held the answer until then, and holds nothing afterwards
 
+  Scenario Outline: An answer that is whole is not given up for another one
+    Guards against a caller who gets an empty answer, as the memory of a whole one was needed
+    between its end and its way to the caller.
+    Given a backend server that answers with 900 KB and status <status>
+    When another answer needs the memory after the end of this one
+    Then the caller gets the 900 KB with status <status>
+
+    Examples:
+      | status |
+      | 200    |
+      | 500    |
+
   Scenario: An answer that cannot be written
     Guards against memory that stays counted after an error while an answer is written.
     When a whole answer cannot be written to its caller
--- a/features/steps/answer_memory_steps.py
+++ b/features/steps/answer_memory_steps.py
@@ -4,15 +4,17 @@
 import contextlib
 import re
 import socket
+from unittest.mock import patch
 
 from behave import given, then, when
-from direct_forwarding_steps import run_in_harness
+from direct_forwarding_steps import fetch, run_in_harness
 from forwarding_harness import PATHS, raw_request
 from scripted_runner import ScriptedRunner
 from tornado.httputil import HTTPHeaders
 from wasabilb_core.answer_memory import UNCOUNTED_BYTES, AnswerMemory
 from wasabilb_core.forwarding_metadata import AnswerMetadata
 from wasabilb_entry.relay import BufferedAnswer, send_buffered_answer
+from wasabilb_entry.request_attempts import RequestAttempts
 from wasabilb_node.http_client import AnswerHead
 
 SAMPLE_S = 0.002
@@ -21,16 +23,16 @@
 class LargeAnswerServer(ScriptedRunner):
     """Backend server that sends some bytes of an answer of a stated length."""
 
-    def __init__(self, *, length, sent):
+    def __init__(self, *, length, sent, status=200):
         super().__init__([])
-        self.length, self.sent = length, sent
+        self.length, self.sent, self.status = length, sent, status
 
     async def serve(self, reader, writer):
         self.writers.append(writer)
         try:
             head = await reader.readuntil(b"\r\n\r\nhi")
             request_id = re.search(rb"(?im)^request-id: (\S+)", head)[1]
-            start = b"HTTP/1.1 200 OK\r\nSeal: s\r\nRequest-Id: %s\r\n" % request_id
+            start = b"HTTP/1.1 %d X\r\nSeal: s\r\nRequest-Id: %s\r\n" % (self.status, request_id)
             writer.write(start + b"Content-Length: %d\r\n\r\n" % self.length)
             writer.write(b"x" * self.sent)
             await writer.drain()
@@ -167,6 +169,39 @@
     assert begun_share(context, "late").take(size)
 
 
+@given("a backend server that answers with {size:d} KB and status {status:d}")
+def given_whole(context, size, status):
+    context.behaviours = []
+    size *= 1000
+    context.servers = [LargeAnswerServer(length=size, sent=size, status=status)]
+
+
+@when("another answer needs the memory after the end of this one")
+def step_needs_memory(context):
+    async def send(harness):
+        memory = harness.forwarder._answer_memory = AnswerMemory(max_bytes=1_000_000)
+        tell_guard = RequestAttempts._tell_guard
+
+        async def need_memory(*args):
+            other = memory.open()
+            other.begin_attempt(lambda: None)
+            for _ in range(50):
+                other.take(16_000)
+            other.close()
+            await tell_guard(*args)
+
+        with patch.object(RequestAttempts, "_tell_guard", need_memory):
+            return await fetch(harness, raw_request(PATHS["at-most-once"]))
+
+    run_in_harness(context, send, runners=context.servers)
+
+
+@then("the caller gets the {size:d} KB with status {status:d}")
+def step_gets_whole(context, size, status):
+    assert context.result[0] == status, context.result[0]
+    assert len(context.result[2]) == size * 1000, len(context.result[2])
+
+
 class FailingRequest:
     """Request whose answer cannot be written."""
 
--- a/packages/wasabilb-entry/src/wasabilb_entry/relay.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/relay.py
@@ -345,7 +345,6 @@
 ) -> None:
     """Send a whole answer unchanged; it counts as held until the caller has taken it."""
     headers: HTTPHeaders = end_to_end(buffered_answer.head.headers)
-    share.keep()
     written = req.answer(buffered_answer.head.status, headers, buffered_answer.body)
     share.is_sending = True
     written.add_done_callback(lambda _: share.close())
--- a/packages/wasabilb-entry/src/wasabilb_entry/request_attempts.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/request_attempts.py
@@ -157,7 +157,6 @@
             self._log_ended(ctx, attempt, placement, end)
         if end is AttemptEnd.FAILED:
             ctx.failed_answer = relay.buffered_answer()
-            relay.share.keep()
         await self._tell_guard(ctx, attempt, end)
         return end
 
--- a/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
+++ b/packages/wasabilb-entry/src/wasabilb_entry/runner_attempt.py
@@ -275,7 +275,9 @@
         if not metadata.is_sealed or "Content-Encoding" in head.headers:
             # Not the runner's own answer to a request that it ran.
             return AttemptEnd.BROKEN
-        if head.status >= MIN_SERVER_ERROR:
-            return AttemptEnd.FAILED
-        is_unusable = self.relay.is_stream and self.relay.has_begun_answer
-        return AttemptEnd.BROKEN if is_unusable else AttemptEnd.ANSWERED
+        is_failure = head.status >= MIN_SERVER_ERROR
+        if not is_failure and self.relay.is_stream and self.relay.has_begun_answer:
+            return AttemptEnd.BROKEN
+        # The caller may get this answer, so that it is not given up for another one any more.
+        self.relay.share.keep()
+        return AttemptEnd.FAILED if is_failure else AttemptEnd.ANSWERED
